--- /dev/null
+++ b/crates/drill/src/main.rs
@@ -0,0 +1,263 @@
+//! Puts the routing decisions on the bench's wire: lines in, calls on the router, results out.
+
+mod settings;
+mod wire;
+
+use std::collections::HashMap;
+use std::io::{BufRead, Write};
+use std::process::ExitCode;
+
+use aldermill_routing::{Handle, Listed, MemberId, Micros, Outcome, Router, Step, Task, Todo};
+use settings::Decoded;
+use wire::{Fields, Trouble};
+
+/// One driver: its router and the names that the wire uses for what the router numbers.
+struct Driver {
+    router: Router,
+    decoded: Decoded,
+    member_ids: HashMap<String, MemberId>,
+    member_names: Vec<String>,
+    handles: HashMap<u64, Handle>,
+    tickets: HashMap<Handle, u64>,
+    armed: Option<Micros>,
+    timers: u64,
+}
+
+impl Driver {
+    fn new(settings: &str, seed: u64, now: Micros) -> Result<Driver, Trouble> {
+        let decoded = Decoded::parse(settings)?;
+        Ok(Driver {
+            router: Router::start(decoded.terms.clone(), seed, now),
+            decoded,
+            member_ids: HashMap::new(),
+            member_names: Vec::new(),
+            handles: HashMap::new(),
+            tickets: HashMap::new(),
+            armed: None,
+            timers: 0,
+        })
+    }
+
+    fn member(&mut self, name: &str) -> MemberId {
+        if let Some(&id) = self.member_ids.get(name) {
+            return id;
+        }
+        let id = self.member_names.len();
+        self.member_ids.insert(name.to_owned(), id);
+        self.member_names.push(name.to_owned());
+        id
+    }
+
+    fn list(&mut self, items: &[String]) -> Result<Vec<Listed>, Trouble> {
+        let mut lines = Vec::with_capacity(items.len());
+        for item in items {
+            let mut fields = Fields::new(item);
+            let primary = fields.number("primary")? >= 1.0;
+            fields.skip("powerHint")?;
+            let standing = fields.standing("condition")?;
+            let name = fields.text("member")?;
+            let group = fields.integer("cluster")?;
+            let zone = self.decoded.zone(fields.text("hall")?);
+            let since = fields.optional_time("onlineSinceMs")?.filter(|&since| since > 0);
+            fields.skip("shape")?;
+            let member = self.member(name);
+            lines.push(Listed { member, name: name.to_owned(), group, zone, standing, since, primary });
+        }
+        Ok(lines)
+    }
+
+    fn encode(&mut self, who: u32, now: Micros, todo: Todo, reply: &mut wire::Reply) {
+        for (handle, step) in todo.steps {
+            let Some(&ticket) = self.tickets.get(&handle) else { continue };
+            match step {
+                Step::Launch { member, limit } => {
+                    reply.call_out(who, ticket, &self.member_names[member], limit)
+                }
+                Step::CallOff { launch } => reply.revoke(who, ticket, launch),
+                Step::Deny { cool_down } => reply.turn_away(who, ticket, cool_down),
+                Step::BreakOff => reply.error(who, ticket),
+            }
+            self.release(handle);
+        }
+        for member in todo.probes {
+            reply.poll(who, &self.member_names[member]);
+        }
+        if todo.subscribe {
+            reply.stream_changes(who);
+        }
+        if let Some(at) = todo.wake_at
+            && self.armed.is_none_or(|armed| armed <= now || at < armed)
+        {
+            self.timers += 1;
+            self.armed = Some(at);
+            reply.defer(who, at - now, self.timers);
+        }
+    }
+
+    /// Drops the names of a task of which nothing more can be heard.
+    fn release(&mut self, handle: Handle) {
+        if !self.router.knows(handle)
+            && let Some(ticket) = self.tickets.remove(&handle)
+        {
+            self.handles.remove(&ticket);
+        }
+    }
+}
+
+#[derive(Default)]
+struct Drill {
+    now: Micros,
+    drivers: HashMap<u32, Driver>,
+    sheets: HashMap<u64, Vec<String>>,
+    /// The sheet being read and how many of its lines are still to come.
+    open_sheet: Option<(u64, usize)>,
+    reply: wire::Reply,
+}
+
+impl Drill {
+    fn line(&mut self, line: &str, out: &mut impl Write) -> Result<(), Trouble> {
+        let mut fields = Fields::new(line);
+        let verb = fields.verb();
+        if let Some((page, left)) = self.open_sheet {
+            if verb != "ITEM" {
+                return Err(Trouble::new("ITEM", "a sheet's line is missing here"));
+            }
+            let items = self.sheets.entry(page).or_default();
+            items.push(fields.rest());
+            self.open_sheet = (left > 1).then_some((page, left - 1));
+            return Ok(());
+        }
+        match verb {
+            "MARK" => self.now = fields.time("clock")?,
+            "GO" => self.reply.finish(out).map_err(|error| Trouble::new("reply", &error.to_string()))?,
+            "SHEET" => {
+                let page = fields.integer("page")?;
+                let lines = fields.integer("lines")? as usize;
+                self.sheets.insert(page, Vec::with_capacity(lines.min(4096)));
+                self.open_sheet = (lines > 0).then_some((page, lines));
+            }
+            "SPAWN" => {
+                let who = fields.instance()?;
+                let seed = fields.integer("initSeed")?;
+                let driver = Driver::new(&fields.rest(), seed, self.now)?;
+                self.drivers.insert(who, driver);
+            }
+            "HALT" => {
+                self.drivers.remove(&fields.instance()?);
+            }
+            "UPDATE" | "ORDER" | "OUTCOME" | "ABANDONED" | "PONG" | "FIRED" => {
+                self.event(verb, &mut fields)?
+            }
+            // Streams and messages between drivers are not used here; nothing follows from them.
+            "STARTED" | "PEER_DATA" => {
+                fields.instance()?;
+            }
+            other => return Err(Trouble::new(other, "unknown message")),
+        }
+        Ok(())
+    }
+
+    fn event(&mut self, verb: &str, fields: &mut Fields) -> Result<(), Trouble> {
+        let now = self.now;
+        let who = fields.instance()?;
+        let Some(driver) = self.drivers.get_mut(&who) else { return Ok(()) };
+        let todo = match verb {
+            "UPDATE" => {
+                fields.skip("serial")?;
+                let page = fields.optional("page")?;
+                match fields.text("form")? {
+                    "unavailable" => driver.router.list_unavailable(now),
+                    form => {
+                        let full = match form {
+                            "update" => false,
+                            "replace" | "restored" => true,
+                            _ => return Err(Trouble::new("form", "unknown kind of list")),
+                        };
+                        let page = page.and_then(|page| page.parse().ok());
+                        let items = page.and_then(|page: u64| self.sheets.get(&page));
+                        let items = items.ok_or(Trouble::new("page", "no such sheet"))?;
+                        let lines = driver.list(items)?;
+                        driver.router.list(now, full, lines)
+                    }
+                }
+            }
+            "ORDER" => {
+                let ticket = fields.integer("ticket")?;
+                let offering = driver.decoded.offering(fields.text("service")?)?;
+                fields.skip("account")?;
+                let session = fields.optional("session")?.map(str::to_owned);
+                let ttl = fields.time("ttlMs")?;
+                fields.skip("workMs")?;
+                let group = fields.integer("partitionNo")?;
+                let last_write = fields.optional_time("lastWriteMs")?.filter(|&ago| ago > 0);
+                fields.skip("options")?;
+                let task = Task { offering, group, ttl, session, last_write };
+                let (handle, todo) = driver.router.take(now, task);
+                driver.handles.insert(ticket, handle);
+                driver.tickets.insert(handle, ticket);
+                todo
+            }
+            "OUTCOME" => {
+                let ticket = fields.integer("ticket")?;
+                fields.skip("roundNo")?;
+                fields.skip("member")?;
+                let took = fields.time("timeTakenMs")?;
+                let verdict = fields.verdict("how")?;
+                let stand = fields.optional_integer("stand")?;
+                let closed = fields.flag("closed")?;
+                let load = fields.optional("load")?;
+                let told = driver.decoded.told(stand, load)?;
+                let Some(&handle) = driver.handles.get(&ticket) else { return Ok(()) };
+                let outcome = Outcome { verdict, took, told, closed };
+                let todo = handle.ended(&mut driver.router, now, outcome);
+                driver.encode(who, now, todo, &mut self.reply);
+                driver.release(handle);
+                return Ok(());
+            }
+            "ABANDONED" => {
+                let ticket = fields.integer("ticket")?;
+                let Some(&handle) = driver.handles.get(&ticket) else { return Ok(()) };
+                let todo = handle.left(&mut driver.router, now);
+                driver.encode(who, now, todo, &mut self.reply);
+                driver.release(handle);
+                return Ok(());
+            }
+            "PONG" => {
+                let name = fields.text("member")?;
+                let answered = fields.integer("how")? == 200;
+                fields.skip("timeTakenMs")?;
+                let told = driver.decoded.told(None, fields.optional("load")?)?;
+                let member = driver.member(name);
+                driver.router.probed(now, member, answered.then_some(told))
+            }
+            _ => {
+                fields.integer("name")?;
+                driver.router.wake(now)
+            }
+        };
+        driver.encode(who, now, todo, &mut self.reply);
+        Ok(())
+    }
+}
+
+fn main() -> ExitCode {
+    let mut drill = Drill::default();
+    let mut input = std::io::stdin().lock();
+    let mut out = std::io::stdout().lock();
+    let mut line = String::new();
+    let mut number = 0u64;
+    loop {
+        line.clear();
+        number += 1;
+        let result = match input.read_line(&mut line) {
+            Ok(0) => return ExitCode::SUCCESS,
+            Ok(_) => drill.line(line.trim_end_matches(['\n', '\r']), &mut out),
+            Err(error) => Err(Trouble::new("input", &error.to_string())),
+        };
+        if let Err(trouble) = result {
+            let verb = line.split('\t').next().unwrap_or_default().trim_end();
+            eprintln!("line {number}, message {verb}: {trouble}");
+            return ExitCode::FAILURE;
+        }
+    }
+}
--- /dev/null
+++ b/crates/drill/src/settings.rs
@@ -0,0 +1,193 @@
+use std::collections::HashMap;
+
+use aldermill_routing::{Effect, ListedRoles, Micros, Need, Offering, Role, Scope, Terms, Told};
+use serde::Deserialize;
+
+use crate::wire::{Trouble, micros};
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Category {
+    name: String,
+    effect: String,
+    dedup_scope: String,
+    window_ms: f64,
+    target_ms: f64,
+    worth: f64,
+    late_worth: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Family {
+    behind: String,
+    max_age_ms: Vec<f64>,
+    needs_by_class: Vec<String>,
+    position_zero_ms: f64,
+    role_listed: String,
+    tokens: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Limits {
+    cancel: bool,
+    max_attempts: u32,
+    max_retry_after_ms: f64,
+    retry_after: bool,
+    probes: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Rules {
+    ask_within_ms: Option<f64>,
+    cold_from: f64,
+    warm_within_ms: f64,
+    overload_factor: f64,
+    fall_ms: f64,
+    drain_grace_ms: f64,
+    #[serde(default)]
+    only_draining_binds: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Deductions {
+    cross_zone: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Message {
+    azs: Vec<String>,
+    my_zone: String,
+    balancers: usize,
+    categories: Vec<Category>,
+    family_info: Family,
+    limits: Limits,
+    rules: Rules,
+    registry_mode: String,
+    deductions: Deductions,
+}
+
+/// What the adapter needs of the first message, beside the router's own terms.
+pub struct Decoded {
+    pub terms: Terms,
+    offerings: HashMap<String, usize>,
+    zones: Vec<String>,
+    zero: Micros,
+}
+
+fn bad<T>(field: &str, value: &str) -> Result<T, Trouble> {
+    Err(Trouble::new(field, &format!("unknown value {value:?}")))
+}
+
+impl Decoded {
+    pub fn parse(text: &str) -> Result<Decoded, Trouble> {
+        let message: Message =
+            serde_json::from_str(text).map_err(|error| Trouble::new("settings", &error.to_string()))?;
+        let family = &message.family_info;
+        let mut offerings = Vec::new();
+        for (index, category) in message.categories.iter().enumerate() {
+            let window = micros(category.window_ms);
+            let effect = match (category.effect.as_str(), category.dedup_scope.as_str()) {
+                ("pure", _) => Effect::Pure,
+                ("side_effect", _) => Effect::Effectful,
+                ("token", "all") => Effect::Receipted { scope: Scope::All, window },
+                ("token", "zone") => Effect::Receipted { scope: Scope::Zone, window },
+                ("token", _) => Effect::Receipted { scope: Scope::Group, window },
+                (other, _) => return bad("effect", other),
+            };
+            let need = match family.needs_by_class.get(index).map_or("loose", String::as_str) {
+                "update" => Need::Write,
+                "latest" => Need::Latest,
+                "own_writes" => Need::OwnWrites,
+                "recent" => Need::Recent(micros(family.max_age_ms.get(index).copied().unwrap_or(0.0))),
+                "loose" => Need::Loose,
+                other => return bad("needsByClass", other),
+            };
+            offerings.push(Offering {
+                effect,
+                need,
+                quoted: micros(category.target_ms),
+                payoff: category.worth,
+                late_share: category.late_worth,
+            });
+        }
+        let listed_roles = match family.role_listed.as_str() {
+            "delayed" => ListedRoles::Late,
+            "initial" => ListedRoles::AtStart,
+            "off" => ListedRoles::Never,
+            other => return bad("roleListed", other),
+        };
+        let (limits, rules) = (&message.limits, &message.rules);
+        let zone = |name: &str| message.azs.iter().position(|zone| zone == name);
+        let terms = Terms {
+            offerings,
+            drivers: message.balancers,
+            zone: zone(&message.my_zone).unwrap_or(message.azs.len()),
+            max_launches: limits.max_attempts,
+            may_call_off: limits.cancel,
+            may_probe: limits.probes,
+            max_cool_down: if limits.retry_after { micros(limits.max_retry_after_ms) } else { 0 },
+            listed_roles,
+            members_check: family.behind != "off",
+            remember_sessions: family.tokens == "router",
+            list_on_request: message.registry_mode == "subscribe",
+            ask_within: micros(rules.ask_within_ms.unwrap_or(0.0)),
+            drain_grace: micros(rules.drain_grace_ms),
+            only_draining_binds: rules.only_draining_binds,
+            cold_from: rules.cold_from,
+            warm_within: micros(rules.warm_within_ms),
+            overload_factor: rules.overload_factor,
+            overload_window: micros(rules.fall_ms),
+            crossing_price: message.deductions.cross_zone,
+        };
+        let names = message.categories.into_iter().map(|category| category.name);
+        Ok(Decoded {
+            terms,
+            offerings: names.enumerate().map(|(index, name)| (name, index)).collect(),
+            zero: micros(message.family_info.position_zero_ms),
+            zones: message.azs,
+        })
+    }
+
+    pub fn offering(&self, name: &str) -> Result<usize, Trouble> {
+        self.offerings.get(name).copied().map_or_else(|| bad("service", name), Ok)
+    }
+
+    pub fn zone(&self, name: &str) -> usize {
+        self.zones.iter().position(|zone| zone == name).unwrap_or(self.zones.len() + 1)
+    }
+
+    /// What an answer's note and a load report say; the newer position of the two.
+    pub fn told(&self, stand: Option<u64>, load: Option<&str>) -> Result<Told, Trouble> {
+        let mut told = Told::default();
+        for pair in load.into_iter().flat_map(|load| load.split(',')) {
+            let (name, value) = pair.split_once(':').unwrap_or((pair, ""));
+            if name != "x0" && name != "x1" {
+                continue;
+            }
+            let bad_number = || Trouble::new("load", &format!("bad number {pair:?}"));
+            let value: f64 = value.parse().map_err(|_| bad_number())?;
+            if name == "x0" {
+                told.position = Some(self.zero + (value * 1e6).floor() as Micros);
+            } else {
+                told.role = Some(if value >= 0.5 { Role::Primary } else { Role::Replica });
+            }
+        }
+        if let Some(stand) = stand.filter(|&stand| stand > 0) {
+            told.role = match stand % 4 {
+                1 => Some(Role::Primary),
+                2 => Some(Role::Replica),
+                _ => told.role,
+            };
+            if stand >= 4 {
+                let position = self.zero + (stand / 4) as Micros * 1000;
+                told.position = told.position.max(Some(position));
+            }
+        }
+        Ok(told)
+    }
+}
--- /dev/null
+++ b/crates/drill/src/wire.rs
@@ -0,0 +1,181 @@
+use std::fmt::{self, Write as _};
+use std::io::Write;
+use std::str::{FromStr, Split};
+
+use aldermill_routing::{Micros, Standing, Verdict};
+
+/// What is wrong with a line: the field, and why.
+#[derive(Debug)]
+pub struct Trouble {
+    field: String,
+    why: String,
+}
+
+impl Trouble {
+    pub fn new(field: &str, why: &str) -> Trouble {
+        Trouble { field: field.to_owned(), why: why.to_owned() }
+    }
+}
+
+impl fmt::Display for Trouble {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "field {}: {}", self.field, self.why)
+    }
+}
+
+/// The tab-separated parts of one line, taken from left to right.
+pub struct Fields<'a> {
+    parts: Split<'a, char>,
+}
+
+impl<'a> Fields<'a> {
+    pub fn new(line: &'a str) -> Fields<'a> {
+        Fields { parts: line.split('\t') }
+    }
+
+    pub fn verb(&mut self) -> &'a str {
+        self.parts.next().unwrap_or_default()
+    }
+
+    pub fn rest(&mut self) -> String {
+        self.parts.by_ref().collect::<Vec<_>>().join("\t")
+    }
+
+    pub fn optional(&mut self, field: &str) -> Result<Option<&'a str>, Trouble> {
+        match self.parts.next() {
+            None => Err(Trouble::new(field, "missing")),
+            Some("-") => Ok(None),
+            Some(text) => Ok(Some(text)),
+        }
+    }
+
+    pub fn skip(&mut self, field: &str) -> Result<(), Trouble> {
+        self.optional(field).map(|_| ())
+    }
+
+    pub fn text(&mut self, field: &str) -> Result<&'a str, Trouble> {
+        self.optional(field)?.ok_or_else(|| Trouble::new(field, "missing"))
+    }
+
+    fn parsed<T: FromStr>(&mut self, field: &str) -> Result<Option<T>, Trouble> {
+        let Some(text) = self.optional(field)? else { return Ok(None) };
+        text.parse().map(Some).map_err(|_| Trouble::new(field, &format!("bad number {text:?}")))
+    }
+
+    pub fn optional_integer(&mut self, field: &str) -> Result<Option<u64>, Trouble> {
+        self.parsed(field)
+    }
+
+    pub fn integer(&mut self, field: &str) -> Result<u64, Trouble> {
+        self.parsed(field)?.ok_or_else(|| Trouble::new(field, "missing"))
+    }
+
+    pub fn instance(&mut self) -> Result<u32, Trouble> {
+        self.parsed("who")?.ok_or_else(|| Trouble::new("who", "missing"))
+    }
+
+    pub fn number(&mut self, field: &str) -> Result<f64, Trouble> {
+        Ok(self.parsed(field)?.unwrap_or(0.0))
+    }
+
+    pub fn optional_time(&mut self, field: &str) -> Result<Option<Micros>, Trouble> {
+        let millis: Option<f64> = self.parsed(field)?;
+        match millis {
+            Some(millis) if !millis.is_finite() => Err(Trouble::new(field, "not a finite time")),
+            millis => Ok(millis.map(micros)),
+        }
+    }
+
+    pub fn time(&mut self, field: &str) -> Result<Micros, Trouble> {
+        self.optional_time(field)?.ok_or_else(|| Trouble::new(field, "missing"))
+    }
+
+    pub fn flag(&mut self, field: &str) -> Result<bool, Trouble> {
+        match self.text(field)? {
+            "0" => Ok(false),
+            "1" => Ok(true),
+            other => Err(Trouble::new(field, &format!("neither 0 nor 1: {other:?}"))),
+        }
+    }
+
+    pub fn standing(&mut self, field: &str) -> Result<Standing, Trouble> {
+        match self.text(field)? {
+            "ready" => Ok(Standing::Ready),
+            "draining" => Ok(Standing::Draining),
+            "gone" => Ok(Standing::Gone),
+            other => Err(Trouble::new(field, &format!("unknown condition {other:?}"))),
+        }
+    }
+
+    pub fn verdict(&mut self, field: &str) -> Result<Verdict, Trouble> {
+        match self.integer(field)? {
+            200 => Ok(Verdict::Honoured),
+            204 => Ok(Verdict::Miss),
+            408 => Ok(Verdict::TimedOut),
+            409 => Ok(Verdict::Moot),
+            429 => Ok(Verdict::Full),
+            444 => Ok(Verdict::CalledOff),
+            502 => Ok(Verdict::Error),
+            520 => Ok(Verdict::Reset),
+            521 => Ok(Verdict::Unconnected),
+            other => Err(Trouble::new(field, &format!("unknown outcome {other}"))),
+        }
+    }
+}
+
+pub fn micros(millis: f64) -> Micros {
+    (millis * 1000.0).round() as Micros
+}
+
+fn millis(micros: Micros) -> f64 {
+    micros as f64 / 1000.0
+}
+
+/// The reply to one batch, line by line.
+#[derive(Default)]
+pub struct Reply {
+    text: String,
+}
+
+impl Reply {
+    fn add(&mut self, line: fmt::Arguments) {
+        // Writing to a String cannot fail.
+        let _ = self.text.write_fmt(line);
+        self.text.push('\n');
+    }
+
+    pub fn call_out(&mut self, who: u32, ticket: u64, member: &str, limit: Micros) {
+        self.add(format_args!("CALL_OUT\t{who}\t{ticket}\t{member}\t{}", millis(limit)));
+    }
+
+    pub fn revoke(&mut self, who: u32, ticket: u64, launch: u32) {
+        self.add(format_args!("REVOKE\t{who}\t{ticket}\t{launch}"));
+    }
+
+    pub fn turn_away(&mut self, who: u32, ticket: u64, cool_down: Micros) {
+        self.add(format_args!("TURN_AWAY\t{who}\t{ticket}\t{}", millis(cool_down)));
+    }
+
+    pub fn error(&mut self, who: u32, ticket: u64) {
+        self.add(format_args!("ERROR\t{who}\t{ticket}"));
+    }
+
+    pub fn poll(&mut self, who: u32, member: &str) {
+        self.add(format_args!("POLL\t{who}\t{member}"));
+    }
+
+    pub fn stream_changes(&mut self, who: u32) {
+        self.add(format_args!("STREAM_CHANGES\t{who}\t1"));
+    }
+
+    pub fn defer(&mut self, who: u32, delay: Micros, name: u64) {
+        self.add(format_args!("DEFER\t{who}\t{}\t{name}", millis(delay)));
+    }
+
+    pub fn finish(&mut self, out: &mut impl Write) -> std::io::Result<()> {
+        self.text.push_str("FINISHED\n");
+        out.write_all(self.text.as_bytes())?;
+        self.text.clear();
+        out.flush()
+    }
+}
--- /dev/null
+++ b/crates/routing/src/decide.rs
@@ -0,0 +1,677 @@
+//! Every decision of the router.
+//!
+//! A driver starts one [`Router`] with its terms and a seed, hands it lists and probe answers, and
+//! wakes it at the time last asked for. `take` gives a [`Handle`] for a task; what happens to the task
+//! later is a call on that handle. Each call brings `now` and returns a [`Todo`]. The interface types are
+//! in `lib.rs`; a task's way is `place`, from top to bottom.
+
+use std::collections::{HashMap, VecDeque};
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::histogram::Histogram;
+use crate::{
+    Effect, Listed, ListedRoles, MemberId, Micros, Need, Offering, Outcome, Role, Scope, Standing, Step,
+    Task, Terms, Todo, Told, Verdict,
+};
+
+const MS: Micros = 1_000;
+/// How often the router looks at what no event brings: ends of time, silence, probes, the list.
+const BEAT: Micros = 20 * MS;
+/// The design's hold of a write after a round of misses.
+const HOLD: Micros = 500 * MS;
+const BAR: Micros = 5_000 * MS;
+const FAILURES: usize = 5;
+const FAILURE_WINDOW: Micros = 10_000 * MS;
+const PROBE_MISSES: u32 = 3;
+const PROBE_EVERY: Micros = 500 * MS;
+/// Probes of members whose proof of freshness has run out, and of a group without a primary.
+const PROBE_NEEDED: Micros = 100 * MS;
+const KEEP: u32 = 32;
+
+/// One task taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Handle(u64);
+
+impl Handle {
+    /// The task's launch has ended.
+    pub fn ended(self, router: &mut Router, now: Micros, outcome: Outcome) -> Todo {
+        router.launch_ended(now, self, outcome);
+        router.take_todo()
+    }
+
+    /// The client has left; nothing more is owed.
+    pub fn left(self, router: &mut Router, now: Micros) -> Todo {
+        router.close(self);
+        router.pump_all(now);
+        router.take_todo()
+    }
+}
+
+struct Launch {
+    member: MemberId,
+    at: Micros,
+    /// This driver's launches out at the member, this one counted.
+    depth: f64,
+    called_off: bool,
+}
+
+struct Errand {
+    task: Task,
+    group: usize,
+    arrived: Micros,
+    launches: u32,
+    out: Option<Launch>,
+    /// When and at which member a launch may first have run.
+    may_have_run: Option<(Micros, MemberId)>,
+    misses: usize,
+    cursor: Option<MemberId>,
+    avoid: Option<MemberId>,
+    closed: bool,
+}
+
+struct Member {
+    name: String,
+    group: usize,
+    zone: usize,
+    standing: Standing,
+    since: Option<Micros>,
+    position: Micros,
+    /// Seen as primary by its own word, and not since seen as replica.
+    seen_primary: bool,
+    heard: Micros,
+    answered: Micros,
+    barred_until: Micros,
+    failures: VecDeque<Micros>,
+    probe_misses: u32,
+    probe_out: bool,
+    probed: Micros,
+    out: Vec<Handle>,
+    window: f64,
+    took: Histogram,
+    sent: VecDeque<Micros>,
+}
+
+#[derive(Default)]
+struct Group {
+    members: Vec<MemberId>,
+    primary: Option<MemberId>,
+    /// The time of the newest word on the primary.
+    word: Micros,
+    listed: Option<MemberId>,
+    walk_after: Micros,
+    held: Vec<Handle>,
+}
+
+pub struct Router {
+    terms: Terms,
+    rng: Pcg64Mcg,
+    members: Vec<Option<Member>>,
+    groups: Vec<Group>,
+    group_ids: HashMap<u64, usize>,
+    errands: HashMap<Handle, Errand>,
+    next_handle: u64,
+    sessions: HashMap<String, Micros>,
+    took: Vec<Histogram>,
+    warm_load: f64,
+    next_sample: Micros,
+    next_beat: Micros,
+    subscribed: bool,
+    ask_at: Micros,
+    ask_wait: Micros,
+    todo: Todo,
+}
+
+impl Router {
+    pub fn start(terms: Terms, seed: u64, now: Micros) -> Router {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let ask_at = now + rng.random_range(0..200 * MS);
+        Router {
+            rng,
+            members: Vec::new(),
+            groups: Vec::new(),
+            group_ids: HashMap::new(),
+            errands: HashMap::new(),
+            next_handle: 0,
+            sessions: HashMap::new(),
+            took: vec![Histogram::default(); terms.offerings.len()],
+            warm_load: 0.0,
+            next_sample: now,
+            next_beat: now,
+            subscribed: false,
+            ask_at,
+            ask_wait: 500 * MS,
+            todo: Todo::default(),
+            terms,
+        }
+    }
+
+    pub fn take(&mut self, now: Micros, task: Task) -> (Handle, Todo) {
+        let handle = Handle(self.next_handle);
+        self.next_handle += 1;
+        let group = self.group(task.group);
+        let errand = Errand {
+            task,
+            group,
+            arrived: now,
+            launches: 0,
+            out: None,
+            may_have_run: None,
+            misses: 0,
+            cursor: None,
+            avoid: None,
+            closed: false,
+        };
+        self.errands.insert(handle, errand);
+        self.place(now, handle);
+        (handle, self.take_todo())
+    }
+
+    pub fn knows(&self, handle: Handle) -> bool {
+        self.errands.contains_key(&handle)
+    }
+
+    pub fn list(&mut self, now: Micros, full: bool, lines: Vec<Listed>) -> Todo {
+        self.subscribed = true;
+        self.ask_wait = 500 * MS;
+        if full {
+            for member in self.members.iter_mut().flatten() {
+                if !lines.iter().any(|line| line.name == member.name) {
+                    member.standing = Standing::Gone;
+                }
+            }
+        }
+        for line in lines {
+            self.list_line(now, line);
+        }
+        self.pump_all(now);
+        self.take_todo()
+    }
+
+    pub fn list_unavailable(&mut self, now: Micros) -> Todo {
+        self.subscribed = false;
+        self.ask_wait = (self.ask_wait * 2).min(8_000 * MS);
+        self.ask_at = now + self.rng.random_range(self.ask_wait / 2..self.ask_wait);
+        self.take_todo()
+    }
+
+    /// A probe's answer, or `None` where none came in time.
+    pub fn probed(&mut self, now: Micros, id: MemberId, told: Option<Told>) -> Todo {
+        if let Some(member) = self.members.get_mut(id).and_then(Option::as_mut) {
+            member.probe_out = false;
+            let group = member.group;
+            if let Some(told) = told {
+                // An answered probe lifts the detect bar.
+                if member.probe_misses >= PROBE_MISSES {
+                    member.barred_until = now;
+                }
+                member.probe_misses = 0;
+                member.heard = now;
+                self.note(id, told, told.position.unwrap_or(now - HOLD));
+            } else {
+                member.probe_misses += 1;
+                if member.probe_misses >= PROBE_MISSES {
+                    member.barred_until = now + BAR;
+                }
+            }
+            self.pump(now, group);
+        }
+        self.take_todo()
+    }
+
+    pub fn wake(&mut self, now: Micros) -> Todo {
+        if now >= self.next_beat {
+            self.next_beat = now + BEAT;
+            self.beat(now);
+        }
+        self.take_todo()
+    }
+
+    fn take_todo(&mut self) -> Todo {
+        self.todo.wake_at = Some(self.next_beat);
+        std::mem::take(&mut self.todo)
+    }
+
+    // ---- The ordinary path.
+
+    /// Sends the task on its way, holds it, or gives it up.
+    fn place(&mut self, now: Micros, handle: Handle) {
+        let errand = &self.errands[&handle];
+        let offering = &self.terms.offerings[errand.task.offering];
+        let end = errand.arrived + errand.task.ttl;
+        let quoted = errand.arrived + offering.quoted;
+        let useful = if offering.late_share > 0.0 { end } else { end.min(quoted) };
+        let hopeless = useful - self.took[errand.task.offering].quantile(0.4).unwrap_or(0) - BEAT;
+        if now >= hopeless || errand.launches >= self.launches_allowed(offering) {
+            return self.give_up(handle);
+        }
+        let target = match offering.need {
+            Need::Write => self.write_target(now, errand),
+            need => self.read_target(now, handle, need),
+        };
+        let Some(id) = target else {
+            let group = &mut self.groups[self.errands[&handle].group];
+            if !group.held.contains(&handle) {
+                group.held.push(handle);
+            }
+            return;
+        };
+        let errand = self.errands.get_mut(&handle).expect("held by its handle");
+        let group = &mut self.groups[errand.group];
+        group.held.retain(|&held| held != handle);
+        if group.primary.is_none() {
+            group.walk_after = now + HOLD;
+        }
+        let member = self.members[id].as_mut().expect("picked from a list");
+        member.out.push(handle);
+        member.sent.push_back(now);
+        errand.launches += 1;
+        errand.out = Some(Launch { member: id, at: now, depth: member.out.len() as f64, called_off: false });
+        self.todo.steps.push((handle, Step::Launch { member: id, limit: useful - now }));
+    }
+
+    /// The believed primary; without one, the next member by sorted id, one write walking at a time.
+    fn write_target(&self, now: Micros, errand: &Errand) -> Option<MemberId> {
+        let group = &self.groups[errand.group];
+        if let Some(id) = group.primary {
+            return (self.listed_ready(id) && !self.silent(now, id) && self.room(now, id) > 0.0)
+                .then_some(id);
+        }
+        let half = self.terms.max_launches as usize / 2;
+        let walking = errand.misses > 0 && errand.misses < group.members.len().min(half);
+        if !walking && now < group.walk_after {
+            return None;
+        }
+        let start = errand.cursor.and_then(|last| group.members.iter().position(|&id| id == last));
+        let start = start.map_or(0, |at| at + 1);
+        let round = (0..group.members.len()).map(|step| group.members[(start + step) % group.members.len()]);
+        let mut open = round.filter(|&id| self.listed_ready(id) && !self.silent(now, id));
+        let first = open.clone().next();
+        open.find(|&id| !self.barred(now, id)).or(first).filter(|&id| self.room(now, id) > 0.0)
+    }
+
+    /// A random replica proven fresh enough, else the primary.
+    fn read_target(&mut self, now: Micros, handle: Handle, need: Need) -> Option<MemberId> {
+        let errand = &self.errands[&handle];
+        let floor = match need {
+            Need::Latest => errand.arrived,
+            Need::OwnWrites => {
+                let told = errand.task.last_write.map(|ago| errand.arrived - ago);
+                let remembered = errand.task.session.as_ref().and_then(|s| self.sessions.get(s).copied());
+                told.max(remembered).unwrap_or(Micros::MIN)
+            }
+            Need::Recent(bound) => now - bound + MS,
+            Need::Loose | Need::Write => Micros::MIN,
+        };
+        let group = &self.groups[errand.group];
+        let mut open: Vec<MemberId> =
+            group.members.iter().copied().filter(|&id| self.may_follow(now, errand, id)).collect();
+        if open.iter().any(|&id| !self.barred(now, id) && Some(id) != errand.avoid) {
+            open.retain(|&id| !self.barred(now, id) && Some(id) != errand.avoid);
+        }
+        let primary = group.primary.filter(|id| open.contains(id) && self.member(*id).seen_primary);
+        let replicas: Vec<MemberId> = open.iter().copied().filter(|&id| Some(id) != group.primary).collect();
+        let fresh = |id: &MemberId| self.member(*id).position >= floor;
+        let mut rooms: Vec<(MemberId, f64)> =
+            replicas.iter().filter(|id| fresh(id)).map(|&id| (id, self.room(now, id))).collect();
+        rooms.retain(|&(_, room)| room > 0.0);
+        if self.terms.crossing_price > 0.0
+            && rooms.iter().any(|&(id, _)| self.member(id).zone == self.terms.zone)
+        {
+            rooms.retain(|&(id, _)| self.member(id).zone == self.terms.zone);
+        }
+        let stale: Vec<MemberId> = replicas.iter().copied().filter(|id| !fresh(id)).collect();
+        let mut pick = None;
+        if !rooms.is_empty() {
+            let total: f64 = rooms.iter().map(|&(_, room)| room).sum();
+            let mut mark = self.rng.random_range(0.0..total);
+            pick = rooms.iter().find(|&&(_, room)| {
+                mark -= room;
+                mark <= 0.0
+            });
+        }
+        let last_resort = || {
+            let behind = replicas.iter().copied().filter(|&id| self.room(now, id) > 0.0);
+            match primary.filter(|&id| self.room(now, id) > self.member(id).window * 0.3) {
+                None if self.terms.members_check => behind.max_by_key(|&id| self.member(id).position),
+                primary => primary,
+            }
+        };
+        let target = pick.map(|&(id, _)| id).or_else(last_resort);
+        for id in stale {
+            self.probe(now, id, PROBE_NEEDED);
+        }
+        target
+    }
+
+    /// Denied where that is true to say, else broken off.
+    fn give_up(&mut self, handle: Handle) {
+        let errand = &self.errands[&handle];
+        let deniable = match self.terms.offerings[errand.task.offering].effect {
+            Effect::Pure | Effect::Receipted { scope: Scope::All, .. } => true,
+            _ => errand.may_have_run.is_none() && errand.out.is_none(),
+        };
+        let cool_down = (HOLD / 5).min(self.terms.max_cool_down);
+        self.todo.steps.push((handle, if deniable { Step::Deny { cool_down } } else { Step::BreakOff }));
+        self.close(handle);
+    }
+
+    fn close(&mut self, handle: Handle) {
+        let Some(errand) = self.errands.get_mut(&handle) else { return };
+        errand.closed = true;
+        self.groups[errand.group].held.retain(|&held| held != handle);
+        if errand.out.is_none() {
+            self.errands.remove(&handle);
+        }
+    }
+
+    fn launch_ended(&mut self, now: Micros, handle: Handle, outcome: Outcome) {
+        let Some(errand) = self.errands.get_mut(&handle) else { return };
+        let Some(launch) = errand.out.take() else { return };
+        let (id, group, offering) = (launch.member, errand.group, errand.task.offering);
+        let (verdict, told) = (outcome.verdict, outcome.told);
+        let member = self.members[id].as_mut().expect("launched there");
+        member.out.retain(|&out| out != handle);
+        if !verdict.never_ran() && errand.may_have_run.is_none() {
+            errand.may_have_run = Some((launch.at, id));
+        }
+        if matches!(verdict, Verdict::Honoured | Verdict::Error | Verdict::Full | Verdict::Miss) {
+            member.heard = now;
+            member.answered = now;
+        }
+        match verdict {
+            Verdict::Honoured => {
+                if let (Some(session), Need::Write, Some(position), true) = (
+                    &errand.task.session,
+                    self.terms.offerings[offering].need,
+                    told.position,
+                    self.terms.remember_sessions,
+                ) {
+                    let newest = self.sessions.entry(session.clone()).or_insert(position);
+                    *newest = position.max(*newest);
+                }
+                self.took[offering].add(outcome.took, KEEP * 4);
+                member.took.add(outcome.took, KEEP / 2);
+                let target = self.terms.offerings[offering].quoted / 2;
+                let slow = member.took.quantile(0.6).is_some_and(|typical| typical > target);
+                if slow {
+                    member.window = (member.window * 0.96).max(1.0);
+                } else if launch.depth >= member.window - 1.0 {
+                    member.window += 1.0 / member.window;
+                }
+            }
+            Verdict::Full => member.window = (member.window * 0.7).max(1.0),
+            Verdict::Miss | Verdict::Moot => {}
+            Verdict::CalledOff if !launch.called_off => {}
+            _ => {
+                member.failures.push_back(now);
+                while member.failures.front().is_some_and(|&at| at < now - FAILURE_WINDOW) {
+                    member.failures.pop_front();
+                }
+                if member.failures.len() >= FAILURES {
+                    member.failures.clear();
+                    member.barred_until = now + BAR;
+                }
+            }
+        }
+        if verdict == Verdict::Miss && self.terms.offerings[offering].need == Need::Write {
+            errand.misses += 1;
+            errand.cursor = Some(id);
+            let half = self.terms.max_launches as usize / 2;
+            if errand.misses >= self.groups[group].members.len().min(half) {
+                errand.misses = 0;
+                self.groups[group].walk_after = now + HOLD;
+            }
+        }
+        errand.avoid = Some(id);
+        let effect = self.terms.offerings[offering].effect;
+        let stuck = match (effect, errand.may_have_run) {
+            (_, None) | (Effect::Pure, _) => false,
+            (Effect::Effectful, Some(_)) => true,
+            (Effect::Receipted { window, .. }, Some((at, _))) => now + BEAT >= at + window,
+        };
+        let over = outcome.closed || errand.closed;
+        self.note(id, told, now);
+        if over {
+            self.close(handle);
+        } else if stuck {
+            self.give_up(handle);
+        } else {
+            self.place(now, handle);
+        }
+        self.pump(now, group);
+    }
+
+    /// Takes in what a member says of itself, `at` being the time it was true; newer words beat older ones.
+    fn note(&mut self, id: MemberId, told: Told, at: Micros) {
+        let member = self.members[id].as_mut().expect("heard of");
+        member.position = member.position.max(told.position.unwrap_or(Micros::MIN));
+        let group = &mut self.groups[member.group];
+        match told.role {
+            Some(Role::Primary) if at >= group.word || group.primary.is_none() => {
+                member.seen_primary = true;
+                group.primary = Some(id);
+                group.word = at;
+            }
+            Some(Role::Replica) if at > group.word || group.primary != Some(id) => {
+                member.seen_primary = false;
+                if group.primary == Some(id) {
+                    group.primary = None;
+                    group.word = at;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn list_line(&mut self, now: Micros, line: Listed) {
+        let group = self.group(line.group);
+        if self.members.len() <= line.member {
+            self.members.resize_with(line.member + 1, || None);
+        }
+        let window = 2.0 + 14.0 / self.terms.drivers as f64;
+        let id = line.member;
+        if let Some(member) = &mut self.members[id] {
+            if member.since != line.since && line.standing == Standing::Ready {
+                member.barred_until = member.barred_until.min(now);
+                member.since = line.since;
+            }
+            member.standing = line.standing;
+        } else {
+            self.members[id] = Some(Member {
+                name: line.name,
+                group,
+                zone: line.zone,
+                standing: line.standing,
+                since: line.since,
+                position: Micros::MIN,
+                seen_primary: false,
+                heard: now,
+                answered: now,
+                barred_until: Micros::MIN,
+                failures: VecDeque::new(),
+                probe_misses: 0,
+                probe_out: false,
+                probed: Micros::MIN / 2,
+                out: Vec::new(),
+                window,
+                took: Histogram::default(),
+                sent: VecDeque::new(),
+            });
+            let members = &mut self.groups[group].members;
+            members.push(id);
+            members.sort_by_key(|&id| self.members[id].as_ref().map(|member| member.name.clone()));
+            self.probe(now, id, PROBE_NEEDED);
+        }
+        let group = &mut self.groups[group];
+        let news = group.listed != Some(id);
+        if line.primary && news {
+            let first = group.listed.is_none();
+            group.listed = Some(id);
+            let trusted = match self.terms.listed_roles {
+                ListedRoles::Late => first || now - group.word > 1_000 * MS,
+                ListedRoles::AtStart => first && group.primary.is_none(),
+                ListedRoles::Never => false,
+            };
+            if trusted {
+                group.primary = Some(id);
+            }
+        }
+        if line.standing != Standing::Ready && group.primary == Some(id) {
+            group.primary = None;
+        }
+    }
+
+    fn group(&mut self, name: u64) -> usize {
+        *self.group_ids.entry(name).or_insert_with(|| {
+            self.groups.push(Group { word: Micros::MIN / 2, walk_after: Micros::MIN, ..Group::default() });
+            self.groups.len() - 1
+        })
+    }
+
+    fn member(&self, id: MemberId) -> &Member {
+        self.members[id].as_ref().expect("listed")
+    }
+
+    // ---- Limits and guards.
+
+    /// Further launches go by payoff: the best paid offering may use them all.
+    fn launches_allowed(&self, offering: &Offering) -> u32 {
+        let best = self.terms.offerings.iter().map(|o| o.payoff).fold(f64::MIN_POSITIVE, f64::max);
+        let most = f64::from(self.terms.max_launches);
+        (most * (offering.payoff / best).max(0.5)).ceil().min(most) as u32
+    }
+
+    fn listed_ready(&self, id: MemberId) -> bool {
+        match self.member(id).standing {
+            Standing::Ready => true,
+            Standing::Draining => false,
+            Standing::Gone => self.terms.only_draining_binds,
+        }
+    }
+
+    fn barred(&self, now: Micros, id: MemberId) -> bool {
+        now < self.member(id).barred_until
+    }
+
+    /// Whether a read may go to this member at all; a receipted one stays where its repeats are dropped.
+    fn may_follow(&self, now: Micros, errand: &Errand, id: MemberId) -> bool {
+        let effect = self.terms.offerings[errand.task.offering].effect;
+        let kept = match (effect, errand.may_have_run) {
+            (Effect::Receipted { scope: Scope::Zone, .. }, Some((_, first))) => {
+                self.member(first).zone == self.member(id).zone
+            }
+            _ => true,
+        };
+        kept && self.listed_ready(id) && !self.silent(now, id)
+    }
+
+    /// Protects against members that take work and answer nothing: a hang, a cut link, a long pause.
+    /// Should also cover a member that died without a reset. Harms a member whose few launches out are
+    /// all long ones: it is passed over until it answers one.
+    fn silent(&self, now: Micros, id: MemberId) -> bool {
+        let member = self.member(id);
+        let oldest = member.out.iter().filter_map(|out| self.errands[out].out.as_ref()).map(|l| l.at).min();
+        let patience = member.took.quantile(0.9).unwrap_or(200 * MS).max(100 * MS) * 2;
+        oldest.is_some_and(|oldest| now - oldest.max(member.answered) > patience)
+    }
+
+    /// How many more launches this driver may have out at the member: its window, and for a cold one its
+    /// part of what the member can bear.
+    fn room(&self, now: Micros, id: MemberId) -> f64 {
+        let member = self.member(id);
+        let room = member.window.floor() - member.out.len() as f64;
+        let Some(since) = member.since else { return room };
+        let age = (now - since - self.terms.overload_window) as f64 / self.terms.warm_within.max(1) as f64;
+        if age >= 1.0 {
+            return room;
+        }
+        let part = self.terms.cold_from + (1.0 - self.terms.cold_from) * age.max(0.0);
+        let bearable = 0.5 * self.terms.overload_factor * part * self.warm_load;
+        let sent = member.sent.iter().filter(|&&at| at > now - self.terms.overload_window).count();
+        room.min(bearable.max(1.0) - sent as f64)
+    }
+
+    fn probe(&mut self, now: Micros, id: MemberId, gap: Micros) {
+        let Some(member) = self.members[id].as_mut() else { return };
+        if !self.terms.may_probe || member.probe_out || now - member.probed < gap {
+            return;
+        }
+        if member.standing != Standing::Ready {
+            return;
+        }
+        member.probe_out = true;
+        member.probed = now;
+        self.todo.probes.push(id);
+    }
+
+    fn pump_all(&mut self, now: Micros) {
+        for group in 0..self.groups.len() {
+            self.pump(now, group);
+        }
+    }
+
+    /// Places the held tasks of a group again: best paid first, then those that came last.
+    fn pump(&mut self, now: Micros, group: usize) {
+        let mut held = std::mem::take(&mut self.groups[group].held);
+        let worth = |handle: &Handle| {
+            let errand = &self.errands[handle];
+            let offering = &self.terms.offerings[errand.task.offering];
+            let late = now > errand.arrived + offering.quoted;
+            if late { offering.payoff * offering.late_share } else { offering.payoff }
+        };
+        held.sort_by(|a, b| worth(b).total_cmp(&worth(a)).then(b.cmp(a)));
+        for handle in held {
+            if self.errands.get(&handle).is_some_and(|errand| !errand.closed && errand.out.is_none()) {
+                self.place(now, handle);
+            }
+        }
+    }
+
+    fn beat(&mut self, now: Micros) {
+        if now >= self.next_sample {
+            self.next_sample = now + self.terms.overload_window;
+            let from = now - self.terms.overload_window;
+            let (mut sent, mut warm) = (0, 0);
+            for member in self.members.iter_mut().flatten() {
+                while member.sent.front().is_some_and(|&at| at <= from) {
+                    member.sent.pop_front();
+                }
+                let cold = member.since.is_some_and(|since| now - since < self.terms.warm_within);
+                if member.standing == Standing::Ready && !cold {
+                    sent += member.sent.len();
+                    warm += 1;
+                }
+            }
+            let mean = f64::from(sent as u32) / f64::from(warm.max(1));
+            self.warm_load = mean.max(self.warm_load * 0.95);
+        }
+        for id in 0..self.members.len() {
+            let Some(member) = &self.members[id] else { continue };
+            let leaderless = self.groups[member.group].primary.is_none();
+            self.probe(now, id, if leaderless { PROBE_NEEDED } else { PROBE_EVERY });
+            if self.terms.may_call_off && self.silent(now, id) {
+                self.call_off(id);
+            }
+        }
+        if self.terms.list_on_request && !self.subscribed && now >= self.ask_at {
+            self.ask_at = now + 10_000 * MS;
+            self.todo.subscribe = true;
+        }
+        self.pump_all(now);
+    }
+
+    /// Pure launches at a silent member are called off, to be launched elsewhere.
+    fn call_off(&mut self, id: MemberId) {
+        for handle in self.member(id).out.clone() {
+            let errand = self.errands.get_mut(&handle).expect("out");
+            let pure = self.terms.offerings[errand.task.offering].effect == Effect::Pure;
+            let launch = errand.launches - 1;
+            if let Some(out) = errand.out.as_mut().filter(|out| pure && !out.called_off && !errand.closed) {
+                out.called_off = true;
+                self.todo.steps.push((handle, Step::CallOff { launch }));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,175 @@
+//! The routing decisions of aldermill and the types they are asked and answered in.
+//!
+//! [`Router`] in `decide.rs` holds every decision. This file holds the interface: what a driver
+//! is told once ([`Terms`]), what it takes ([`Task`]), what it hears ([`Listed`], [`Outcome`],
+//! [`Told`]) and what it is to do next ([`Todo`]).
+
+mod decide;
+mod histogram;
+
+pub use decide::{Handle, Router};
+
+/// Whole microseconds, on the caller's clock.
+pub type Micros = i64;
+
+/// A member, as a small index that the caller gives out.
+pub type MemberId = usize;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    All,
+    Zone,
+    Group,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Pure,
+    Receipted { scope: Scope, window: Micros },
+    Effectful,
+}
+
+/// How new the data behind an answer must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    Write,
+    Latest,
+    OwnWrites,
+    Recent(Micros),
+    Loose,
+}
+
+#[derive(Clone, Debug)]
+pub struct Offering {
+    pub effect: Effect,
+    pub need: Need,
+    pub quoted: Micros,
+    pub payoff: f64,
+    /// The part of the payoff that an answer after the quoted time still earns.
+    pub late_share: f64,
+}
+
+/// What the list's word on roles is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListedRoles {
+    Late,
+    AtStart,
+    Never,
+}
+
+/// What one driver is told once, when it starts.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub offerings: Vec<Offering>,
+    pub drivers: usize,
+    pub zone: usize,
+    pub max_launches: u32,
+    pub may_call_off: bool,
+    pub may_probe: bool,
+    pub max_cool_down: Micros,
+    pub listed_roles: ListedRoles,
+    /// Members turn away reads for which they are too far behind.
+    pub members_check: bool,
+    /// The router itself remembers what each session wrote.
+    pub remember_sessions: bool,
+    pub list_on_request: bool,
+    pub ask_within: Micros,
+    pub drain_grace: Micros,
+    pub only_draining_binds: bool,
+    pub cold_from: f64,
+    pub warm_within: Micros,
+    pub overload_factor: f64,
+    pub overload_window: Micros,
+    pub crossing_price: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Task {
+    pub offering: usize,
+    pub group: u64,
+    /// How long the client waits for this try.
+    pub ttl: Micros,
+    pub session: Option<String>,
+    /// How long ago the session's last write was committed, where the client says so.
+    pub last_write: Option<Micros>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the member list.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub member: MemberId,
+    pub name: String,
+    pub group: u64,
+    pub zone: usize,
+    pub standing: Standing,
+    /// When the member last started; `None` is long ago.
+    pub since: Option<Micros>,
+    pub primary: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Primary,
+    Replica,
+}
+
+/// What a member says of itself: its role, and the time up to which it has applied all commits.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Told {
+    pub role: Option<Role>,
+    pub position: Option<Micros>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Honoured,
+    Error,
+    Full,
+    TimedOut,
+    Unconnected,
+    Reset,
+    CalledOff,
+    Moot,
+    Miss,
+}
+
+impl Verdict {
+    /// The launch is known never to have run.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Verdict::Full | Verdict::Unconnected | Verdict::Moot | Verdict::Miss)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    pub verdict: Verdict,
+    pub took: Micros,
+    pub told: Told,
+    /// The task is over, by this outcome or before it.
+    pub closed: bool,
+}
+
+/// What is to be done for one task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    Launch { member: MemberId, limit: Micros },
+    CallOff { launch: u32 },
+    Deny { cool_down: Micros },
+    BreakOff,
+}
+
+/// What the caller is to do now, in this order, and when to wake the router again.
+#[derive(Debug, Default)]
+pub struct Todo {
+    pub steps: Vec<(Handle, Step)>,
+    pub probes: Vec<MemberId>,
+    pub subscribe: bool,
+    pub wake_at: Option<Micros>,
+}
