--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -25,7 +25,7 @@
 const FAILURES: usize = 5;
 const FAILURE_WINDOW: Micros = 10_000 * MS;
 const PROBE_MISSES: u32 = 3;
-const PROBE_EVERY: Micros = 500 * MS;
+const PROBE_EVERY: Micros = 1_000 * MS;
 /// Probes of members whose proof of freshness has run out, and of a group without a primary.
 const PROBE_NEEDED: Micros = 100 * MS;
 const KEEP: u32 = 32;
@@ -82,6 +82,8 @@
     seen_primary: bool,
     heard: Micros,
     answered: Micros,
+    /// Nothing of it could be reached at last try; believed until then, or until it is heard.
+    lost_until: Micros,
     barred_until: Micros,
     failures: VecDeque<Micros>,
     probe_misses: u32,
@@ -117,6 +119,7 @@
     warm_load: f64,
     next_sample: Micros,
     next_beat: Micros,
+    asked: bool,
     subscribed: bool,
     ask_at: Micros,
     ask_wait: Micros,
@@ -139,6 +142,7 @@
             warm_load: 0.0,
             next_sample: now,
             next_beat: now,
+            asked: false,
             subscribed: false,
             ask_at,
             ask_wait: 500 * MS,
@@ -173,8 +177,8 @@
     }
 
     pub fn list(&mut self, now: Micros, full: bool, lines: Vec<Listed>) -> Todo {
-        self.subscribed = true;
-        self.ask_wait = 500 * MS;
+        // The list held at the start is no answer to a call.
+        self.subscribed |= self.asked;
         if full {
             for member in self.members.iter_mut().flatten() {
                 if !lines.iter().any(|line| line.name == member.name) {
@@ -207,10 +211,12 @@
                     member.barred_until = now;
                 }
                 member.probe_misses = 0;
+                member.lost_until = now;
                 member.heard = now;
                 self.note(id, told, told.position.unwrap_or(now - HOLD));
             } else {
                 member.probe_misses += 1;
+                member.lost_until = now + 2 * HOLD;
                 if member.probe_misses >= PROBE_MISSES {
                     member.barred_until = now + BAR;
                 }
@@ -339,8 +345,11 @@
             }
         };
         let target = pick.map(|&(id, _)| id).or_else(last_resort);
-        for id in stale {
-            self.probe(now, id, PROBE_NEEDED);
+        let crowded = |id| self.room(now, id) < self.member(id).window * 0.7;
+        if target.is_none_or(crowded) {
+            for id in stale {
+                self.probe(now, id, PROBE_NEEDED);
+            }
         }
         target
     }
@@ -379,6 +388,9 @@
         if matches!(verdict, Verdict::Honoured | Verdict::Error | Verdict::Full | Verdict::Miss) {
             member.heard = now;
             member.answered = now;
+            member.lost_until = now;
+        } else if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
+            member.lost_until = now + 2 * HOLD;
         }
         match verdict {
             Verdict::Honoured => {
@@ -489,6 +501,7 @@
                 seen_primary: false,
                 heard: now,
                 answered: now,
+                lost_until: Micros::MIN,
                 barred_until: Micros::MIN,
                 failures: VecDeque::new(),
                 probe_misses: 0,
@@ -574,7 +587,7 @@
         let member = self.member(id);
         let oldest = member.out.iter().filter_map(|out| self.errands[out].out.as_ref()).map(|l| l.at).min();
         let patience = member.took.quantile(0.9).unwrap_or(200 * MS).max(100 * MS) * 2;
-        oldest.is_some_and(|oldest| now - oldest.max(member.answered) > patience)
+        now < member.lost_until || oldest.is_some_and(|oldest| now - oldest.max(member.answered) > patience)
     }
 
     /// How many more launches this driver may have out at the member: its window, and for a cold one its
@@ -649,14 +662,17 @@
         }
         for id in 0..self.members.len() {
             let Some(member) = &self.members[id] else { continue };
-            let leaderless = self.groups[member.group].primary.is_none();
-            self.probe(now, id, if leaderless { PROBE_NEEDED } else { PROBE_EVERY });
+            let wanted = self.groups[member.group].primary.is_none() || now < member.lost_until;
+            if wanted || now - member.heard > PROBE_EVERY {
+                self.probe(now, id, if wanted { PROBE_NEEDED } else { PROBE_EVERY });
+            }
             if self.terms.may_call_off && self.silent(now, id) {
                 self.call_off(id);
             }
         }
         if self.terms.list_on_request && !self.subscribed && now >= self.ask_at {
             self.ask_at = now + 10_000 * MS;
+            self.asked = true;
             self.todo.subscribe = true;
         }
         self.pump_all(now);
