--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -392,6 +392,15 @@
         } else if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
             member.lost_until = now + 2 * HOLD;
         }
+        if matches!(verdict, Verdict::Honoured | Verdict::TimedOut) {
+            member.took.add(outcome.took, KEEP / 2);
+            let target = self.terms.offerings[offering].quoted * 35 / 100;
+            if member.took.quantile(0.6).is_some_and(|typical| typical > target) {
+                member.window = (member.window * 0.96).max(1.0);
+            } else if launch.depth >= member.window - 1.0 {
+                member.window += 1.0 / member.window;
+            }
+        }
         match verdict {
             Verdict::Honoured => {
                 if let (Some(session), Need::Write, Some(position), true) = (
@@ -404,14 +413,6 @@
                     *newest = position.max(*newest);
                 }
                 self.took[offering].add(outcome.took, KEEP * 4);
-                member.took.add(outcome.took, KEEP / 2);
-                let target = self.terms.offerings[offering].quoted / 2;
-                let slow = member.took.quantile(0.6).is_some_and(|typical| typical > target);
-                if slow {
-                    member.window = (member.window * 0.96).max(1.0);
-                } else if launch.depth >= member.window - 1.0 {
-                    member.window += 1.0 / member.window;
-                }
             }
             Verdict::Full => member.window = (member.window * 0.7).max(1.0),
             Verdict::Miss | Verdict::Moot => {}
