Denials say when to come back; marked repeats are placed last

Cause: a read denied after its quoted time came back at once, up to three times, and took room from first tries though its payoff was gone. Denials now ask for one quoted time of patience, and a marked repeat counts as late in the order of placing.

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -361,7 +361,8 @@
             Effect::Pure | Effect::Receipted { scope: Scope::All, .. } => true,
             _ => errand.may_have_run.is_none() && errand.out.is_none(),
         };
-        let cool_down = (HOLD / 5).min(self.terms.max_cool_down);
+        // What is denied for want of room has missed its quoted time: sooner again only adds to the crowd.
+        let cool_down = self.terms.offerings[errand.task.offering].quoted.min(self.terms.max_cool_down);
         self.todo.steps.push((handle, if deniable { Step::Deny { cool_down } } else { Step::BreakOff }));
         self.close(handle);
     }
@@ -633,6 +634,7 @@
             let errand = &self.errands[handle];
             let offering = &self.terms.offerings[errand.task.offering];
             let late = now > errand.arrived + offering.quoted;
+            let late = late || errand.task.repeat;
             if late { offering.payoff * offering.late_share } else { offering.payoff }
         };
         held.sort_by(|a, b| worth(b).total_cmp(&worth(a)).then(b.cmp(a)));
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -92,6 +92,8 @@
     pub session: Option<String>,
     /// How long ago the session's last write was committed, where the client says so.
     pub last_write: Option<Micros>,
+    /// The client says that it has tried before.
+    pub repeat: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
