--- a/crates/routing/src/histogram.rs
+++ b/crates/routing/src/histogram.rs
@@ -2,6 +2,7 @@
 
 const BINS: usize = 24;
 const FIRST: f64 = 1_000.0;
+const GROWTH: f64 = 1.35;
 
 /// Durations in a few bins, each half as wide again as the one before; halved when full.
 #[derive(Clone, Debug, Default)]
@@ -13,7 +14,7 @@
 impl Histogram {
     /// Counts one duration; with `keep` counted, all counts are halved.
     pub(crate) fn add(&mut self, took: Micros, keep: u32) {
-        let bin = ((took.max(1) as f64 / FIRST).ln() / 1.35f64.ln()).ceil().max(0.0) as usize;
+        let bin = ((took.max(1) as f64 / FIRST).ln() / GROWTH.ln()).ceil().max(0.0) as usize;
         self.bins[bin.min(BINS - 1)] += 1;
         self.total += 1;
         if self.total >= keep {
@@ -22,15 +23,17 @@
         }
     }
 
-    /// The upper edge of the bin in which this share of the durations is reached.
+    /// The duration that this share of them does not pass, taken as spread evenly within a bin.
     pub(crate) fn quantile(&self, share: f64) -> Option<Micros> {
-        let wanted = (share * f64::from(self.total)).ceil().max(1.0) as u32;
-        let mut seen = 0;
-        for (bin, count) in self.bins.iter().enumerate() {
-            seen += count;
-            if seen >= wanted {
-                return Some((FIRST * 1.35f64.powi(bin as i32)) as Micros);
+        let wanted = share * f64::from(self.total);
+        let mut seen = 0.0;
+        for (bin, count) in self.bins.iter().enumerate().filter(|(_, count)| **count > 0) {
+            let count = f64::from(*count);
+            if seen + count >= wanted {
+                let part = (wanted - seen) / count;
+                return Some((FIRST * GROWTH.powf(bin as f64 - 1.0 + part)) as Micros);
             }
+            seen += count;
         }
         None
     }
