--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -395,7 +395,7 @@
         }
         if matches!(verdict, Verdict::Honoured | Verdict::TimedOut) {
             member.took.add(outcome.took, KEEP / 2);
-            let target = self.terms.offerings[offering].quoted * 45 / 100;
+            let target = self.terms.offerings[offering].quoted * 25 / 100;
             if member.took.quantile(0.6).is_some_and(|typical| typical > target) {
                 member.window = (member.window * 0.96).max(1.0);
             } else if launch.depth >= member.window - 1.0 {
