--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -29,8 +29,6 @@
 /// Probes of members whose proof of freshness has run out, and of a group without a primary.
 const PROBE_NEEDED: Micros = 100 * MS;
 const KEEP: u32 = 32;
-/// A stretch of one, as the histograms hold it.
-const UNIT: Micros = 100 * MS;
 
 /// One task taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -93,8 +91,7 @@
     probed: Micros,
     out: Vec<Handle>,
     window: f64,
-    /// How much longer than usual its launches take, in units.
-    stretch: Histogram,
+    took: Histogram,
     sent: VecDeque<Micros>,
 }
 
@@ -119,8 +116,6 @@
     next_handle: u64,
     sessions: HashMap<String, Micros>,
     took: Vec<Histogram>,
-    /// The median time of each offering's launches in calm times.
-    usual: Vec<Micros>,
     warm_load: f64,
     next_sample: Micros,
     next_beat: Micros,
@@ -144,7 +139,6 @@
             next_handle: 0,
             sessions: HashMap::new(),
             took: vec![Histogram::default(); terms.offerings.len()],
-            usual: terms.offerings.iter().map(|offering| offering.quoted / 4).collect(),
             warm_load: 0.0,
             next_sample: now,
             next_beat: now,
@@ -400,9 +394,9 @@
             member.lost_until = now + 2 * HOLD;
         }
         if matches!(verdict, Verdict::Honoured | Verdict::TimedOut) {
-            let stretch = outcome.took as f64 / self.usual[offering].max(MS) as f64;
-            member.stretch.add((stretch * UNIT as f64) as Micros, KEEP / 2);
-            if member.stretch.quantile(0.5).is_some_and(|typical| typical > UNIT * 18 / 10) {
+            member.took.add(outcome.took, KEEP / 2);
+            let target = self.terms.offerings[offering].quoted * 30 / 100;
+            if member.took.quantile(0.6).is_some_and(|typical| typical > target) {
                 member.window = (member.window * 0.96).max(1.0);
             } else if launch.depth >= member.window - 1.0 {
                 member.window += 1.0 / member.window;
@@ -517,7 +511,7 @@
                 probed: Micros::MIN / 2,
                 out: Vec::new(),
                 window,
-                stretch: Histogram::default(),
+                took: Histogram::default(),
                 sent: VecDeque::new(),
             });
             let members = &mut self.groups[group].members;
@@ -594,8 +588,7 @@
     fn silent(&self, now: Micros, id: MemberId) -> bool {
         let member = self.member(id);
         let oldest = member.out.iter().filter_map(|out| self.errands[out].out.as_ref()).map(|l| l.at).min();
-        let slowest = self.took.iter().filter_map(|took| took.quantile(0.9)).max();
-        let patience = slowest.unwrap_or(200 * MS).max(100 * MS) * 2;
+        let patience = member.took.quantile(0.9).unwrap_or(200 * MS).max(100 * MS) * 2;
         now < member.lost_until || oldest.is_some_and(|oldest| now - oldest.max(member.answered) > patience)
     }
 
@@ -667,9 +660,6 @@
                     warm += 1;
                 }
             }
-            for (usual, took) in self.usual.iter_mut().zip(&self.took) {
-                *usual = (*usual * 101 / 100).min(took.quantile(0.5).unwrap_or(Micros::MAX));
-            }
             let mean = f64::from(sent as u32) / f64::from(warm.max(1));
             self.warm_load = mean.max(self.warm_load * 0.95);
         }
