A time-out at a member that answered meanwhile is no failure for the alive bar

Cause: reads cut at their quoted time under load counted as failures, five of them barred a healthy replica for 5 s, and its reads were held or went to the primary. Seen as idle replicas, proven fresh, beside a dozen held reads.

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -417,7 +417,8 @@
             }
             Verdict::Full => member.window = (member.window * 0.7).max(1.0),
             Verdict::Miss | Verdict::Moot => {}
-            Verdict::CalledOff if !launch.called_off => {}
+            // A launch that outlasted its limit while the member answered others met a crowd, not a fault.
+            Verdict::TimedOut | Verdict::CalledOff if member.answered > launch.at => {}
             _ => {
                 member.failures.push_back(now);
                 while member.failures.front().is_some_and(|&at| at < now - FAILURE_WINDOW) {
