--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -248,7 +248,7 @@
         let end = errand.arrived + errand.task.ttl;
         let quoted = errand.arrived + offering.quoted;
         let useful = if offering.late_share > 0.0 { end } else { end.min(quoted) };
-        let hopeless = useful - self.took[errand.task.offering].quantile(0.6).unwrap_or(0) - BEAT;
+        let hopeless = useful - self.took[errand.task.offering].quantile(0.75).unwrap_or(0) - BEAT;
         if now >= hopeless || errand.launches >= self.launches_allowed(offering) {
             return self.give_up(handle);
         }
