Rules checked at every step; two breaks found: word of the same instant, forgotten receipts

A member seen as primary and answering as replica within the same instant kept its excuse for reads (rule 5), and a receipted task held past its window was launched again (rule 2).

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -249,7 +249,13 @@
         let quoted = errand.arrived + offering.quoted;
         let useful = if offering.late_share > 0.0 { end } else { end.min(quoted) };
         let hopeless = useful - self.took[errand.task.offering].quantile(0.75).unwrap_or(0) - BEAT;
-        if now >= hopeless || errand.launches >= self.launches_allowed(offering) {
+        // Never again what may have run: an effectful task at all, a receipted one once its mark may be forgotten.
+        let stuck = match (offering.effect, errand.may_have_run) {
+            (_, None) | (Effect::Pure, _) => false,
+            (Effect::Effectful, Some(_)) => true,
+            (Effect::Receipted { window, .. }, Some((at, _))) => now >= at + window,
+        };
+        if stuck || now >= hopeless || errand.launches >= self.launches_allowed(offering) {
             return self.give_up(handle);
         }
         let target = match offering.need {
@@ -440,18 +446,10 @@
             }
         }
         errand.avoid = Some(id);
-        let effect = self.terms.offerings[offering].effect;
-        let stuck = match (effect, errand.may_have_run) {
-            (_, None) | (Effect::Pure, _) => false,
-            (Effect::Effectful, Some(_)) => true,
-            (Effect::Receipted { window, .. }, Some((at, _))) => now + BEAT >= at + window,
-        };
         let over = outcome.closed || errand.closed;
         self.note(id, told, now);
         if over {
             self.close(handle);
-        } else if stuck {
-            self.give_up(handle);
         } else {
             self.place(now, handle);
         }
@@ -469,7 +467,7 @@
                 group.primary = Some(id);
                 group.word = at;
             }
-            Some(Role::Replica) if at > group.word || group.primary != Some(id) => {
+            Some(Role::Replica) if at >= group.word || group.primary != Some(id) => {
                 member.seen_primary = false;
                 if group.primary == Some(id) {
                     group.primary = None;
--- /dev/null
+++ b/crates/routing/tests/cases.rs
@@ -0,0 +1,152 @@
+//! Plain cases of the design's path and of each failure found.
+
+mod world;
+
+use aldermill_routing::{Handle, MemberId, Standing, Terms, Verdict};
+use world::{BOUND, LOOSE, MS, READ, WRITE, World, terms};
+
+fn heard(terms: Terms) -> World {
+    let mut world = World::new(terms, 4);
+    world.hear_all();
+    world
+}
+
+fn target(world: &World, handle: Handle) -> Option<MemberId> {
+    world.out().into_iter().find(|&(out, _)| out == handle).map(|(_, id)| id)
+}
+
+#[test]
+fn a_write_goes_to_the_primary_and_a_read_to_a_fresh_replica() {
+    let mut world = heard(terms());
+    let write = world.take(WRITE, 2_000 * MS);
+    assert_eq!(target(&world, write), Some(0));
+    world.positions[2] = world.now + 50 * MS;
+    world.pass(50 * MS);
+    world.probe_answer(2, true);
+    world.pass(BOUND - 20 * MS);
+    // Members 1 and 3 were heard too long ago to be proven fresh.
+    for _ in 0..3 {
+        let read = world.take(READ, 1_000 * MS);
+        assert_eq!(target(&world, read), Some(2));
+    }
+}
+
+#[test]
+fn without_a_fresh_replica_a_read_goes_to_the_primary() {
+    let mut world = heard(terms());
+    world.pass(BOUND + 10 * MS);
+    let read = world.take(READ, 1_000 * MS);
+    assert_eq!(target(&world, read), Some(0));
+}
+
+#[test]
+fn a_write_walks_on_misses_by_sorted_id_then_waits_for_a_primary() {
+    let mut world = World::new(terms(), 4);
+    world.primary = 9;
+    world.positions.resize(10, 0);
+    let write = world.take(WRITE, 4_000 * MS);
+    for expected in 0..4 {
+        assert_eq!(target(&world, write), Some(expected));
+        world.end(write, Verdict::Miss);
+    }
+    assert_eq!(target(&world, write), None);
+    let second = world.take(WRITE, 4_000 * MS);
+    world.pass(100 * MS);
+    assert!(world.out().is_empty(), "writes of a group without a primary wait");
+    world.primary = 2;
+    world.probe_answer(2, true);
+    assert_eq!((target(&world, write), target(&world, second)), (Some(2), Some(2)));
+}
+
+#[test]
+fn five_failures_bar_a_member_and_the_last_one_left_is_still_tried() {
+    let mut world = heard(terms());
+    let mut met = [0; 4];
+    for _ in 0..60 {
+        let read = world.take(LOOSE, 1_000 * MS);
+        while let Some(id) = target(&world, read) {
+            met[id] += 1;
+            world.end(read, if id == 1 { Verdict::Error } else { Verdict::Honoured });
+        }
+    }
+    assert_eq!(met[1], 5);
+    for id in [2, 3] {
+        world.relist(id, Standing::Gone, None);
+    }
+    world.relist(0, Standing::Draining, None);
+    let read = world.take(LOOSE, 1_000 * MS);
+    assert_eq!(target(&world, read), Some(1));
+}
+
+#[test]
+fn a_time_out_in_a_crowd_is_no_failure() {
+    let mut world = heard(terms());
+    for _ in 0..12 {
+        let slow = world.take(LOOSE, 1_000 * MS);
+        let Some(at) = target(&world, slow) else { break };
+        world.pass(MS);
+        let quick = loop {
+            let read = world.take(LOOSE, 1_000 * MS);
+            match target(&world, read) {
+                Some(id) if id == at => break read,
+                Some(_) => world.end(read, Verdict::Honoured),
+                None => panic!("a healthy member is passed over"),
+            }
+        };
+        world.pass(MS);
+        world.end(quick, Verdict::Honoured);
+        world.end(slow, Verdict::TimedOut);
+        let again = world.out();
+        again.into_iter().for_each(|(handle, _)| world.end(handle, Verdict::Honoured));
+    }
+}
+
+#[test]
+fn a_primary_that_cannot_be_reached_is_not_tried_until_heard() {
+    let mut world = heard(terms());
+    let write = world.take(WRITE, 2_000 * MS);
+    world.end(write, Verdict::Unconnected);
+    assert_eq!(target(&world, write), None);
+    let second = world.take(WRITE, 2_000 * MS);
+    assert_eq!(target(&world, second), None);
+    world.probe_answer(0, true);
+    assert_eq!(target(&world, second), Some(0));
+}
+
+#[test]
+fn the_list_held_at_the_start_is_no_answer_to_a_call() {
+    let mut world = World::new(terms(), 4);
+    world.pass(1_000 * MS);
+    assert_eq!(world.asked, 1);
+    world.list_fails();
+    world.pass(10_000 * MS);
+    assert_eq!(world.asked, 2);
+}
+
+#[test]
+fn a_cold_member_is_sent_its_part_only() {
+    let mut world = heard(terms());
+    let since = world.now;
+    world.relist(3, Standing::Ready, Some(since));
+    for _ in 0..300 {
+        world.pass(10 * MS);
+        let read = world.take(LOOSE, 1_000 * MS);
+        if target(&world, read).is_some() {
+            world.end(read, Verdict::Honoured);
+        }
+    }
+    let cold = world.launched.iter().filter(|&&(_, id)| id == 3).count();
+    assert!(cold > 0 && cold < 75, "{cold} of 300 at the cold member");
+}
+
+#[test]
+fn what_can_no_longer_be_in_time_is_given_its_answer_at_once() {
+    let mut world = heard(terms());
+    (0..4).for_each(|id| world.relist(id, Standing::Gone, None));
+    let read = world.take(READ, 2_000 * MS);
+    let write = world.take(WRITE, 2_000 * MS);
+    world.pass(600 * MS);
+    assert_eq!(world.denied, [read]);
+    world.pass(1_500 * MS);
+    assert_eq!(world.denied, [read, write]);
+}
--- /dev/null
+++ b/crates/routing/tests/rules.rs
@@ -0,0 +1,72 @@
+//! Seeded random runs; `World` checks the five rules at every step.
+
+mod world;
+
+use aldermill_routing::{ListedRoles, Standing, Verdict};
+use proptest::collection::vec;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use world::{MS, World, terms};
+
+const VERDICTS: [Verdict; 9] = [
+    Verdict::Honoured,
+    Verdict::Honoured,
+    Verdict::Error,
+    Verdict::Full,
+    Verdict::TimedOut,
+    Verdict::Unconnected,
+    Verdict::Reset,
+    Verdict::Moot,
+    Verdict::Miss,
+];
+
+fn step(world: &mut World, kind: u8, a: u16, b: u16) {
+    let (a, b) = (usize::from(a), usize::from(b));
+    let members = world.positions.len();
+    let id = a % members;
+    match kind {
+        0..=5 => drop(world.take(b % 5, (100 + 30 * a as i64 % 3_000) * MS)),
+        6..=11 => {
+            let out = world.out();
+            if let Some(&(handle, _)) = out.get(a % out.len().max(1)) {
+                world.end(handle, VERDICTS[b % VERDICTS.len()]);
+            }
+        }
+        12 => world.pass((1 + b as i64 % 400) * MS),
+        13 => world.pass((1 + b as i64 % 15) * MS),
+        14 => world.positions[id] = world.positions[id].max(world.now - (b as i64 % 2) * 100 * MS),
+        15 => world.probe_answer(id, b % 4 > 0),
+        16 => world.move_primary(id),
+        17 => {
+            let standing = [Standing::Ready, Standing::Draining, Standing::Gone][b % 3];
+            let since = (b % 2 == 0).then_some(world.now - (b as i64 % 3_000) * MS);
+            world.relist(id, standing, since);
+        }
+        18 => world.list_fails(),
+        _ => {
+            if let Some(&(handle, _)) = world.out().first() {
+                world.leave(handle);
+            }
+        }
+    }
+}
+
+#[test]
+fn the_rules_hold_whatever_happens() {
+    let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[41; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let script = vec((0u8..20, 0u16..1000, 0u16..1000), 1..400);
+    let roles = 0usize..3;
+    runner
+        .run(&(script, roles), |(script, roles)| {
+            let mut terms = terms();
+            terms.listed_roles = [ListedRoles::Never, ListedRoles::Late, ListedRoles::AtStart][roles];
+            let mut world = World::new(terms, 4);
+            for (kind, a, b) in script {
+                step(&mut world, kind, a, b);
+            }
+            world.pass(10_000 * MS);
+            Ok(())
+        })
+        .unwrap();
+}
--- /dev/null
+++ b/crates/routing/tests/world/mod.rs
@@ -0,0 +1,328 @@
+//! A driver's surroundings in miniature, which hold the router to the five rules at every step.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use aldermill_routing::*;
+
+pub const MS: Micros = 1_000;
+pub const BOUND: Micros = 300 * MS;
+/// Offerings by number.
+pub const READ: usize = 0;
+pub const LOOSE: usize = 1;
+pub const WRITE: usize = 2;
+pub const RECEIPTED: usize = 3;
+pub const OWN: usize = 4;
+
+pub fn terms() -> Terms {
+    let offering =
+        |effect, need, payoff, late_share| Offering { effect, need, quoted: 500 * MS, payoff, late_share };
+    let receipted = Effect::Receipted { scope: Scope::Group, window: 2_000 * MS };
+    Terms {
+        offerings: vec![
+            offering(Effect::Pure, Need::Recent(BOUND), 1.0, 0.0),
+            offering(Effect::Pure, Need::Loose, 2.0, 0.2),
+            offering(Effect::Effectful, Need::Write, 6.0, 0.5),
+            offering(receipted, Need::Write, 3.0, 0.5),
+            offering(Effect::Pure, Need::OwnWrites, 1.0, 0.0),
+        ],
+        drivers: 2,
+        zone: 0,
+        max_launches: 8,
+        may_call_off: true,
+        may_probe: true,
+        max_cool_down: 1_000 * MS,
+        listed_roles: ListedRoles::Never,
+        members_check: false,
+        remember_sessions: true,
+        list_on_request: true,
+        ask_within: 10_000 * MS,
+        drain_grace: 200 * MS,
+        only_draining_binds: false,
+        cold_from: 0.2,
+        warm_within: 10_000 * MS,
+        overload_factor: 2.5,
+        overload_window: 1_000 * MS,
+        crossing_price: 0.0,
+    }
+}
+
+pub fn line(member: MemberId, standing: Standing, since: Option<Micros>) -> Listed {
+    Listed { member, name: format!("m{member}"), group: 7, zone: 0, standing, since, primary: false }
+}
+
+#[derive(Clone)]
+struct Flight {
+    offering: usize,
+    end: Micros,
+    launches: u32,
+    /// Where a launch is out, and its limit.
+    out: Option<(MemberId, Micros)>,
+    launched: Micros,
+    may_have_run: Option<Micros>,
+    /// What an own-writes read must see.
+    floor: Micros,
+    over: bool,
+}
+
+pub struct World {
+    pub router: Router,
+    pub terms: Terms,
+    pub now: Micros,
+    pub primary: MemberId,
+    /// True positions; the primary's is the present.
+    pub positions: Vec<Micros>,
+    excused: Vec<bool>,
+    standing: Vec<(Standing, Micros)>,
+    since: Vec<Option<Micros>>,
+    sent: Vec<VecDeque<Micros>>,
+    most_warm: usize,
+    flights: BTreeMap<Handle, Flight>,
+    pub launched: Vec<(Handle, MemberId)>,
+    pub denied: Vec<Handle>,
+    pub broken_off: Vec<Handle>,
+    pub probes: Vec<MemberId>,
+    pub asked: usize,
+    wake_at: Micros,
+    session_floor: Micros,
+}
+
+impl World {
+    pub fn new(terms: Terms, members: usize) -> World {
+        let now = 5_000_000 * MS;
+        let mut world = World {
+            router: Router::start(terms.clone(), 11, now),
+            terms,
+            now,
+            primary: 0,
+            positions: vec![now; members],
+            excused: vec![false; members],
+            standing: vec![(Standing::Ready, now); members],
+            since: vec![None; members],
+            sent: vec![VecDeque::new(); members],
+            most_warm: 1,
+            flights: BTreeMap::new(),
+            launched: Vec::new(),
+            denied: Vec::new(),
+            broken_off: Vec::new(),
+            probes: Vec::new(),
+            asked: 0,
+            wake_at: now,
+            session_floor: Micros::MIN,
+        };
+        world.excused[0] = true;
+        let lines = (0..members).map(|id| line(id, Standing::Ready, None)).collect();
+        let todo = world.router.list(now, true, lines);
+        world.carry_out(todo);
+        world
+    }
+
+    pub fn pass(&mut self, time: Micros) {
+        let until = self.now + time;
+        while self.wake_at <= until {
+            self.now = self.wake_at.max(self.now);
+            self.run_out();
+            let todo = self.router.wake(self.now);
+            self.carry_out(todo);
+        }
+        self.now = until;
+        self.run_out();
+    }
+
+    /// Launches whose limit has passed end as timed out; no task outlives its end.
+    fn run_out(&mut self) {
+        let due = |f: &Flight| f.out.is_some_and(|(_, limit)| limit <= self.now);
+        let ends: Vec<Handle> =
+            self.flights.iter().filter(|(_, f)| due(f)).map(|(&handle, _)| handle).collect();
+        for handle in ends {
+            self.end(handle, Verdict::TimedOut);
+        }
+        let slack = 20 * MS;
+        assert!(
+            self.flights.values().all(|f| f.over || self.now <= f.end + slack),
+            "rule 1: no answer in time"
+        );
+    }
+
+    pub fn take(&mut self, offering: usize, ttl: Micros) -> Handle {
+        let session = Some("s".to_owned());
+        let task = Task { offering, group: 7, ttl, session, last_write: None, repeat: false };
+        let (handle, todo) = self.router.take(self.now, task);
+        let flight = Flight {
+            offering,
+            end: self.now + ttl,
+            launches: 0,
+            out: None,
+            launched: 0,
+            may_have_run: None,
+            floor: self.session_floor,
+            over: false,
+        };
+        self.flights.insert(handle, flight);
+        self.carry_out(todo);
+        handle
+    }
+
+    pub fn told(&self, id: MemberId) -> Told {
+        let role = if id == self.primary { Role::Primary } else { Role::Replica };
+        let position = if id == self.primary { self.now } else { self.positions[id] };
+        Told { role: Some(role), position: Some(position) }
+    }
+
+    pub fn probe_answer(&mut self, id: MemberId, answered: bool) {
+        let told = answered.then(|| self.told(id));
+        let todo = self.router.probed(self.now, id, told);
+        self.carry_out(todo);
+    }
+
+    /// All members answer a probe.
+    pub fn hear_all(&mut self) {
+        (0..self.positions.len()).for_each(|id| self.probe_answer(id, true));
+    }
+
+    pub fn out(&self) -> Vec<(Handle, MemberId)> {
+        self.flights.iter().filter_map(|(&handle, f)| f.out.map(|(id, _)| (handle, id))).collect()
+    }
+
+    pub fn end(&mut self, handle: Handle, verdict: Verdict) {
+        let flight = self.flights.get_mut(&handle).expect("taken");
+        let (id, limit) = flight.out.take().expect("out");
+        let write = self.terms.offerings[flight.offering].need == Need::Write;
+        let verdict = match verdict {
+            Verdict::Honoured if write && id != self.primary => Verdict::Miss,
+            Verdict::Miss if !write => Verdict::Full,
+            verdict => verdict,
+        };
+        let answers = matches!(verdict, Verdict::Honoured | Verdict::Error | Verdict::Full | Verdict::Miss);
+        if !verdict.never_ran() {
+            flight.may_have_run.get_or_insert(flight.launched);
+        }
+        let honoured = verdict == Verdict::Honoured;
+        flight.over |= honoured;
+        let closed = flight.over;
+        if honoured && write {
+            self.session_floor = self.now;
+        }
+        let told = if answers { self.told(id) } else { Told::default() };
+        if answers && id != self.primary {
+            self.excused[id] = false;
+        }
+        let took = (limit - self.now).clamp(MS, 50 * MS);
+        let todo = handle.ended(&mut self.router, self.now, Outcome { verdict, took, told, closed });
+        self.carry_out(todo);
+    }
+
+    pub fn leave(&mut self, handle: Handle) {
+        let flight = self.flights.get_mut(&handle).expect("taken");
+        if flight.out.is_some() || !flight.over {
+            flight.over = true;
+            let todo = handle.left(&mut self.router, self.now);
+            self.carry_out(todo);
+        }
+    }
+
+    pub fn relist(&mut self, id: MemberId, standing: Standing, since: Option<Micros>) {
+        if self.standing[id].0 != standing {
+            self.standing[id] = (standing, self.now);
+        }
+        self.since[id] = since;
+        let todo = self.router.list(self.now, false, vec![line(id, standing, since)]);
+        self.carry_out(todo);
+    }
+
+    pub fn list_fails(&mut self) {
+        let todo = self.router.list_unavailable(self.now);
+        self.carry_out(todo);
+    }
+
+    pub fn move_primary(&mut self, id: MemberId) {
+        self.positions[self.primary] = self.now;
+        self.primary = id;
+        self.excused[id] = true;
+    }
+
+    fn carry_out(&mut self, todo: Todo) {
+        self.wake_at = todo.wake_at.expect("a router always wants waking").max(self.now + 1);
+        self.asked += usize::from(todo.subscribe);
+        self.probes.extend(todo.probes);
+        let mut called_off = Vec::new();
+        for (handle, step) in todo.steps {
+            match step {
+                Step::Launch { member, limit } => self.check_launch(handle, member, limit),
+                Step::CallOff { launch } => {
+                    assert_eq!(
+                        launch + 1,
+                        self.flights[&handle].launches,
+                        "only the launch out is called off"
+                    );
+                    called_off.push(handle);
+                }
+                Step::Deny { .. } => {
+                    let flight = self.flights.get_mut(&handle).expect("taken");
+                    let pure = self.terms.offerings[flight.offering].effect == Effect::Pure;
+                    assert!(pure || flight.may_have_run.is_none() && flight.out.is_none(), "rule 2: denied");
+                    assert!(!std::mem::replace(&mut flight.over, true), "rule 1: a second answer");
+                    self.denied.push(handle);
+                }
+                Step::BreakOff => {
+                    let flight = self.flights.get_mut(&handle).expect("taken");
+                    assert!(!std::mem::replace(&mut flight.over, true), "rule 1: a second answer");
+                    self.broken_off.push(handle);
+                }
+            }
+        }
+        for handle in called_off {
+            if self.flights[&handle].out.is_some() {
+                self.end(handle, Verdict::CalledOff);
+            }
+        }
+    }
+
+    fn check_launch(&mut self, handle: Handle, id: MemberId, limit: Micros) {
+        let now = self.now;
+        let flight = self.flights.get_mut(&handle).expect("taken");
+        let offering = &self.terms.offerings[flight.offering];
+        assert!(!flight.over, "rule 1: launched after its answer");
+        assert!(flight.out.is_none(), "rule 2: two launches out at once");
+        assert!(flight.launches < self.terms.max_launches && limit > 0);
+        match offering.effect {
+            Effect::Effectful => assert!(flight.may_have_run.is_none(), "rule 2: launched again"),
+            Effect::Receipted { window, .. } => {
+                assert!(flight.may_have_run.is_none_or(|at| now < at + window), "rule 2: repeats forgotten")
+            }
+            Effect::Pure => {}
+        }
+        let (standing, at) = self.standing[id];
+        assert!(
+            standing == Standing::Ready || now <= at + self.terms.drain_grace,
+            "rule 3: launched at a drain"
+        );
+        let floor = match offering.need {
+            Need::Recent(bound) => now - bound,
+            Need::OwnWrites => flight.floor,
+            _ => Micros::MIN,
+        };
+        let proven = self.positions[id] >= floor || self.excused[id];
+        assert!(proven, "rule 5: a read at data that is too old");
+        flight.launches += 1;
+        flight.launched = now;
+        flight.out = Some((id, (now + limit).min(flight.end)));
+        self.launched.push((handle, id));
+        self.check_cold(id);
+    }
+
+    fn check_cold(&mut self, id: MemberId) {
+        let (now, window) = (self.now, self.terms.overload_window);
+        let sent = &mut self.sent[id];
+        sent.push_back(now);
+        sent.retain(|&at| at > now - window);
+        let sent = sent.len();
+        let age = self.since[id].map_or(1.0, |since| (now - since) as f64 / self.terms.warm_within as f64);
+        if age >= 1.0 {
+            self.most_warm = self.most_warm.max(sent);
+            return;
+        }
+        let part = self.terms.cold_from + (1.0 - self.terms.cold_from) * age;
+        let budget = (self.terms.overload_factor * part * self.most_warm as f64).max(1.0);
+        assert!(sent as f64 <= budget, "rule 4: {sent} launches at a cold member that bears {budget}");
+    }
+}
