--- a/crates/routing/tests/cases.rs
+++ b/crates/routing/tests/cases.rs
@@ -81,7 +81,7 @@
 #[test]
 fn a_time_out_in_a_crowd_is_no_failure() {
     let mut world = heard(terms());
-    for _ in 0..12 {
+    for _ in 0..60 {
         let slow = world.take(LOOSE, 1_000 * MS);
         let Some(at) = target(&world, slow) else { break };
         world.pass(MS);
