A probe turned away by a full member is an answer, not silence

Cause: probes are capped and answered 'full' at a busy member; each such answer passed the member over for a second as if it could not be reached.

--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -224,11 +224,11 @@
             }
             "PONG" => {
                 let name = fields.text("member")?;
-                let answered = fields.integer("how")? == 200;
+                let verdict = fields.verdict("how")?;
                 fields.skip("timeTakenMs")?;
                 let told = driver.decoded.told(None, fields.optional("load")?)?;
                 let member = driver.member(name);
-                driver.router.probed(now, member, answered.then_some(told))
+                driver.router.probed(now, member, verdict, told)
             }
             _ => {
                 fields.integer("name")?;
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -200,12 +200,12 @@
         self.take_todo()
     }
 
-    /// A probe's answer, or `None` where none came in time.
-    pub fn probed(&mut self, now: Micros, id: MemberId, told: Option<Told>) -> Todo {
+    /// How a probe ended. A member too full to report has answered all the same.
+    pub fn probed(&mut self, now: Micros, id: MemberId, verdict: Verdict, told: Told) -> Todo {
         if let Some(member) = self.members.get_mut(id).and_then(Option::as_mut) {
             member.probe_out = false;
             let group = member.group;
-            if let Some(told) = told {
+            if matches!(verdict, Verdict::Honoured | Verdict::Full) {
                 // An answered probe lifts the detect bar.
                 if member.probe_misses >= PROBE_MISSES {
                     member.barred_until = now;
--- a/crates/routing/tests/cases.rs
+++ b/crates/routing/tests/cases.rs
@@ -113,6 +113,16 @@
     assert_eq!(target(&world, second), Some(0));
 }
 
+#[test]
+fn a_probe_turned_away_by_a_full_member_is_an_answer() {
+    let mut world = heard(terms());
+    for _ in 0..4 {
+        world.probe_ends(0, Verdict::Full);
+    }
+    let write = world.take(WRITE, 2_000 * MS);
+    assert_eq!(target(&world, write), Some(0));
+}
+
 #[test]
 fn the_list_held_at_the_start_is_no_answer_to_a_call() {
     let mut world = World::new(terms(), 4);
--- a/crates/routing/tests/world/mod.rs
+++ b/crates/routing/tests/world/mod.rs
@@ -169,8 +169,12 @@
     }
 
     pub fn probe_answer(&mut self, id: MemberId, answered: bool) {
-        let told = answered.then(|| self.told(id));
-        let todo = self.router.probed(self.now, id, told);
+        self.probe_ends(id, if answered { Verdict::Honoured } else { Verdict::TimedOut });
+    }
+
+    pub fn probe_ends(&mut self, id: MemberId, verdict: Verdict) {
+        let told = if verdict == Verdict::Honoured { self.told(id) } else { Told::default() };
+        let todo = self.router.probed(self.now, id, verdict, told);
         self.carry_out(todo);
     }
 
