--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -602,7 +602,7 @@
             return room;
         }
         let part = self.terms.cold_from + (1.0 - self.terms.cold_from) * age.max(0.0);
-        let bearable = 0.5 * self.terms.overload_factor * part * self.warm_load;
+        let bearable = 0.8 * self.terms.overload_factor * part * self.warm_load;
         let sent = member.sent.iter().filter(|&&at| at > now - self.terms.overload_window).count();
         room.min(bearable.max(1.0) - sent as f64)
     }
