--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -81,7 +81,8 @@
     /// Seen as primary by its own word, and not since seen as replica.
     seen_primary: bool,
     heard: Micros,
-    answered: Micros,
+    /// The first launch since its last answer.
+    unanswered: Option<Micros>,
     /// Nothing of it could be reached at last try; believed until then, or until it is heard.
     lost_until: Micros,
     barred_until: Micros,
@@ -277,6 +278,7 @@
         }
         let member = self.members[id].as_mut().expect("picked from a list");
         member.out.push(handle);
+        member.unanswered.get_or_insert(now);
         member.sent.push_back(now);
         errand.launches += 1;
         errand.out = Some(Launch { member: id, at: now, depth: member.out.len() as f64, called_off: false });
@@ -383,6 +385,8 @@
     }
 
     fn launch_ended(&mut self, now: Micros, handle: Handle, outcome: Outcome) {
+        let out = self.errands.get(&handle).and_then(|errand| errand.out.as_ref());
+        let mute = out.is_some_and(|launch| self.mute(now, launch.member));
         let Some(errand) = self.errands.get_mut(&handle) else { return };
         let Some(launch) = errand.out.take() else { return };
         let (id, group, offering) = (launch.member, errand.group, errand.task.offering);
@@ -394,7 +398,7 @@
         }
         if matches!(verdict, Verdict::Honoured | Verdict::Error | Verdict::Full | Verdict::Miss) {
             member.heard = now;
-            member.answered = now;
+            member.unanswered = None;
             member.lost_until = now;
         } else if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
             member.lost_until = now + 2 * HOLD;
@@ -423,8 +427,8 @@
             }
             Verdict::Full => member.window = (member.window * 0.7).max(1.0),
             Verdict::Miss | Verdict::Moot => {}
-            // A launch that outlasted its limit while the member answered others met a crowd, not a fault.
-            Verdict::TimedOut | Verdict::CalledOff if member.answered > launch.at => {}
+            // A launch that outlasted its limit at a member that answers others met a crowd, not a fault.
+            Verdict::TimedOut | Verdict::CalledOff if !mute => {}
             _ => {
                 member.failures.push_back(now);
                 while member.failures.front().is_some_and(|&at| at < now - FAILURE_WINDOW) {
@@ -501,7 +505,7 @@
                 position: Micros::MIN,
                 seen_primary: false,
                 heard: now,
-                answered: now,
+                unanswered: None,
                 lost_until: Micros::MIN,
                 barred_until: Micros::MIN,
                 failures: VecDeque::new(),
@@ -581,14 +585,20 @@
         kept && self.listed_ready(id) && !self.silent(now, id)
     }
 
-    /// Protects against members that take work and answer nothing: a hang, a cut link, a long pause.
-    /// Should also cover a member that died without a reset. Harms a member whose few launches out are
-    /// all long ones: it is passed over until it answers one.
+    /// Takes work and has answered none for far longer than launches take.
+    fn mute(&self, now: Micros, id: MemberId) -> bool {
+        let slowest = self.took.iter().filter_map(|took| took.quantile(0.9)).max();
+        let patience = slowest.unwrap_or(200 * MS).max(100 * MS) * 2;
+        self.member(id).unanswered.is_some_and(|since| now - since > patience)
+    }
+
+    /// Protects against members that take work and answer nothing: a hang, a cut link, a long pause, a
+    /// death without a reset. One launch at a time then tries whether it answers again. Harms a member whose
+    /// few launches out are all long ones: it is passed over until it answers one.
     fn silent(&self, now: Micros, id: MemberId) -> bool {
         let member = self.member(id);
-        let oldest = member.out.iter().filter_map(|out| self.errands[out].out.as_ref()).map(|l| l.at).min();
-        let patience = member.took.quantile(0.9).unwrap_or(200 * MS).max(100 * MS) * 2;
-        now < member.lost_until || oldest.is_some_and(|oldest| now - oldest.max(member.answered) > patience)
+        let resting = !member.out.is_empty() || member.sent.back().is_some_and(|&last| now - last < 2 * HOLD);
+        now < member.lost_until || resting && self.mute(now, id)
     }
 
     /// How many more launches this driver may have out at the member: its window, and for a cold one its
