A member mute to the end of a launch rests; other time-outs fail nobody

Failing now needs muteness for twice the slow tenth of launches, and ends in a second's rest, merged with the silence guard.

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -81,8 +81,9 @@
     /// Seen as primary by its own word, and not since seen as replica.
     seen_primary: bool,
     heard: Micros,
-    /// The first launch since its last answer.
-    unanswered: Option<Micros>,
+    answered: Micros,
+    /// It let a launch end without a word for far too long; only an answer lifts this early.
+    rests_until: Micros,
     /// Nothing of it could be reached at last try; believed until then, or until it is heard.
     lost_until: Micros,
     barred_until: Micros,
@@ -278,7 +279,6 @@
         }
         let member = self.members[id].as_mut().expect("picked from a list");
         member.out.push(handle);
-        member.unanswered.get_or_insert(now);
         member.sent.push_back(now);
         errand.launches += 1;
         errand.out = Some(Launch { member: id, at: now, depth: member.out.len() as f64, called_off: false });
@@ -398,7 +398,8 @@
         }
         if matches!(verdict, Verdict::Honoured | Verdict::Error | Verdict::Full | Verdict::Miss) {
             member.heard = now;
-            member.unanswered = None;
+            member.answered = now;
+            member.rests_until = now;
             member.lost_until = now;
         } else if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
             member.lost_until = now + 2 * HOLD;
@@ -430,6 +431,9 @@
             // A launch that outlasted its limit at a member that answers others met a crowd, not a fault.
             Verdict::TimedOut | Verdict::CalledOff if !mute => {}
             _ => {
+                if mute {
+                    member.rests_until = now + 2 * HOLD;
+                }
                 member.failures.push_back(now);
                 while member.failures.front().is_some_and(|&at| at < now - FAILURE_WINDOW) {
                     member.failures.pop_front();
@@ -505,7 +509,8 @@
                 position: Micros::MIN,
                 seen_primary: false,
                 heard: now,
-                unanswered: None,
+                answered: now,
+                rests_until: Micros::MIN,
                 lost_until: Micros::MIN,
                 barred_until: Micros::MIN,
                 failures: VecDeque::new(),
@@ -585,20 +590,21 @@
         kept && self.listed_ready(id) && !self.silent(now, id)
     }
 
-    /// Takes work and has answered none for far longer than launches take.
-    fn mute(&self, now: Micros, id: MemberId) -> bool {
-        let slowest = self.took.iter().filter_map(|took| took.quantile(0.9)).max();
-        let patience = slowest.unwrap_or(200 * MS).max(100 * MS) * 2;
-        self.member(id).unanswered.is_some_and(|since| now - since > patience)
-    }
-
     /// Protects against members that take work and answer nothing: a hang, a cut link, a long pause, a
-    /// death without a reset. One launch at a time then tries whether it answers again. Harms a member whose
-    /// few launches out are all long ones: it is passed over until it answers one.
+    /// death without a reset. Harms a member whose few launches out are all long ones: it is passed over
+    /// until it answers one, and rests for a second if none is answered.
     fn silent(&self, now: Micros, id: MemberId) -> bool {
         let member = self.member(id);
-        let resting = !member.out.is_empty() || member.sent.back().is_some_and(|&last| now - last < 2 * HOLD);
-        now < member.lost_until || resting && self.mute(now, id)
+        now < member.lost_until.max(member.rests_until) || self.mute(now, id)
+    }
+
+    /// Has launches out and has answered none for far longer than launches take.
+    fn mute(&self, now: Micros, id: MemberId) -> bool {
+        let member = self.member(id);
+        let oldest = member.out.iter().filter_map(|out| self.errands[out].out.as_ref()).map(|l| l.at).min();
+        let slowest = self.took.iter().filter_map(|took| took.quantile(0.9)).max();
+        let patience = slowest.unwrap_or(200 * MS).max(100 * MS) * 2;
+        oldest.is_some_and(|oldest| now - oldest.max(member.answered) > patience)
     }
 
     /// How many more launches this driver may have out at the member: its window, and for a cold one its
@@ -678,7 +684,7 @@
             if wanted || now - member.heard > PROBE_EVERY {
                 self.probe(now, id, if wanted { PROBE_NEEDED } else { PROBE_EVERY });
             }
-            if self.terms.may_call_off && self.silent(now, id) {
+            if self.terms.may_call_off && self.mute(now, id) {
                 self.call_off(id);
             }
         }
