Windows keep at least four launches at a member, all drivers together

A slow machine's ordinary time is over the aim even when it is idle, so its window fell to one launch.

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -408,7 +408,7 @@
             member.took.add(outcome.took, KEEP / 2);
             let target = self.terms.offerings[offering].quoted * 30 / 100;
             if member.took.quantile(0.6).is_some_and(|typical| typical > target) {
-                member.window = (member.window * 0.96).max(1.0);
+                member.window = (member.window * 0.96).max(4.0 / self.terms.drivers as f64).max(1.0);
             } else if launch.depth >= member.window - 1.0 {
                 member.window += 1.0 / member.window;
             }
