A write calls at a stale replica on its way while reads lack fresh ones

A 'miss' tells the position as of now and nothing runs, so a write on its way to the primary calls at a stale replica, at most a quarter of its launches.

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -105,6 +105,8 @@
     word: Micros,
     listed: Option<MemberId>,
     walk_after: Micros,
+    /// When a read last found too few replicas proven fresh, and how new it wanted them.
+    short: Option<(Micros, Micros)>,
     held: Vec<Handle>,
 }
 
@@ -285,10 +287,40 @@
         self.todo.steps.push((handle, Step::Launch { member: id, limit: useful - now }));
     }
 
+    /// Protects against reports that come too late to prove anything fresh: a replica's 'miss' tells its
+    /// position as of now. While reads lack fresh replicas, a write calls at one on its way to the primary.
+    /// Should also cover probes that are not answered or not allowed. Harms a write whose replica dies with
+    /// it in hand, so it calls only where the member was heard of late and has nothing out.
+    fn detour(&self, now: Micros, errand: &Errand) -> Option<MemberId> {
+        let group = &self.groups[errand.group];
+        let (at, floor) = group.short?;
+        if now - at > PROBE_NEEDED || errand.launches >= self.terms.max_launches / 4 {
+            return None;
+        }
+        let calls = |id: MemberId| {
+            let member = self.member(id);
+            let idle = member.out.is_empty() && now - member.heard < 2 * PROBE_EVERY;
+            idle && member.position < floor
+                && self.listed_ready(id)
+                && !self.barred(now, id)
+                && !self.silent(now, id)
+        };
+        let replicas = group.members.iter().copied().filter(|&id| Some(id) != group.primary && calls(id));
+        replicas.filter(|&id| self.room(now, id) > 0.0).max_by_key(|&id| {
+            (
+                self.member(id).zone == self.terms.zone,
+                self.member(id).sent.back().map_or(Micros::MAX, |&at| now - at),
+            )
+        })
+    }
+
     /// The believed primary; without one, the next member by sorted id, one write walking at a time.
     fn write_target(&self, now: Micros, errand: &Errand) -> Option<MemberId> {
         let group = &self.groups[errand.group];
         if let Some(id) = group.primary {
+            if let Some(replica) = self.detour(now, errand) {
+                return Some(replica);
+            }
             return (self.listed_ready(id) && !self.silent(now, id) && self.room(now, id) > 0.0)
                 .then_some(id);
         }
@@ -354,7 +386,9 @@
         };
         let target = pick.map(|&(id, _)| id).or_else(last_resort);
         let crowded = |id| self.room(now, id) < self.member(id).window * 0.7;
-        if target.is_none_or(crowded) {
+        if target.is_none_or(crowded) && !stale.is_empty() {
+            let group = self.errands[&handle].group;
+            self.groups[group].short = Some((now, floor));
             for id in stale {
                 self.probe(now, id, PROBE_NEEDED);
             }
@@ -444,18 +478,19 @@
                 }
             }
         }
-        if verdict == Verdict::Miss && self.terms.offerings[offering].need == Need::Write {
+        errand.avoid = Some(id);
+        errand.cursor = Some(id);
+        let over = outcome.closed || errand.closed;
+        self.note(id, told, now);
+        if verdict == Verdict::Miss && self.groups[group].primary.is_none() {
+            let errand = self.errands.get_mut(&handle).expect("not yet closed");
             errand.misses += 1;
-            errand.cursor = Some(id);
             let half = self.terms.max_launches as usize / 2;
             if errand.misses >= self.groups[group].members.len().min(half) {
                 errand.misses = 0;
                 self.groups[group].walk_after = now + HOLD;
             }
         }
-        errand.avoid = Some(id);
-        let over = outcome.closed || errand.closed;
-        self.note(id, told, now);
         if over {
             self.close(handle);
         } else {
--- a/crates/routing/tests/cases.rs
+++ b/crates/routing/tests/cases.rs
@@ -113,6 +113,24 @@
     assert_eq!(target(&world, second), Some(0));
 }
 
+#[test]
+fn while_reads_lack_fresh_replicas_a_write_calls_at_one_for_its_position() {
+    let mut world = heard(terms());
+    world.pass(BOUND + 10 * MS);
+    loop {
+        let read = world.take(READ, 1_000 * MS);
+        if target(&world, read).is_none() {
+            break;
+        }
+    }
+    let write = world.take(WRITE, 2_000 * MS);
+    let replica = target(&world, write).expect("launched");
+    assert_ne!(replica, 0);
+    world.positions[replica] = world.now;
+    world.end(write, Verdict::Miss);
+    assert!(world.out().iter().any(|&(_, id)| id == replica), "held reads follow the position");
+}
+
 #[test]
 fn a_probe_turned_away_by_a_full_member_is_an_answer() {
     let mut world = heard(terms());
