Launches that were overtaken hold no place; a mute member is tried once a second

Long launches that later ones overtook now count neither for the window nor as slow. The new case fails on the module before.

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -82,6 +82,8 @@
     seen_primary: bool,
     heard: Micros,
     answered: Micros,
+    /// When the newest launch that it answered was sent.
+    overtaken: Micros,
     /// It let a launch end without a word for far too long; only an answer lifts this early.
     rests_until: Micros,
     /// Nothing of it could be reached at last try; believed until then, or until it is heard.
@@ -420,6 +422,7 @@
 
     fn launch_ended(&mut self, now: Micros, handle: Handle, outcome: Outcome) {
         let out = self.errands.get(&handle).and_then(|errand| errand.out.as_ref());
+        let patience = self.patience();
         let mute = out.is_some_and(|launch| self.mute(now, launch.member));
         let Some(errand) = self.errands.get_mut(&handle) else { return };
         let Some(launch) = errand.out.take() else { return };
@@ -433,12 +436,14 @@
         if matches!(verdict, Verdict::Honoured | Verdict::Error | Verdict::Full | Verdict::Miss) {
             member.heard = now;
             member.answered = now;
+            member.overtaken = member.overtaken.max(launch.at);
             member.rests_until = now;
             member.lost_until = now;
         } else if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
             member.lost_until = now + 2 * HOLD;
         }
-        if matches!(verdict, Verdict::Honoured | Verdict::TimedOut) {
+        let crowded = verdict == Verdict::TimedOut && outcome.took < patience;
+        if verdict == Verdict::Honoured || crowded {
             member.took.add(outcome.took, KEEP / 2);
             let target = self.terms.offerings[offering].quoted * 30 / 100;
             if member.took.quantile(0.6).is_some_and(|typical| typical > target) {
@@ -545,6 +550,7 @@
                 seen_primary: false,
                 heard: now,
                 answered: now,
+                overtaken: Micros::MIN,
                 rests_until: Micros::MIN,
                 lost_until: Micros::MIN,
                 barred_until: Micros::MIN,
@@ -626,27 +632,42 @@
     }
 
     /// Protects against members that take work and answer nothing: a hang, a cut link, a long pause, a
-    /// death without a reset. Harms a member whose few launches out are all long ones: it is passed over
-    /// until it answers one, and rests for a second if none is answered.
+    /// death without a reset. One launch a second tries whether it answers again. Harms a member whose few
+    /// launches out are all long ones: it is passed over until it answers one or a second has passed.
     fn silent(&self, now: Micros, id: MemberId) -> bool {
         let member = self.member(id);
-        now < member.lost_until.max(member.rests_until) || self.mute(now, id)
+        let tried = member.sent.back().is_some_and(|&last| now - last < 2 * HOLD);
+        now < member.lost_until.max(member.rests_until) || tried && self.mute(now, id)
     }
 
-    /// Has launches out and has answered none for far longer than launches take.
+    /// Has launches out that no later one overtook, and answered none for far longer than launches take.
     fn mute(&self, now: Micros, id: MemberId) -> bool {
         let member = self.member(id);
-        let oldest = member.out.iter().filter_map(|out| self.errands[out].out.as_ref()).map(|l| l.at).min();
+        let waiting = self.sent_out(id).filter(|&at| at >= member.overtaken).min();
+        waiting.is_some_and(|oldest| now - oldest.max(member.answered) > self.patience())
+    }
+
+    /// When each launch out at the member was sent.
+    fn sent_out(&self, id: MemberId) -> impl Iterator<Item = Micros> {
+        self.member(id).out.iter().filter_map(|out| self.errands[out].out.as_ref()).map(|launch| launch.at)
+    }
+
+    fn patience(&self) -> Micros {
         let slowest = self.took.iter().filter_map(|took| took.quantile(0.9)).max();
-        let patience = slowest.unwrap_or(200 * MS).max(100 * MS) * 2;
-        oldest.is_some_and(|oldest| now - oldest.max(member.answered) > patience)
+        slowest.unwrap_or(200 * MS).max(100 * MS) * 2
     }
 
     /// How many more launches this driver may have out at the member: its window, and for a cold one its
     /// part of what the member can bear.
     fn room(&self, now: Micros, id: MemberId) -> f64 {
         let member = self.member(id);
-        let room = member.window.floor() - member.out.len() as f64;
+        // Launches that were overtaken and stay out for long are taken for lost: they hold no place.
+        let overdue = now - self.patience();
+        let lost = self.sent_out(id).filter(|&at| at < overdue && at < member.overtaken).count();
+        let mut room = member.window.floor() - (member.out.len() - lost) as f64;
+        if self.mute(now, id) {
+            room = room.max(1.0);
+        }
         let Some(since) = member.since else { return room };
         let age = (now - since - self.terms.overload_window) as f64 / self.terms.warm_within.max(1) as f64;
         if age >= 1.0 {
@@ -720,7 +741,7 @@
                 self.probe(now, id, if wanted { PROBE_NEEDED } else { PROBE_EVERY });
             }
             if self.terms.may_call_off && self.mute(now, id) {
-                self.call_off(id);
+                self.call_off(now, id);
             }
         }
         if self.terms.list_on_request && !self.subscribed && now >= self.ask_at {
@@ -732,12 +753,14 @@
     }
 
     /// Pure launches at a silent member are called off, to be launched elsewhere.
-    fn call_off(&mut self, id: MemberId) {
+    fn call_off(&mut self, now: Micros, id: MemberId) {
+        let overdue = now - self.patience();
         for handle in self.member(id).out.clone() {
             let errand = self.errands.get_mut(&handle).expect("out");
             let pure = self.terms.offerings[errand.task.offering].effect == Effect::Pure;
             let launch = errand.launches - 1;
-            if let Some(out) = errand.out.as_mut().filter(|out| pure && !out.called_off && !errand.closed) {
+            let late = |out: &&mut Launch| out.at < overdue && !out.called_off;
+            if let Some(out) = errand.out.as_mut().filter(|out| pure && !errand.closed && late(out)) {
                 out.called_off = true;
                 self.todo.steps.push((handle, Step::CallOff { launch }));
             }
--- a/crates/routing/tests/cases.rs
+++ b/crates/routing/tests/cases.rs
@@ -131,6 +131,21 @@
     assert!(world.out().iter().any(|&(_, id)| id == replica), "held reads follow the position");
 }
 
+#[test]
+fn launches_that_were_overtaken_and_stay_out_for_long_hold_no_place() {
+    let mut world = heard(terms());
+    let lost: Vec<Handle> = (0..40).map(|_| world.take(WRITE, 60_000 * MS)).collect();
+    let held = lost.iter().filter(|&&write| target(&world, write).is_none()).count();
+    assert!(held > 0, "the window is full");
+    for _ in 0..3 {
+        world.pass(1_100 * MS);
+        let newest = world.out().into_iter().map(|(handle, _)| handle).max().expect("one is tried");
+        world.end(newest, Verdict::Honoured);
+    }
+    let out = world.out().len();
+    assert!(lost.len() - held + 6 <= out, "{out} out: lost launches hold up the held ones");
+}
+
 #[test]
 fn a_probe_turned_away_by_a_full_member_is_an_answer() {
     let mut world = heard(terms());
