--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -13,6 +13,7 @@
     dedup_scope: String,
     window_ms: f64,
     target_ms: f64,
+    deadline_ms: f64,
     worth: f64,
     late_worth: f64,
 }
@@ -111,6 +112,7 @@
                 effect,
                 need,
                 quoted: micros(category.target_ms),
+                limit: micros(category.deadline_ms),
                 payoff: category.worth,
                 late_share: category.late_worth,
             });
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -61,6 +61,7 @@
     task: Task,
     group: usize,
     arrived: Micros,
+    quoted_by: Micros,
     launches: u32,
     out: Option<Launch>,
     /// When and at which member a launch may first have run.
@@ -122,6 +123,8 @@
     next_handle: u64,
     sessions: HashMap<String, Micros>,
     took: Vec<Histogram>,
+    /// The longest wait of a client seen for each offering.
+    longest: Vec<Micros>,
     warm_load: f64,
     next_sample: Micros,
     next_beat: Micros,
@@ -145,6 +148,7 @@
             next_handle: 0,
             sessions: HashMap::new(),
             took: vec![Histogram::default(); terms.offerings.len()],
+            longest: vec![0; terms.offerings.len()],
             warm_load: 0.0,
             next_sample: now,
             next_beat: now,
@@ -161,10 +165,18 @@
         let handle = Handle(self.next_handle);
         self.next_handle += 1;
         let group = self.group(task.group);
+        // A later try is shorter than a first one: all tries together end at the time limit, so what is
+        // missing to it has gone by already. Harms first tries shorter than others of their offering.
+        let offering = &self.terms.offerings[task.offering];
+        let longest = &mut self.longest[task.offering];
+        *longest = task.ttl.max(*longest);
+        let gone = if task.ttl < *longest - *longest / 50 { offering.limit - task.ttl } else { 0 };
+        let quoted_by = now + offering.quoted - gone.max(0);
         let errand = Errand {
             task,
             group,
             arrived: now,
+            quoted_by,
             launches: 0,
             out: None,
             may_have_run: None,
@@ -252,8 +264,7 @@
         let errand = &self.errands[&handle];
         let offering = &self.terms.offerings[errand.task.offering];
         let end = errand.arrived + errand.task.ttl;
-        let quoted = errand.arrived + offering.quoted;
-        let useful = if offering.late_share > 0.0 { end } else { end.min(quoted) };
+        let useful = if offering.late_share > 0.0 { end } else { end.min(errand.quoted_by) };
         let hopeless = useful - self.took[errand.task.offering].quantile(0.75).unwrap_or(0) - BEAT;
         // Never again what may have run: an effectful task at all, a receipted one once its mark may be forgotten.
         let stuck = match (offering.effect, errand.may_have_run) {
@@ -704,7 +715,7 @@
         let worth = |handle: &Handle| {
             let errand = &self.errands[handle];
             let offering = &self.terms.offerings[errand.task.offering];
-            let late = now > errand.arrived + offering.quoted;
+            let late = now > errand.quoted_by;
             let late = late || errand.task.repeat;
             if late { offering.payoff * offering.late_share } else { offering.payoff }
         };
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -44,6 +44,8 @@
     pub effect: Effect,
     pub need: Need,
     pub quoted: Micros,
+    /// How long a client waits for all its tries together.
+    pub limit: Micros,
     pub payoff: f64,
     /// The part of the payoff that an answer after the quoted time still earns.
     pub late_share: f64,
--- a/crates/routing/tests/cases.rs
+++ b/crates/routing/tests/cases.rs
@@ -182,6 +182,17 @@
     assert!(cold > 0 && cold < 75, "{cold} of 300 at the cold member");
 }
 
+#[test]
+fn a_try_too_late_for_its_quoted_time_is_denied_at_once() {
+    let mut world = heard(terms());
+    let first = world.take(READ, 1_500 * MS);
+    assert!(target(&world, first).is_some());
+    let later = world.take(READ, 1_400 * MS);
+    assert_eq!(world.denied, [later]);
+    let late_but_paid = world.take(LOOSE, 1_400 * MS);
+    assert!(target(&world, late_but_paid).is_some());
+}
+
 #[test]
 fn what_can_no_longer_be_in_time_is_given_its_answer_at_once() {
     let mut world = heard(terms());
--- a/crates/routing/tests/world/mod.rs
+++ b/crates/routing/tests/world/mod.rs
@@ -14,8 +14,14 @@
 pub const OWN: usize = 4;
 
 pub fn terms() -> Terms {
-    let offering =
-        |effect, need, payoff, late_share| Offering { effect, need, quoted: 500 * MS, payoff, late_share };
+    let offering = |effect, need, payoff, late_share| Offering {
+        effect,
+        need,
+        quoted: 500 * MS,
+        limit: 2_000 * MS,
+        payoff,
+        late_share,
+    };
     let receipted = Effect::Receipted { scope: Scope::Group, window: 2_000 * MS };
     Terms {
         offerings: vec![
