Marked repeats are dated by the time missing to the limit; unmarked ones lose their turn

Cause: a repeat arrives as if new, though its quoted time runs from the first try, and reads that are past it took room from those that are not. A marked repeat's first try began where the time limit says; where repeats are not marked, the wait that most tasks bring marks the first tries, and others only come last.

--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -52,6 +52,12 @@
     only_draining_binds: bool,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Clients {
+    marks_retry: bool,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Deductions {
@@ -66,6 +72,7 @@
     balancers: usize,
     categories: Vec<Category>,
     family_info: Family,
+    clients: Clients,
     limits: Limits,
     rules: Rules,
     registry_mode: String,
@@ -128,6 +135,7 @@
         let terms = Terms {
             offerings,
             drivers: message.balancers,
+            repeats_marked: message.clients.marks_retry,
             zone: zone(&message.my_zone).unwrap_or(message.azs.len()),
             max_launches: limits.max_attempts,
             may_call_off: limits.cancel,
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -62,6 +62,7 @@
     group: usize,
     arrived: Micros,
     quoted_by: Micros,
+    repeat: bool,
     launches: u32,
     out: Option<Launch>,
     /// When and at which member a launch may first have run.
@@ -123,8 +124,8 @@
     next_handle: u64,
     sessions: HashMap<String, Micros>,
     took: Vec<Histogram>,
-    /// The longest wait of a client seen for each offering.
-    longest: Vec<Micros>,
+    /// For each offering the wait that most tasks bring, and how sure that is.
+    usual_wait: Vec<(Micros, i32)>,
     warm_load: f64,
     next_sample: Micros,
     next_beat: Micros,
@@ -148,7 +149,7 @@
             next_handle: 0,
             sessions: HashMap::new(),
             took: vec![Histogram::default(); terms.offerings.len()],
-            longest: vec![0; terms.offerings.len()],
+            usual_wait: vec![(0, 0); terms.offerings.len()],
             warm_load: 0.0,
             next_sample: now,
             next_beat: now,
@@ -165,18 +166,24 @@
         let handle = Handle(self.next_handle);
         self.next_handle += 1;
         let group = self.group(task.group);
-        // A later try is shorter than a first one: all tries together end at the time limit, so what is
-        // missing to it has gone by already. Harms first tries shorter than others of their offering.
+        // What is missing to the time limit of a repeat has gone by already. Where repeats are not marked,
+        // first tries are told by the wait that most tasks bring; others only lose their turn by this guess.
         let offering = &self.terms.offerings[task.offering];
-        let longest = &mut self.longest[task.offering];
-        *longest = task.ttl.max(*longest);
-        let gone = if task.ttl < *longest - *longest / 50 { offering.limit - task.ttl } else { 0 };
+        let gone = if task.repeat { offering.limit - task.ttl } else { 0 };
         let quoted_by = now + offering.quoted - gone.max(0);
+        let (usual, votes) = &mut self.usual_wait[task.offering];
+        let common = (task.ttl - *usual).abs() <= *usual / 64;
+        *votes = if common { (*votes + 1).min(64) } else { *votes - 1 };
+        if *votes < 0 {
+            (*usual, *votes) = (task.ttl, 1);
+        }
+        let repeat = task.repeat || !self.terms.repeats_marked && !common;
         let errand = Errand {
             task,
             group,
             arrived: now,
             quoted_by,
+            repeat,
             launches: 0,
             out: None,
             may_have_run: None,
@@ -716,7 +723,7 @@
             let errand = &self.errands[handle];
             let offering = &self.terms.offerings[errand.task.offering];
             let late = now > errand.quoted_by;
-            let late = late || errand.task.repeat;
+            let late = late || errand.repeat;
             if late { offering.payoff * offering.late_share } else { offering.payoff }
         };
         held.sort_by(|a, b| worth(b).total_cmp(&worth(a)).then(b.cmp(a)));
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -64,6 +64,7 @@
 pub struct Terms {
     pub offerings: Vec<Offering>,
     pub drivers: usize,
+    pub repeats_marked: bool,
     pub zone: usize,
     pub max_launches: u32,
     pub may_call_off: bool,
