--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -53,7 +53,7 @@
         for item in items {
             let mut fields = Fields::new(item);
             let primary = fields.number("primary")? >= 1.0;
-            fields.skip("powerHint")?;
+            let size = self.decoded.size(fields.number("powerHint")?);
             let standing = fields.standing("condition")?;
             let name = fields.text("member")?;
             let group = fields.integer("cluster")?;
@@ -61,7 +61,7 @@
             let since = fields.optional_time("onlineSinceMs")?.filter(|&since| since > 0);
             fields.skip("shape")?;
             let member = self.member(name);
-            lines.push(Listed { member, name: name.to_owned(), group, zone, standing, since, primary });
+            lines.push(Listed { member, name: name.to_owned(), group, zone, standing, since, size, primary });
         }
         Ok(lines)
     }
--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -76,6 +76,7 @@
     limits: Limits,
     rules: Rules,
     registry_mode: String,
+    weights: String,
     deductions: Deductions,
 }
 
@@ -85,6 +86,7 @@
     offerings: HashMap<String, usize>,
     zones: Vec<String>,
     zero: Micros,
+    sizes_listed: bool,
 }
 
 fn bad<T>(field: &str, value: &str) -> Result<T, Trouble> {
@@ -158,6 +160,7 @@
         Ok(Decoded {
             terms,
             offerings: names.enumerate().map(|(index, name)| (name, index)).collect(),
+            sizes_listed: matches!(message.weights.as_str(), "nominal" | "rough"),
             zero: micros(message.family_info.position_zero_ms),
             zones: message.azs,
         })
@@ -167,6 +170,11 @@
         self.offerings.get(name).copied().map_or_else(|| bad("service", name), Ok)
     }
 
+    /// A member's size, where the list's numbers are sizes at all.
+    pub fn size(&self, hint: f64) -> f64 {
+        if self.sizes_listed && hint > 0.0 { hint } else { 1.0 }
+    }
+
     pub fn zone(&self, name: &str) -> usize {
         self.zones.iter().position(|zone| zone == name).unwrap_or(self.zones.len() + 1)
     }
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -79,6 +79,7 @@
     zone: usize,
     standing: Standing,
     since: Option<Micros>,
+    size: f64,
     position: Micros,
     /// Seen as primary by its own word, and not since seen as replica.
     seen_primary: bool,
@@ -564,6 +565,7 @@
                 zone: line.zone,
                 standing: line.standing,
                 since: line.since,
+                size: line.size,
                 position: Micros::MIN,
                 seen_primary: false,
                 heard: now,
@@ -692,7 +694,7 @@
             return room;
         }
         let part = self.terms.cold_from + (1.0 - self.terms.cold_from) * age.max(0.0);
-        let bearable = 0.8 * self.terms.overload_factor * part * self.warm_load;
+        let bearable = 0.6 * self.terms.overload_factor * part * self.warm_load * member.size;
         let sent = member.sent.iter().filter(|&&at| at > now - self.terms.overload_window).count();
         room.min(bearable.max(1.0) - sent as f64)
     }
@@ -738,18 +740,20 @@
         if now >= self.next_sample {
             self.next_sample = now + self.terms.overload_window;
             let from = now - self.terms.overload_window;
-            let (mut sent, mut warm) = (0, 0);
+            let mut loads = Vec::new();
             for member in self.members.iter_mut().flatten() {
                 while member.sent.front().is_some_and(|&at| at <= from) {
                     member.sent.pop_front();
                 }
                 let cold = member.since.is_some_and(|since| now - since < self.terms.warm_within);
                 if member.standing == Standing::Ready && !cold {
-                    sent += member.sent.len();
-                    warm += 1;
+                    loads.push(member.sent.len() as f64 / member.size);
                 }
             }
-            let mean = f64::from(sent as u32) / f64::from(warm.max(1));
+            // What a warm member can take is seen best at the busiest quarter.
+            loads.sort_by(|a, b| b.total_cmp(a));
+            let busiest = &loads[..loads.len().div_ceil(4)];
+            let mean = busiest.iter().sum::<f64>() / busiest.len().max(1) as f64;
             self.warm_load = mean.max(self.warm_load * 0.95);
         }
         for id in 0..self.members.len() {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -116,6 +116,8 @@
     pub standing: Standing,
     /// When the member last started; `None` is long ago.
     pub since: Option<Micros>,
+    /// Its size compared with other members', as far as the list tells sizes.
+    pub size: f64,
     pub primary: bool,
 }
 
--- a/crates/routing/tests/world/mod.rs
+++ b/crates/routing/tests/world/mod.rs
@@ -54,7 +54,16 @@
 }
 
 pub fn line(member: MemberId, standing: Standing, since: Option<Micros>) -> Listed {
-    Listed { member, name: format!("m{member}"), group: 7, zone: 0, standing, since, primary: false }
+    Listed {
+        member,
+        name: format!("m{member}"),
+        group: 7,
+        zone: 0,
+        standing,
+        since,
+        size: 1.0,
+        primary: false,
+    }
 }
 
 #[derive(Clone)]
