--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -463,7 +463,7 @@
         }
         let crowded = verdict == Verdict::TimedOut && outcome.took < patience;
         if verdict == Verdict::Honoured || crowded {
-            member.took.add(outcome.took, KEEP / 2);
+            member.took.add(outcome.took, KEEP / 4);
             let target = self.terms.offerings[offering].quoted * 30 / 100;
             if member.took.quantile(0.6).is_some_and(|typical| typical > target) {
                 member.window = (member.window * 0.96).max(4.0 / self.terms.drivers as f64).max(1.0);
