Late reports never bring back a demoted primary; probes look for one when it is silent

Cause, found by reading: a report made before a member was seen as replica could name it primary again, and reads without proof would follow (rule 5).

--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -42,12 +42,10 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Rules {
-    ask_within_ms: Option<f64>,
     cold_from: f64,
     warm_within_ms: f64,
     overload_factor: f64,
     fall_ms: f64,
-    drain_grace_ms: f64,
     #[serde(default)]
     only_draining_binds: bool,
 }
@@ -147,8 +145,6 @@
             members_check: family.behind != "off",
             remember_sessions: family.tokens == "router",
             list_on_request: message.registry_mode == "subscribe",
-            ask_within: micros(rules.ask_within_ms.unwrap_or(0.0)),
-            drain_grace: micros(rules.drain_grace_ms),
             only_draining_binds: rules.only_draining_binds,
             cold_from: rules.cold_from,
             warm_within: micros(rules.warm_within_ms),
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -68,8 +68,7 @@
     /// When and at which member a launch may first have run.
     may_have_run: Option<(Micros, MemberId)>,
     misses: usize,
-    cursor: Option<MemberId>,
-    avoid: Option<MemberId>,
+    last: Option<MemberId>,
     closed: bool,
 }
 
@@ -83,6 +82,8 @@
     position: Micros,
     /// Seen as primary by its own word, and not since seen as replica.
     seen_primary: bool,
+    /// The time of its newest word that it is a replica.
+    demoted: Micros,
     heard: Micros,
     answered: Micros,
     /// When the newest launch that it answered was sent.
@@ -189,8 +190,7 @@
             out: None,
             may_have_run: None,
             misses: 0,
-            cursor: None,
-            avoid: None,
+            last: None,
             closed: false,
         };
         self.errands.insert(handle, errand);
@@ -321,10 +321,7 @@
         let calls = |id: MemberId| {
             let member = self.member(id);
             let idle = member.out.is_empty() && now - member.heard < 2 * PROBE_EVERY;
-            idle && member.position < floor
-                && self.listed_ready(id)
-                && !self.barred(now, id)
-                && !self.silent(now, id)
+            idle && member.position < floor && self.usable(now, id) && !self.barred(now, id)
         };
         let replicas = group.members.iter().copied().filter(|&id| Some(id) != group.primary && calls(id));
         replicas.filter(|&id| self.room(now, id) > 0.0).max_by_key(|&id| {
@@ -342,18 +339,17 @@
             if let Some(replica) = self.detour(now, errand) {
                 return Some(replica);
             }
-            return (self.listed_ready(id) && !self.silent(now, id) && self.room(now, id) > 0.0)
-                .then_some(id);
+            return (self.usable(now, id) && self.room(now, id) > 0.0).then_some(id);
         }
         let half = self.terms.max_launches as usize / 2;
         let walking = errand.misses > 0 && errand.misses < group.members.len().min(half);
         if !walking && now < group.walk_after {
             return None;
         }
-        let start = errand.cursor.and_then(|last| group.members.iter().position(|&id| id == last));
+        let start = errand.last.and_then(|last| group.members.iter().position(|&id| id == last));
         let start = start.map_or(0, |at| at + 1);
         let round = (0..group.members.len()).map(|step| group.members[(start + step) % group.members.len()]);
-        let mut open = round.filter(|&id| self.listed_ready(id) && !self.silent(now, id));
+        let mut open = round.filter(|&id| self.usable(now, id));
         let first = open.clone().next();
         open.find(|&id| !self.barred(now, id)).or(first).filter(|&id| self.room(now, id) > 0.0)
     }
@@ -374,8 +370,8 @@
         let group = &self.groups[errand.group];
         let mut open: Vec<MemberId> =
             group.members.iter().copied().filter(|&id| self.may_follow(now, errand, id)).collect();
-        if open.iter().any(|&id| !self.barred(now, id) && Some(id) != errand.avoid) {
-            open.retain(|&id| !self.barred(now, id) && Some(id) != errand.avoid);
+        if open.iter().any(|&id| !self.barred(now, id) && Some(id) != errand.last) {
+            open.retain(|&id| !self.barred(now, id) && Some(id) != errand.last);
         }
         let primary = group.primary.filter(|id| open.contains(id) && self.member(*id).seen_primary);
         let replicas: Vec<MemberId> = open.iter().copied().filter(|&id| Some(id) != group.primary).collect();
@@ -502,8 +498,7 @@
                 }
             }
         }
-        errand.avoid = Some(id);
-        errand.cursor = Some(id);
+        errand.last = Some(id);
         let over = outcome.closed || errand.closed;
         self.note(id, told, now);
         if verdict == Verdict::Miss && self.groups[group].primary.is_none() {
@@ -523,19 +518,23 @@
         self.pump(now, group);
     }
 
-    /// Takes in what a member says of itself, `at` being the time it was true; newer words beat older ones.
+    /// Takes in what a member says of itself, `at` being the time it was true. Protects against reports that
+    /// come late: an older word never beats a newer one, neither on the member nor on its group.
     fn note(&mut self, id: MemberId, told: Told, at: Micros) {
         let member = self.members[id].as_mut().expect("heard of");
         member.position = member.position.max(told.position.unwrap_or(Micros::MIN));
         let group = &mut self.groups[member.group];
         match told.role {
-            Some(Role::Primary) if at >= group.word || group.primary.is_none() => {
+            Some(Role::Primary) if at >= member.demoted => {
                 member.seen_primary = true;
-                group.primary = Some(id);
-                group.word = at;
+                if member.standing == Standing::Ready && (at >= group.word || group.primary.is_none()) {
+                    group.primary = Some(id);
+                    group.word = at;
+                }
             }
             Some(Role::Replica) if at >= group.word || group.primary != Some(id) => {
                 member.seen_primary = false;
+                member.demoted = member.demoted.max(at);
                 if group.primary == Some(id) {
                     group.primary = None;
                     group.word = at;
@@ -568,6 +567,7 @@
                 size: line.size,
                 position: Micros::MIN,
                 seen_primary: false,
+                demoted: Micros::MIN,
                 heard: now,
                 answered: now,
                 overtaken: Micros::MIN,
@@ -627,12 +627,12 @@
         (most * (offering.payoff / best).max(0.5)).ceil().min(most) as u32
     }
 
-    fn listed_ready(&self, id: MemberId) -> bool {
-        match self.member(id).standing {
-            Standing::Ready => true,
-            Standing::Draining => false,
-            Standing::Gone => self.terms.only_draining_binds,
-        }
+    /// Whether anything may be sent there: never against the drain rule, nor into silence.
+    fn usable(&self, now: Micros, id: MemberId) -> bool {
+        let standing = self.member(id).standing;
+        let listed =
+            standing == Standing::Ready || standing == Standing::Gone && self.terms.only_draining_binds;
+        listed && !self.silent(now, id)
     }
 
     fn barred(&self, now: Micros, id: MemberId) -> bool {
@@ -648,7 +648,7 @@
             }
             _ => true,
         };
-        kept && self.listed_ready(id) && !self.silent(now, id)
+        kept && self.usable(now, id)
     }
 
     /// Protects against members that take work and answer nothing: a hang, a cut link, a long pause, a
@@ -701,10 +701,8 @@
 
     fn probe(&mut self, now: Micros, id: MemberId, gap: Micros) {
         let Some(member) = self.members[id].as_mut() else { return };
-        if !self.terms.may_probe || member.probe_out || now - member.probed < gap {
-            return;
-        }
-        if member.standing != Standing::Ready {
+        let ready = member.standing == Standing::Ready;
+        if !self.terms.may_probe || !ready || member.probe_out || now - member.probed < gap {
             return;
         }
         member.probe_out = true;
@@ -724,9 +722,11 @@
         let worth = |handle: &Handle| {
             let errand = &self.errands[handle];
             let offering = &self.terms.offerings[errand.task.offering];
-            let late = now > errand.quoted_by;
-            let late = late || errand.repeat;
-            if late { offering.payoff * offering.late_share } else { offering.payoff }
+            if now > errand.quoted_by || errand.repeat {
+                offering.payoff * offering.late_share
+            } else {
+                offering.payoff
+            }
         };
         held.sort_by(|a, b| worth(b).total_cmp(&worth(a)).then(b.cmp(a)));
         for handle in held {
@@ -758,7 +758,8 @@
         }
         for id in 0..self.members.len() {
             let Some(member) = &self.members[id] else { continue };
-            let wanted = self.groups[member.group].primary.is_none() || now < member.lost_until;
+            let primary = self.groups[member.group].primary;
+            let wanted = now < member.lost_until || primary.is_none_or(|id| self.silent(now, id));
             if wanted || now - member.heard > PROBE_EVERY {
                 self.probe(now, id, if wanted { PROBE_NEEDED } else { PROBE_EVERY });
             }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -76,8 +76,6 @@
     /// The router itself remembers what each session wrote.
     pub remember_sessions: bool,
     pub list_on_request: bool,
-    pub ask_within: Micros,
-    pub drain_grace: Micros,
     pub only_draining_binds: bool,
     pub cold_from: f64,
     pub warm_within: Micros,
--- a/crates/routing/tests/cases.rs
+++ b/crates/routing/tests/cases.rs
@@ -146,6 +146,20 @@
     assert!(lost.len() - held + 6 <= out, "{out} out: lost launches hold up the held ones");
 }
 
+#[test]
+fn a_late_report_does_not_bring_back_a_demoted_primary() {
+    let mut world = heard(terms());
+    world.report(0);
+    world.pass(BOUND + 10 * MS);
+    world.move_primary(1);
+    let write = world.take(WRITE, 2_000 * MS);
+    world.end(write, Verdict::Miss);
+    world.late_report(0);
+    world.pass(BOUND + 10 * MS);
+    let read = world.take(READ, 1_000 * MS);
+    assert_ne!(target(&world, read), Some(0));
+}
+
 #[test]
 fn a_probe_turned_away_by_a_full_member_is_an_answer() {
     let mut world = heard(terms());
--- a/crates/routing/tests/world/mod.rs
+++ b/crates/routing/tests/world/mod.rs
@@ -42,8 +42,6 @@
         members_check: false,
         remember_sessions: true,
         list_on_request: true,
-        ask_within: 10_000 * MS,
-        drain_grace: 200 * MS,
         only_draining_binds: false,
         cold_from: 0.2,
         warm_within: 10_000 * MS,
@@ -98,6 +96,7 @@
     pub broken_off: Vec<Handle>,
     pub probes: Vec<MemberId>,
     pub asked: usize,
+    reports: Vec<Told>,
     wake_at: Micros,
     session_floor: Micros,
 }
@@ -122,6 +121,7 @@
             broken_off: Vec::new(),
             probes: Vec::new(),
             asked: 0,
+            reports: vec![Told::default(); members],
             wake_at: now,
             session_floor: Micros::MIN,
         };
@@ -192,6 +192,16 @@
         self.probe_ends(id, if answered { Verdict::Honoured } else { Verdict::TimedOut });
     }
 
+    /// A report made now, to come late.
+    pub fn report(&mut self, id: MemberId) {
+        self.reports[id] = self.told(id);
+    }
+
+    pub fn late_report(&mut self, id: MemberId) {
+        let todo = self.router.probed(self.now, id, Verdict::Honoured, self.reports[id]);
+        self.carry_out(todo);
+    }
+
     pub fn probe_ends(&mut self, id: MemberId, verdict: Verdict) {
         let told = if verdict == Verdict::Honoured { self.told(id) } else { Told::default() };
         let todo = self.router.probed(self.now, id, verdict, told);
@@ -316,10 +326,7 @@
             Effect::Pure => {}
         }
         let (standing, at) = self.standing[id];
-        assert!(
-            standing == Standing::Ready || now <= at + self.terms.drain_grace,
-            "rule 3: launched at a drain"
-        );
+        assert!(standing == Standing::Ready || now == at, "rule 3: launched at a drain");
         let floor = match offering.need {
             Need::Recent(bound) => now - bound,
             Need::OwnWrites => flight.floor,
