--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -273,7 +273,7 @@
         let offering = &self.terms.offerings[errand.task.offering];
         let end = errand.arrived + errand.task.ttl;
         let useful = if offering.late_share > 0.0 { end } else { end.min(errand.quoted_by) };
-        let hopeless = useful - self.took[errand.task.offering].quantile(0.85).unwrap_or(0) - BEAT;
+        let hopeless = useful - self.took[errand.task.offering].quantile(0.75).unwrap_or(0) - BEAT;
         // Never again what may have run: an effectful task at all, a receipted one once its mark may be forgotten.
         let stuck = match (offering.effect, errand.may_have_run) {
             (_, None) | (Effect::Pure, _) => false,
@@ -462,7 +462,7 @@
             member.took.add(outcome.took, KEEP / 4);
             let target = self.terms.offerings[offering].quoted * 30 / 100;
             if member.took.quantile(0.6).is_some_and(|typical| typical > target) {
-                member.window = (member.window * 0.96).max(4.0 / self.terms.drivers as f64).max(1.0);
+                member.window = (member.window * 0.92).max(4.0 / self.terms.drivers as f64).max(1.0);
             } else if launch.depth >= member.window - 1.0 {
                 member.window += 1.0 / member.window;
             }
