--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -273,7 +273,7 @@
         let offering = &self.terms.offerings[errand.task.offering];
         let end = errand.arrived + errand.task.ttl;
         let useful = if offering.late_share > 0.0 { end } else { end.min(errand.quoted_by) };
-        let hopeless = useful - self.took[errand.task.offering].quantile(0.75).unwrap_or(0) - BEAT;
+        let hopeless = useful - self.took[errand.task.offering].quantile(0.85).unwrap_or(0) - BEAT;
         // Never again what may have run: an effectful task at all, a receipted one once its mark may be forgotten.
         let stuck = match (offering.effect, errand.may_have_run) {
             (_, None) | (Effect::Pure, _) => false,
