--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -320,7 +320,9 @@
         }
         let calls = |id: MemberId| {
             let member = self.member(id);
-            let idle = member.out.is_empty() && now - member.heard < 2 * PROBE_EVERY;
+            let idle = member.out.is_empty()
+                && now - member.heard < 2 * PROBE_EVERY
+                && now - member.answered >= self.catches_up_in(id, floor);
             idle && member.position < floor && self.usable(now, id) && !self.barred(now, id)
         };
         let replicas = group.members.iter().copied().filter(|&id| Some(id) != group.primary && calls(id));
@@ -332,6 +334,12 @@
         })
     }
 
+    /// Protects the price of probes and the time of writes: a member far behind is not asked again before it
+    /// can have caught up, at twice the pace of time. Harms one that catches up faster, for a second at most.
+    fn catches_up_in(&self, id: MemberId, floor: Micros) -> Micros {
+        (floor.saturating_sub(self.member(id).position) / 2).clamp(PROBE_NEEDED, PROBE_EVERY)
+    }
+
     /// The believed primary; without one, the next member by sorted id, one write walking at a time.
     fn write_target(&self, now: Micros, errand: &Errand) -> Option<MemberId> {
         let group = &self.groups[errand.group];
@@ -407,7 +415,8 @@
             let group = self.errands[&handle].group;
             self.groups[group].short = Some((now, floor));
             for id in stale {
-                self.probe(now, id, PROBE_NEEDED);
+                let gap = self.catches_up_in(id, floor);
+                self.probe(now, id, gap);
             }
         }
         target
