--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -393,15 +394,10 @@
             rooms.retain(|&(id, _)| self.member(id).zone == self.terms.zone);
         }
         let stale: Vec<MemberId> = replicas.iter().copied().filter(|id| !fresh(id)).collect();
-        let mut pick = None;
-        if !rooms.is_empty() {
-            let total: f64 = rooms.iter().map(|&(_, room)| room).sum();
-            let mut mark = self.rng.random_range(0.0..total);
-            pick = rooms.iter().find(|&&(_, room)| {
-                mark -= room;
-                mark <= 0.0
-            });
-        }
+        // Of two drawn by their room the one that is freer, so that chance does not pile up launches.
+        let mut draw = || rooms.choose_weighted(&mut self.rng, |&(_, room)| room).ok().copied();
+        let free = |&(id, room): &(MemberId, f64)| room / self.members[id].as_ref().map_or(1.0, |m| m.window);
+        let pick = [draw(), draw()].into_iter().flatten().max_by(|a, b| free(a).total_cmp(&free(b)));
         let last_resort = || {
             let behind = replicas.iter().copied().filter(|&id| self.room(now, id) > 0.0);
             match primary.filter(|&id| self.room(now, id) > self.member(id).window * 0.3) {
@@ -409,7 +405,7 @@
                 primary => primary,
             }
         };
-        let target = pick.map(|&(id, _)| id).or_else(last_resort);
+        let target = pick.map(|(id, _)| id).or_else(last_resort);
         let crowded = |id| self.room(now, id) < self.member(id).window * 0.7;
         if target.is_none_or(crowded) && !stale.is_empty() {
             let group = self.errands[&handle].group;
