--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -394,10 +394,7 @@
             rooms.retain(|&(id, _)| self.member(id).zone == self.terms.zone);
         }
         let stale: Vec<MemberId> = replicas.iter().copied().filter(|id| !fresh(id)).collect();
-        // Of two drawn by their room the one that is freer, so that chance does not pile up launches.
-        let mut draw = || rooms.choose_weighted(&mut self.rng, |&(_, room)| room).ok().copied();
-        let free = |&(id, room): &(MemberId, f64)| room / self.members[id].as_ref().map_or(1.0, |m| m.window);
-        let pick = [draw(), draw()].into_iter().flatten().max_by(|a, b| free(a).total_cmp(&free(b)));
+        let pick = rooms.choose_weighted(&mut self.rng, |&(_, room)| room).ok();
         let last_resort = || {
             let behind = replicas.iter().copied().filter(|&id| self.room(now, id) > 0.0);
             match primary.filter(|&id| self.room(now, id) > self.member(id).window * 0.3) {
@@ -405,7 +402,7 @@
                 primary => primary,
             }
         };
-        let target = pick.map(|(id, _)| id).or_else(last_resort);
+        let target = pick.map(|&(id, _)| id).or_else(last_resort);
         let crowded = |id| self.room(now, id) < self.member(id).window * 0.7;
         if target.is_none_or(crowded) && !stale.is_empty() {
             let group = self.errands[&handle].group;
