--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -551,7 +551,7 @@
         if self.members.len() <= line.member {
             self.members.resize_with(line.member + 1, || None);
         }
-        let window = (16.0 / self.terms.drivers as f64).max(1.0);
+        let window = (10.0 / self.terms.drivers as f64).max(1.0);
         let id = line.member;
         if let Some(member) = &mut self.members[id] {
             if member.since != line.since && line.standing == Standing::Ready {
