--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -89,8 +89,6 @@
     answered: Micros,
     /// When the newest launch that it answered was sent.
     overtaken: Micros,
-    /// It let a launch end without a word for far too long; only an answer lifts this early.
-    rests_until: Micros,
     /// Nothing of it could be reached at last try; believed until then, or until it is heard.
     lost_until: Micros,
     barred_until: Micros,
@@ -454,7 +452,6 @@
             member.heard = now;
             member.answered = now;
             member.overtaken = member.overtaken.max(launch.at);
-            member.rests_until = now;
             member.lost_until = now;
         } else if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
             member.lost_until = now + 2 * HOLD;
@@ -487,9 +484,6 @@
             // A launch that outlasted its limit at a member that answers others met a crowd, not a fault.
             Verdict::TimedOut | Verdict::CalledOff if !mute => {}
             _ => {
-                if mute {
-                    member.rests_until = now + 2 * HOLD;
-                }
                 member.failures.push_back(now);
                 while member.failures.front().is_some_and(|&at| at < now - FAILURE_WINDOW) {
                     member.failures.pop_front();
@@ -573,7 +567,6 @@
                 heard: now,
                 answered: now,
                 overtaken: Micros::MIN,
-                rests_until: Micros::MIN,
                 lost_until: Micros::MIN,
                 barred_until: Micros::MIN,
                 failures: VecDeque::new(),
@@ -659,7 +652,7 @@
     fn silent(&self, now: Micros, id: MemberId) -> bool {
         let member = self.member(id);
         let tried = member.sent.back().is_some_and(|&last| now - last < 2 * HOLD);
-        now < member.lost_until.max(member.rests_until) || tried && self.mute(now, id)
+        now < member.lost_until || tried && self.mute(now, id)
     }
 
     /// Has launches out that no later one overtook, and answered none for far longer than launches take.
