--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -270,9 +270,7 @@
     fn place(&mut self, now: Micros, handle: Handle) {
         let errand = &self.errands[&handle];
         let offering = &self.terms.offerings[errand.task.offering];
-        let end = errand.arrived + errand.task.ttl;
-        let useful = if offering.late_share > 0.0 { end } else { end.min(errand.quoted_by) };
-        let hopeless = useful - self.took[errand.task.offering].quantile(0.85).unwrap_or(0) - BEAT;
+        let (hopeless, useful) = self.useful_until(errand);
         // Never again what may have run: an effectful task at all, a receipted one once its mark may be forgotten.
         let stuck = match (offering.effect, errand.may_have_run) {
             (_, None) | (Effect::Pure, _) => false,
@@ -307,6 +305,14 @@
         self.todo.steps.push((handle, Step::Launch { member: id, limit: useful - now }));
     }
 
+    /// Until when a launch of the task would most likely pay, and until when an answer pays at all.
+    fn useful_until(&self, errand: &Errand) -> (Micros, Micros) {
+        let end = errand.arrived + errand.task.ttl;
+        let late_pays = self.terms.offerings[errand.task.offering].late_share > 0.0;
+        let useful = if late_pays { end } else { end.min(errand.quoted_by) };
+        (useful - self.took[errand.task.offering].quantile(0.85).unwrap_or(0) - BEAT, useful)
+    }
+
     /// Protects against reports that come too late to prove anything fresh: a replica's 'miss' tells its
     /// position as of now. While reads lack fresh replicas, a write calls at one on its way to the primary.
     /// Should also cover probes that are not answered or not allowed. Harms a write whose replica dies with
@@ -724,10 +730,20 @@
             }
         };
         held.sort_by(|a, b| worth(b).total_cmp(&worth(a)).then(b.cmp(a)));
+        // Where a fresh task of an offering found no place, its like need not be tried one by one.
+        let mut full = vec![false; self.terms.offerings.len()];
         for handle in held {
-            if self.errands.get(&handle).is_some_and(|errand| !errand.closed && errand.out.is_none()) {
-                self.place(now, handle);
+            let Some(errand) = self.errands.get(&handle).filter(|e| !e.closed && e.out.is_none()) else {
+                continue;
+            };
+            let (offering, fresh) = (errand.task.offering, errand.launches == 0);
+            if full[offering] && now < self.useful_until(errand).0 {
+                self.groups[group].held.push(handle);
+                continue;
             }
+            self.place(now, handle);
+            let alike = !matches!(self.terms.offerings[offering].need, Need::OwnWrites | Need::Latest);
+            full[offering] |= fresh && alike && self.groups[group].held.last() == Some(&handle);
         }
     }
 
