--- a/crates/routing/tests/cases.rs
+++ b/crates/routing/tests/router/cases.rs
@@ -1,9 +1,7 @@
 //! Plain cases of the design's path and of each failure found.
 
-mod world;
-
+use crate::world::{BOUND, LOOSE, MS, OWN, READ, RECEIPTED, WRITE, World, terms};
 use aldermill_routing::{Handle, MemberId, Standing, Terms, Verdict};
-use world::{BOUND, LOOSE, MS, READ, WRITE, World, terms};
 
 fn heard(terms: Terms) -> World {
     let mut world = World::new(terms, 4);
@@ -146,6 +144,30 @@
     assert!(2 * first <= out, "{out} out, {first} at first: lost launches hold up the held ones");
 }
 
+#[test]
+fn what_may_have_run_is_broken_off_or_repeated_within_its_receipt() {
+    let mut world = heard(terms());
+    let effectful = world.take(WRITE, 2_000 * MS);
+    world.end(effectful, Verdict::Error);
+    assert_eq!((world.launched.len(), &world.broken_off[..]), (1, &[effectful][..]));
+    let receipted = world.take(RECEIPTED, 60_000 * MS);
+    world.end(receipted, Verdict::Error);
+    assert_eq!(target(&world, receipted), Some(0), "its receipt drops repeats");
+    world.pass(2_100 * MS);
+    world.end(receipted, Verdict::Reset);
+    assert_eq!(world.broken_off, [effectful, receipted]);
+}
+
+#[test]
+fn a_session_reads_what_it_wrote() {
+    let mut world = heard(terms());
+    let write = world.take(WRITE, 2_000 * MS);
+    world.pass(20 * MS);
+    world.end(write, Verdict::Honoured);
+    let read = world.take(OWN, 1_000 * MS);
+    assert_eq!(target(&world, read), Some(0), "no replica is known to have the write");
+}
+
 #[test]
 fn a_late_report_does_not_bring_back_a_demoted_primary() {
     let mut world = heard(terms());
--- /dev/null
+++ b/crates/routing/tests/router/main.rs
@@ -0,0 +1,3 @@
+mod cases;
+mod rules;
+mod world;
--- a/crates/routing/tests/rules.rs
+++ b/crates/routing/tests/router/rules.rs
@@ -1,11 +1,9 @@
 //! Seeded random runs; `World` checks the five rules at every step.
 
-mod world;
-
+use crate::world::{MS, World, terms};
 use aldermill_routing::{ListedRoles, Standing, Verdict};
 use proptest::collection::vec;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use world::{MS, World, terms};
 
 const VERDICTS: [Verdict; 9] = [
     Verdict::Honoured,
