--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -58,6 +58,7 @@
     called_off: bool,
 }
 
+#[derive(Default)]
 struct Errand {
     task: Task,
     group: usize,
@@ -73,6 +74,7 @@
     closed: bool,
 }
 
+#[derive(Default)]
 struct Member {
     name: String,
     group: usize,
@@ -179,19 +181,7 @@
             (*usual, *votes) = (task.ttl, 1);
         }
         let repeat = task.repeat || !self.terms.repeats_marked && !common;
-        let errand = Errand {
-            task,
-            group,
-            arrived: now,
-            quoted_by,
-            repeat,
-            launches: 0,
-            out: None,
-            may_have_run: None,
-            misses: 0,
-            last: None,
-            closed: false,
-        };
+        let errand = Errand { task, group, arrived: now, quoted_by, repeat, ..Errand::default() };
         self.errands.insert(handle, errand);
         self.place(now, handle);
         (handle, self.take_todo())
@@ -271,7 +261,7 @@
         let errand = &self.errands[&handle];
         let offering = &self.terms.offerings[errand.task.offering];
         let (hopeless, useful) = self.useful_until(errand);
-        // Never again what may have run: an effectful task at all, a receipted one once its mark may be forgotten.
+        // Never again what may have run: an effectful task at all, a receipted one once its mark is forgotten.
         let stuck = match (offering.effect, errand.may_have_run) {
             (_, None) | (Effect::Pure, _) => false,
             (Effect::Effectful, Some(_)) => true,
@@ -568,21 +558,10 @@
                 since: line.since,
                 size: line.size,
                 position: Micros::MIN,
-                seen_primary: false,
-                demoted: Micros::MIN,
                 heard: now,
                 answered: now,
-                overtaken: Micros::MIN,
-                lost_until: Micros::MIN,
-                barred_until: Micros::MIN,
-                failures: VecDeque::new(),
-                probe_misses: 0,
-                probe_out: false,
-                probed: Micros::MIN / 2,
-                out: Vec::new(),
                 window,
-                took: Histogram::default(),
-                sent: VecDeque::new(),
+                ..Member::default()
             });
             let members = &mut self.groups[group].members;
             members.push(id);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -84,7 +84,7 @@
     pub crossing_price: f64,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Task {
     pub offering: usize,
     pub group: u64,
@@ -97,8 +97,9 @@
     pub repeat: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
+    #[default]
     Ready,
     Draining,
     Gone,
