--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -261,7 +261,7 @@
         let errand = &self.errands[&handle];
         let offering = &self.terms.offerings[errand.task.offering];
         let (hopeless, useful) = self.useful_until(errand);
-        // Never again what may have run: an effectful task at all, a receipted one once its mark is forgotten.
+        // Never again what may have run: an effectful task at all, a receipted one past its window.
         let stuck = match (offering.effect, errand.may_have_run) {
             (_, None) | (Effect::Pure, _) => false,
             (Effect::Effectful, Some(_)) => true,
