--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -102,6 +102,8 @@
     window: f64,
     took: Histogram,
     sent: VecDeque<Micros>,
+    /// Launches honoured since the last sample.
+    honoured: u32,
 }
 
 #[derive(Default)]
@@ -474,6 +476,7 @@
                     *newest = position.max(*newest);
                 }
                 self.took[offering].add(outcome.took, KEEP * 4);
+                member.honoured += 1;
             }
             Verdict::Full => member.window = (member.window * 0.7).max(1.0),
             Verdict::Miss | Verdict::Moot => {}
@@ -674,7 +677,7 @@
             return room;
         }
         let part = self.terms.cold_from + (1.0 - self.terms.cold_from) * age.max(0.0);
-        let bearable = 0.6 * self.terms.overload_factor * part * self.warm_load * member.size;
+        let bearable = 0.5 * self.terms.overload_factor * part * self.warm_load * member.size;
         let sent = member.sent.iter().filter(|&&at| at > now - self.terms.overload_window).count();
         room.min(bearable.max(1.0) - sent as f64)
     }
@@ -736,11 +739,13 @@
                     member.sent.pop_front();
                 }
                 let cold = member.since.is_some_and(|since| now - since < self.terms.warm_within);
+                let honoured = std::mem::take(&mut member.honoured);
                 if member.standing == Standing::Ready && !cold {
-                    loads.push(member.sent.len() as f64 / member.size);
+                    loads.push(f64::from(honoured) / member.size);
                 }
             }
-            // What a warm member can take is seen best at the busiest quarter.
+            // What a warm member can take is seen best at the busiest quarter, by what they honoured: misses
+            // and launches turned away are no work.
             loads.sort_by(|a, b| b.total_cmp(a));
             let busiest = &loads[..loads.len().div_ceil(4)];
             let mean = busiest.iter().sum::<f64>() / busiest.len().max(1) as f64;
--- a/crates/routing/tests/router/cases.rs
+++ b/crates/routing/tests/router/cases.rs
@@ -221,6 +221,28 @@
     assert!(target(&world, late_but_paid).is_some());
 }
 
+#[test]
+fn launches_turned_away_do_not_widen_the_part_of_a_cold_member() {
+    let mut world = heard(terms());
+    for _ in 0..1_000 {
+        world.pass(2 * MS);
+        let read = world.take(LOOSE, 1_000 * MS);
+        while target(&world, read).is_some() {
+            world.end(read, Verdict::Full);
+        }
+    }
+    world.pass(1_100 * MS);
+    let since = world.now;
+    world.relist(3, Standing::Ready, Some(since));
+    world.move_primary(3);
+    world.hear_all();
+    for _ in 0..20 {
+        world.take(WRITE, 2_000 * MS);
+    }
+    let cold = world.out().iter().filter(|&&(_, id)| id == 3).count();
+    assert_eq!(cold, 1, "nothing is known of what a warm member can take");
+}
+
 #[test]
 fn what_can_no_longer_be_in_time_is_given_its_answer_at_once() {
     let mut world = heard(terms());
--- a/crates/routing/tests/router/world.rs
+++ b/crates/routing/tests/router/world.rs
@@ -89,6 +89,7 @@
     standing: Vec<(Standing, Micros)>,
     pub since: Vec<Option<Micros>>,
     sent: Vec<VecDeque<Micros>>,
+    honoured: Vec<VecDeque<Micros>>,
     most_warm: usize,
     flights: BTreeMap<Handle, Flight>,
     pub launched: Vec<(Handle, MemberId)>,
@@ -114,6 +115,7 @@
             standing: vec![(Standing::Ready, now); members],
             since: vec![None; members],
             sent: vec![VecDeque::new(); members],
+            honoured: vec![VecDeque::new(); members],
             most_warm: 1,
             flights: BTreeMap::new(),
             launched: Vec::new(),
@@ -233,6 +235,14 @@
         let honoured = verdict == Verdict::Honoured;
         flight.over |= honoured;
         let closed = flight.over;
+        if honoured {
+            let done = &mut self.honoured[id];
+            done.push_back(self.now);
+            done.retain(|&at| at > self.now - self.terms.overload_window);
+            if self.since[id].is_none_or(|since| self.now - since >= self.terms.warm_within) {
+                self.most_warm = self.most_warm.max(done.len());
+            }
+        }
         if honoured && write {
             self.session_floor = self.now;
         }
@@ -349,7 +359,6 @@
         let sent = sent.len();
         let age = self.since[id].map_or(1.0, |since| (now - since) as f64 / self.terms.warm_within as f64);
         if age >= 1.0 {
-            self.most_warm = self.most_warm.max(sent);
             return;
         }
         let part = self.terms.cold_from + (1.0 - self.terms.cold_from) * age;
