--- a/crates/routing/tests/router/cases.rs
+++ b/crates/routing/tests/router/cases.rs
@@ -224,6 +224,7 @@
 #[test]
 fn launches_turned_away_do_not_widen_the_part_of_a_cold_member() {
     let mut world = heard(terms());
+    world.relist(3, Standing::Gone, None);
     for _ in 0..1_000 {
         world.pass(2 * MS);
         let read = world.take(LOOSE, 1_000 * MS);
