Probes are paid by tasks, and a read waits for the one probe it causes

Now each task pays for one probe, and a read without a fresh replica asks one at a time and waits for its word. Should also cover any other rise in drivers per task; may harm a driver with few tasks whose members all restart: it learns of them by launches.

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -29,6 +29,8 @@
 const PROBE_EVERY: Micros = 1_000 * MS;
 /// Probes of members whose proof of freshness has run out, and of a group without a primary.
 const PROBE_NEEDED: Micros = 100 * MS;
+/// Probes that a task taken pays for.
+const PROBES_A_TASK: f64 = 1.0;
 const KEEP: u32 = 32;
 
 /// One task taken.
@@ -132,6 +134,8 @@
     /// For each offering the wait that most tasks bring, and how sure that is.
     usual_wait: Vec<(Micros, i32)>,
     warm_load: f64,
+    /// Probes that the tasks taken have paid for.
+    allowance: f64,
     next_sample: Micros,
     next_beat: Micros,
     asked: bool,
@@ -156,6 +160,7 @@
             took: vec![Histogram::default(); terms.offerings.len()],
             usual_wait: vec![(0, 0); terms.offerings.len()],
             warm_load: 0.0,
+            allowance: 0.0,
             next_sample: now,
             next_beat: now,
             asked: false,
@@ -171,6 +176,7 @@
         let handle = Handle(self.next_handle);
         self.next_handle += 1;
         let group = self.group(task.group);
+        self.allowance = (self.allowance + PROBES_A_TASK).min(self.members.len() as f64);
         // What is missing to the time limit of a repeat has gone by already. Where repeats are not marked,
         // first tries are told by the wait that most tasks bring; others only lose their turn by this guess.
         let offering = &self.terms.offerings[task.offering];
@@ -398,17 +404,25 @@
                 primary => primary,
             }
         };
-        let target = pick.map(|&(id, _)| id).or_else(last_resort);
+        let target = pick.map(|&(id, _)| id);
         let crowded = |id| self.room(now, id) < self.member(id).window * 0.7;
-        if target.is_none_or(crowded) && !stale.is_empty() {
-            let group = self.errands[&handle].group;
-            self.groups[group].short = Some((now, floor));
-            for id in stale {
-                let gap = self.catches_up_in(id, floor);
-                self.probe(now, id, gap);
-            }
+        let resort = target.or_else(last_resort);
+        if !target.is_none_or(crowded) || stale.is_empty() {
+            return resort;
+        }
+        // One stale replica at a time is asked; a read waits for its word before it burdens the primary.
+        let asked = |id: &MemberId| self.member(*id).probe_out && now - self.member(*id).probed < BEAT;
+        let due = |id: &MemberId| now - self.member(*id).probed >= self.catches_up_in(*id, floor);
+        let ask =
+            if stale.iter().any(asked) { Vec::new() } else { stale.iter().copied().filter(due).collect() };
+        let ask = ask.choose(&mut self.rng).copied();
+        let group = self.errands[&handle].group;
+        self.groups[group].short = Some((now, floor));
+        if let Some(id) = ask {
+            self.probe(now, id, PROBE_NEEDED);
         }
-        target
+        let awaited = |&id: &MemberId| self.member(id).probe_out && now - self.member(id).probed < BEAT;
+        if target.is_none() && stale.iter().any(awaited) { None } else { resort }
     }
 
     /// Denied where that is true to say, else broken off.
@@ -569,6 +583,7 @@
             let members = &mut self.groups[group].members;
             members.push(id);
             members.sort_by_key(|&id| self.members[id].as_ref().map(|member| member.name.clone()));
+            self.allowance += 2.0;
             self.probe(now, id, PROBE_NEEDED);
         }
         let group = &mut self.groups[group];
@@ -685,9 +700,11 @@
     fn probe(&mut self, now: Micros, id: MemberId, gap: Micros) {
         let Some(member) = self.members[id].as_mut() else { return };
         let ready = member.standing == Standing::Ready;
-        if !self.terms.may_probe || !ready || member.probe_out || now - member.probed < gap {
+        let early = member.probe_out || now - member.probed < gap;
+        if !self.terms.may_probe || !ready || early || self.allowance < 1.0 {
             return;
         }
+        self.allowance -= 1.0;
         member.probe_out = true;
         member.probed = now;
         self.todo.probes.push(id);
@@ -753,9 +770,11 @@
         }
         for id in 0..self.members.len() {
             let Some(member) = &self.members[id] else { continue };
-            let primary = self.groups[member.group].primary;
-            let wanted = now < member.lost_until || primary.is_none_or(|id| self.silent(now, id));
-            if wanted || now - member.heard > PROBE_EVERY {
+            let Group { primary, held, .. } = &self.groups[member.group];
+            let wanted = !held.is_empty()
+                && (now < member.lost_until || primary.is_none_or(|id| self.silent(now, id)));
+            let spare = self.allowance > self.members.len() as f64 * 0.5;
+            if wanted || spare && now - member.heard > PROBE_EVERY {
                 self.probe(now, id, if wanted { PROBE_NEEDED } else { PROBE_EVERY });
             }
             if self.terms.may_call_off && self.mute(now, id) {
--- a/crates/routing/tests/router/cases.rs
+++ b/crates/routing/tests/router/cases.rs
@@ -30,10 +30,15 @@
 }
 
 #[test]
-fn without_a_fresh_replica_a_read_goes_to_the_primary() {
+fn a_read_asks_one_replica_at_a_time_and_goes_to_the_primary_when_none_is_fresh() {
     let mut world = heard(terms());
     world.pass(BOUND + 10 * MS);
+    world.probes.clear();
     let read = world.take(READ, 1_000 * MS);
+    for asked in 1..=3 {
+        assert_eq!((target(&world, read), world.probes.len()), (None, asked));
+        world.probe_answer(world.probes[asked - 1], true);
+    }
     assert_eq!(target(&world, read), Some(0));
 }
 
