--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -137,6 +137,7 @@
             drivers: message.balancers,
             repeats_marked: message.clients.marks_retry,
             zone: zone(&message.my_zone).unwrap_or(message.azs.len()),
+            zones: message.azs.len(),
             max_launches: limits.max_attempts,
             may_call_off: limits.cancel,
             may_probe: limits.probes,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -66,6 +66,8 @@
     pub drivers: usize,
     pub repeats_marked: bool,
     pub zone: usize,
+    /// How many zones there are.
+    pub zones: usize,
     pub max_launches: u32,
     pub may_call_off: bool,
     pub may_probe: bool,
@@ -99,9 +101,9 @@
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
-    #[default]
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
