--- a/crates/routing/src/histogram.rs
+++ b/crates/routing/src/histogram.rs
@@ -12,6 +12,13 @@
 }
 
 impl Histogram {
+    /// Starts from this many of one duration.
+    pub(crate) fn of(took: Micros, count: u32) -> Histogram {
+        let mut histogram = Histogram::default();
+        (0..count).for_each(|_| histogram.add(took, u32::MAX));
+        histogram
+    }
+
     /// Counts one duration; with `keep` counted, all counts are halved.
     pub(crate) fn add(&mut self, took: Micros, keep: u32) {
         let bin = ((took.max(1) as f64 / FIRST).ln() / GROWTH.ln()).ceil().max(0.0) as usize;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -69,7 +69,6 @@
     /// How many zones there are.
     pub zones: usize,
     pub max_launches: u32,
-    pub may_call_off: bool,
     pub may_probe: bool,
     pub max_cool_down: Micros,
     pub listed_roles: ListedRoles,
@@ -168,7 +167,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
     Launch { member: MemberId, limit: Micros },
-    CallOff { launch: u32 },
     Deny { cool_down: Micros },
     BreakOff,
 }
