--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -509,7 +509,7 @@
             member.fell |= verdict == Verdict::Reset || outcome.took < PROBE_NEEDED;
         }
         // A driver among many hears of few answers of a member: each then counts for more.
-        let step = 0.92f64.powf(if sparse { (drivers / 4.0).min(8.0) } else { 1.0 });
+        let step = 0.92f64.powf(if sparse { (drivers / 4.0).min(16.0) } else { 1.0 });
         let least = if sparse { STAY / drivers } else { (STAY / drivers).max(1.0) };
         let crowded = verdict == Verdict::TimedOut && outcome.took < patience;
         if verdict == Verdict::Honoured || crowded || sparse && !verdict.never_ran() {
