A task that finds room at once is launched where half of the launches would pay

By evidence of the tap: the waits in the tasks themselves; positions and members were as before. What was held still goes by 85%.

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -283,7 +283,7 @@
     fn place(&mut self, now: Micros, handle: Handle) {
         let errand = &self.errands[&handle];
         let offering = &self.terms.offerings[errand.task.offering];
-        let (hopeless, useful) = self.useful_until(errand);
+        let (hopeless, useful) = self.useful_until(now, errand);
         // Never again what may have run: an effectful task at all, a receipted one past its window.
         let stuck = match (offering.effect, errand.may_have_run) {
             (_, None) | (Effect::Pure, _) => false,
@@ -342,11 +342,12 @@
     }
 
     /// Until when a launch of the task would most likely pay, and until when an answer pays at all.
-    fn useful_until(&self, errand: &Errand) -> (Micros, Micros) {
+    fn useful_until(&self, now: Micros, errand: &Errand) -> (Micros, Micros) {
         let end = errand.arrived + errand.task.ttl;
         let late_pays = self.terms.offerings[errand.task.offering].late_share > 0.0;
         let useful = if late_pays { end } else { end.min(errand.quoted_by) };
-        (useful - self.took[errand.task.offering].quantile(0.85).unwrap_or(0) - BEAT, useful)
+        let share = if now == errand.arrived { 0.5 } else { 0.85 };
+        (useful - self.took[errand.task.offering].quantile(share).unwrap_or(0) - BEAT, useful)
     }
 
     /// Protects against reports too late to prove anything fresh: a replica's 'miss' tells its position as of
--- a/crates/routing/tests/router/cases.rs
+++ b/crates/routing/tests/router/cases.rs
@@ -323,3 +323,17 @@
     let at_primary = world.launched.iter().filter(|&&(_, id)| id == 0).count();
     assert!((5..=25).contains(&at_primary), "{at_primary} of {}", world.launched.len());
 }
+
+#[test]
+fn a_task_of_a_client_in_a_hurry_is_tried_where_there_is_room() {
+    let mut world = heard(terms());
+    for _ in 0..40 {
+        let read = world.take(LOOSE, 1_000 * MS);
+        world.pass(100 * MS);
+        world.hear_all();
+        world.end(read, Verdict::Honoured);
+    }
+    let hurried = world.take(LOOSE, 100 * MS);
+    assert!(target(&world, hurried).is_some());
+    assert!(world.denied.is_empty());
+}
