--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -30,7 +30,7 @@
 /// Probes of members whose proof of freshness has run out, and of a group without a primary.
 const PROBE_NEEDED: Micros = 100 * MS;
 /// Probes that a task taken pays for: the allowance.
-const PROBES_A_TASK: f64 = 1.0;
+const PROBES_A_TASK: f64 = 0.7;
 const KEEP: u32 = 32;
 /// Launches at a member that windows start with and stay at, all drivers together.
 const START: f64 = 10.0;
@@ -338,7 +338,7 @@
 
     /// A driver among so many that it is not due one launch at a time at each member.
     fn sparse(&self) -> bool {
-        self.terms.drivers as f64 > 2.5 * START
+        self.terms.drivers as f64 > 1.5 * START
     }
 
     /// Until when a launch of the task would most likely pay, and until when an answer pays at all.
