A cold member's part is the whole multiple of the mean warm load

The mean of warm members is under what they can take, which is the margin; it would shrink where warm members run at their limit.

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -733,7 +733,7 @@
         let age = age.max(0) as f64 / self.terms.warm_within as f64;
         let part = self.terms.cold_from + (1.0 - self.terms.cold_from) * age;
         let load = self.warm_load.max(STAY / self.terms.drivers as f64);
-        0.7 * self.terms.overload_factor * part * load * member.size
+        self.terms.overload_factor * part * load * member.size
     }
 
     /// Launches saved up: at most two at a warm member and one at a cold one.
