--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,15 +1,16 @@
 //! Puts the routing decisions on the bench's wire: lines in, calls on the router, results out.
 
-mod settings;
 mod wire;
 
 use std::collections::HashMap;
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
 
-use aldermill_routing::{Handle, Listed, MemberId, Micros, Outcome, Router, Standing, Step, Task, Todo};
-use settings::Decoded;
-use wire::{Fields, Trouble};
+use aldermill_routing::{
+    Handle, Listed, MemberId, Micros, Outcome, Role, Router, Standing, Step, Task, Todo, Told,
+};
+use aldermill_terms::{Decoded, Trouble};
+use wire::Fields;
 
 /// One line of a sheet, as it stands there.
 struct Item {
@@ -116,6 +117,25 @@
         }
     }
 
+    /// What an answer's note and a load report say; the newer position of the two.
+    fn told(&self, stand: Option<u64>, load: Option<&str>) -> Result<Told, Trouble> {
+        let pairs = load.into_iter().flat_map(|load| load.split(','));
+        let pairs = pairs.map(|pair| pair.split_once(':').unwrap_or((pair, "")));
+        let mut told = Decoded::report(pairs, self.decoded.zero)?;
+        if let Some(stand) = stand.filter(|&stand| stand > 0) {
+            told.role = match stand % 4 {
+                1 => Some(Role::Primary),
+                2 => Some(Role::Replica),
+                _ => told.role,
+            };
+            if stand >= 4 {
+                let position = self.decoded.zero + (stand / 4) as Micros * 1000;
+                told.position = told.position.max(Some(position));
+            }
+        }
+        Ok(told)
+    }
+
     /// Drops the names of a task of which nothing more can be heard.
     fn release(&mut self, handle: Handle) {
         if !self.router.knows(handle)
@@ -228,7 +248,7 @@
                 let stand = fields.optional_integer("stand")?;
                 let closed = fields.flag("closed")?;
                 let load = fields.optional("load")?;
-                let told = driver.decoded.told(stand, load)?;
+                let told = driver.told(stand, load)?;
                 let Some(&handle) = driver.handles.get(&ticket) else { return Ok(()) };
                 let outcome = Outcome { verdict, took, told, closed };
                 let todo = handle.ended(&mut driver.router, now, outcome);
@@ -248,7 +268,7 @@
                 let name = fields.text("member")?;
                 let verdict = fields.verdict("how")?;
                 fields.skip("timeTakenMs")?;
-                let told = driver.decoded.told(None, fields.optional("load")?)?;
+                let told = driver.told(None, fields.optional("load")?)?;
                 let member = driver.member(name);
                 driver.router.probed(now, member, verdict, told)
             }
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -3,25 +3,7 @@
 use std::str::{FromStr, Split};
 
 use aldermill_routing::{Micros, Standing, Verdict};
-
-/// What is wrong with a line: the field, and why.
-#[derive(Debug)]
-pub struct Trouble {
-    field: String,
-    why: String,
-}
-
-impl Trouble {
-    pub fn new(field: &str, why: &str) -> Trouble {
-        Trouble { field: field.to_owned(), why: why.to_owned() }
-    }
-}
-
-impl fmt::Display for Trouble {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "field {}: {}", self.field, self.why)
-    }
-}
+use aldermill_terms::{Trouble, micros};
 
 /// The tab-separated parts of one line, taken from left to right.
 pub struct Fields<'a> {
@@ -123,10 +105,6 @@
     }
 }
 
-pub fn micros(millis: f64) -> Micros {
-    (millis * 1000.0).round() as Micros
-}
-
 fn millis(micros: Micros) -> f64 {
     micros as f64 / 1000.0
 }
--- /dev/null
+++ b/crates/driver/src/catalog.rs
@@ -0,0 +1,168 @@
+//! The member list in discovery's form, and the actor that follows it.
+
+use std::rc::Rc;
+
+use aldermill_routing::Standing;
+use aldermill_wire::{Buffer, http};
+use serde::Deserialize;
+use slog::{info, warn};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+use crate::context::Context;
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Entry {
+    pub id: String,
+    pub host_port: String,
+    pub locality: String,
+    pub cell: u64,
+    phase: Phase,
+    #[serde(default)]
+    pub size: f64,
+    #[serde(default)]
+    pub up_since_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+enum Phase {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+impl Entry {
+    pub fn standing(&self) -> Standing {
+        match self.phase {
+            Phase::InService => Standing::Ready,
+            Phase::Terminating => Standing::Draining,
+            Phase::Terminated => Standing::Gone,
+        }
+    }
+}
+
+/// The whole list, or what has changed in it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Catalog {
+    pub revision: u64,
+    pub complete: bool,
+    pub members: Vec<Entry>,
+}
+
+/// What the list's actor tells the desk.
+pub enum Bulletin {
+    List(Catalog),
+    Unavailable,
+}
+
+pub struct Watch {
+    pub context: Rc<Context>,
+    pub desk: mpsc::Sender<Bulletin>,
+    /// Where the list comes only on request: the desk's requests.
+    pub requests: Option<mpsc::Receiver<()>>,
+    pub revision: Option<u64>,
+}
+
+impl Watch {
+    /// Follows the list for ever; whatever goes wrong, the last list stays in force.
+    pub async fn run(mut self) {
+        let (least, most) = self.context.limits.list_retry;
+        let mut wait = least;
+        let mut silent = false;
+        loop {
+            if let Some(requests) = &mut self.requests
+                && requests.recv().await.is_none()
+            {
+                return;
+            }
+            let mut told = false;
+            let why = match self.follow(&mut told, &mut silent).await {
+                Ok(()) => return,
+                Err(why) => why,
+            };
+            if told {
+                wait = least;
+            }
+            if !std::mem::replace(&mut silent, true) {
+                warn!(self.context.log, "list lost, the last one stays in force";
+                    "peer" => %self.context.discovery, "why" => why, "revision" => self.revision);
+            }
+            if self.requests.is_some() {
+                if self.desk.send(Bulletin::Unavailable).await.is_err() {
+                    return;
+                }
+            } else {
+                sleep(wait).await;
+                wait = (wait * 2).min(most);
+            }
+        }
+    }
+
+    /// One watch, until it breaks; `Ok` when nobody wants the list any more.
+    async fn follow(&mut self, told: &mut bool, silent: &mut bool) -> Result<(), String> {
+        let context = self.context.clone();
+        let limits = &context.limits;
+        let mut stream = timeout(limits.list_silence, TcpStream::connect(context.discovery))
+            .await
+            .map_err(|_| "no connection".to_owned())?
+            .map_err(|error| error.to_string())?;
+        let index = self.revision.map_or(String::new(), |revision| format!("&index={revision}"));
+        let mut request = Vec::new();
+        let path = format!("/catalog/members?stream=1{index}");
+        http::get(&mut request, &context.discovery.to_string(), &path);
+        stream.write_all(&request).await.map_err(|error| error.to_string())?;
+
+        let mut buffer = Buffer::default();
+        let mut lines: Option<http::Lines> = None;
+        loop {
+            let read = timeout(limits.list_silence, stream.read_buf(buffer.tail()));
+            match read.await {
+                Err(_) => return Err("silence".to_owned()),
+                Ok(Err(error)) => return Err(error.to_string()),
+                Ok(Ok(0)) => return Err("closed".to_owned()),
+                Ok(Ok(_)) => {}
+            }
+            if lines.is_none() {
+                let Some(head) = http::head(buffer.held()).map_err(|bad| bad.to_string())? else { continue };
+                if head.status != 200 {
+                    return Err(format!("status {}", head.status));
+                }
+                buffer.consume(head.length);
+                lines = Some(http::Lines::new(head.body, limits.list_line));
+            }
+            let Some(lines) = &mut lines else { continue };
+            loop {
+                let (used, line) = lines.next(buffer.held()).map_err(|bad| bad.to_string())?;
+                buffer.consume(used);
+                let Some(line) = line else { break };
+                if std::mem::take(silent) {
+                    info!(context.log, "list back"; "peer" => %context.discovery);
+                }
+                *told = true;
+                if !line.trim_ascii().is_empty() && !self.tell(&line).await? {
+                    return Ok(());
+                }
+            }
+            if lines.is_over() {
+                return Err("ended".to_owned());
+            }
+        }
+    }
+
+    async fn tell(&mut self, line: &[u8]) -> Result<bool, String> {
+        let catalog: Catalog = serde_json::from_slice(line).map_err(|error| {
+            // What the list holds behind this line is unknown: ask for all of it.
+            self.revision = None;
+            error.to_string()
+        })?;
+        if !catalog.complete && self.revision.is_none_or(|revision| catalog.revision < revision) {
+            self.revision = None;
+            return Err("changes to another list than the one held".to_owned());
+        }
+        self.revision = Some(catalog.revision);
+        Ok(self.desk.send(Bulletin::List(catalog)).await.is_ok())
+    }
+}
--- /dev/null
+++ b/crates/driver/src/client.rs
@@ -0,0 +1,239 @@
+//! The actor of one client connection: statements in, one answer each, in order.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use aldermill_wire::statement::{Comment, is_empty};
+use aldermill_wire::{Buffer, Malformed, pg};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::context::Context;
+use crate::desk::{Answer, Call, ClientId, Mail, Order};
+
+/// What the listener sees of a client: since when nothing is under way.
+#[derive(Default)]
+pub struct Seat {
+    pub idle_since: Cell<Option<Instant>>,
+}
+
+/// Why a conversation ends.
+enum End {
+    /// The client left, or may be left in peace.
+    Quiet,
+    /// It sent what the protocol does not allow.
+    Malformed(Malformed),
+}
+
+impl From<Malformed> for End {
+    fn from(bad: Malformed) -> End {
+        End::Malformed(bad)
+    }
+}
+
+impl From<std::io::Error> for End {
+    fn from(_: std::io::Error) -> End {
+        End::Quiet
+    }
+}
+
+pub struct Client {
+    pub context: Rc<Context>,
+    pub id: ClientId,
+    pub stream: TcpStream,
+    pub buffer: Buffer,
+    pub seat: Rc<Seat>,
+    pub mailbox: mpsc::Receiver<Mail>,
+    pub address: mpsc::Sender<Mail>,
+}
+
+impl Client {
+    pub async fn run(mut self) {
+        let end = match self.greet().await {
+            Ok(()) => self.serve().await,
+            Err(end) => Err(end),
+        };
+        if let Err(End::Malformed(bad)) = end {
+            slog::debug!(self.context.log, "client's bytes end its connection"; "why" => bad.0);
+            let mut out = Vec::new();
+            pg::error(&mut out, true, "08P01", bad.0, None);
+            let _ = self.send(&out).await;
+        }
+        self.part().await;
+    }
+
+    /// The startup, and requests for encryption before it.
+    async fn greet(&mut self) -> Result<(), End> {
+        let until = Instant::now() + self.context.limits.startup;
+        loop {
+            match pg::opening(self.buffer.held())? {
+                None => {
+                    let read = self.stream.read_buf(self.buffer.tail());
+                    if timeout_at(until, read).await.map_err(|_| End::Quiet)?? == 0 {
+                        return Err(End::Quiet);
+                    }
+                }
+                Some((pg::Opening::Cancel, _)) => return Err(End::Quiet),
+                Some((pg::Opening::Encryption, length)) => {
+                    self.buffer.consume(length);
+                    self.send(b"N").await?;
+                }
+                Some((pg::Opening::Startup, length)) => {
+                    self.buffer.consume(length);
+                    let mut out = Vec::new();
+                    pg::welcome(&mut out, self.id as u32);
+                    return self.send(&out).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(&mut self) -> Result<(), End> {
+        let mut out = Vec::new();
+        // After a message of the extended protocol, all up to the next Sync is passed over.
+        let mut passing_over = false;
+        loop {
+            let max = self.context.limits.statement;
+            let Some(message) = pg::message(self.buffer.held(), max)? else {
+                self.more().await?;
+                continue;
+            };
+            let arrived = Instant::now();
+            let (tag, length) = (message.tag, message.length);
+            let statement = if tag == b'Q' { pg::query_text(message.body)?.to_vec() } else { Vec::new() };
+            self.buffer.consume(length);
+            out.clear();
+            match tag {
+                b'Q' if is_empty(&statement) => {
+                    self.context.ready.clone().wait_for(|&ready| ready).await.map_err(|_| End::Quiet)?;
+                    pg::empty_query(&mut out);
+                    pg::ready(&mut out);
+                }
+                b'Q' => {
+                    match Comment::parse(&statement) {
+                        Ok(comment) => {
+                            let answer = self.ask(arrived, statement, comment).await?;
+                            encode(&mut out, answer);
+                        }
+                        Err(bad) => pg::error(&mut out, false, "08P01", bad.0, None),
+                    }
+                    pg::ready(&mut out);
+                }
+                b'X' => return Ok(()),
+                b'S' => {
+                    passing_over = false;
+                    pg::ready(&mut out);
+                }
+                b'P' | b'B' | b'D' | b'E' | b'C' | b'H' => {
+                    if !std::mem::replace(&mut passing_over, true) {
+                        pg::error(&mut out, false, "0A000", "only simple queries are served", None);
+                    }
+                }
+                b'F' => {
+                    pg::error(&mut out, false, "0A000", "only simple queries are served", None);
+                    pg::ready(&mut out);
+                }
+                // Left over from a copy that failed.
+                b'd' | b'c' | b'f' => {}
+                _ => return Err(Malformed("unknown message type").into()),
+            }
+            if out.len() > 0 {
+                self.send(&out).await?;
+                out.shrink_to(4096);
+            }
+        }
+    }
+
+    /// Hands the task to the desk and waits for its answer, or for the client to leave.
+    async fn ask(&mut self, arrived: Instant, statement: Vec<u8>, comment: Comment) -> Result<Answer, End> {
+        let (client, mailbox) = (self.id, self.address.clone());
+        let order = Order { client, mailbox, arrived, statement, comment };
+        self.context.desk.send(Call::Take(order)).await.map_err(|_| End::Quiet)?;
+        loop {
+            let room = self.buffer.held().len() < self.context.limits.ahead;
+            tokio::select! {
+                biased;
+                mail = self.mailbox.recv() => match mail {
+                    Some(Mail::Answer(answer)) => return Ok(answer),
+                    Some(Mail::Yield) => {}
+                    None => return Err(End::Quiet),
+                },
+                read = self.stream.read_buf(self.buffer.tail()), if room => {
+                    if !matches!(read, Ok(count) if count > 0) {
+                        let _ = self.context.desk.send(Call::Left(self.id)).await;
+                        return Err(End::Quiet);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Waits for more bytes. Between messages the connection may be given up here.
+    async fn more(&mut self) -> Result<(), End> {
+        let context = self.context.clone();
+        let mut stopping = context.stopping.clone();
+        if !self.buffer.is_empty() {
+            let limits = &context.limits;
+            let limit = if *stopping.borrow() { limits.stop_message } else { limits.message };
+            let count =
+                timeout(limit, self.stream.read_buf(self.buffer.tail())).await.map_err(|_| End::Quiet)??;
+            return if count > 0 { Ok(()) } else { Err(End::Quiet) };
+        }
+        self.seat.idle_since.set(Some(Instant::now()));
+        let read = loop {
+            tokio::select! {
+                biased;
+                read = self.stream.read_buf(self.buffer.tail()) => break read,
+                mail = self.mailbox.recv() => if matches!(mail, Some(Mail::Yield) | None) {
+                    return Err(End::Quiet);
+                },
+                _ = stopping.wait_for(|&stopping| stopping) => return Err(End::Quiet),
+            }
+        };
+        self.seat.idle_since.set(None);
+        if read? > 0 { Ok(()) } else { Err(End::Quiet) }
+    }
+
+    async fn send(&mut self, out: &[u8]) -> Result<(), End> {
+        let limit = self.context.limits.accepting;
+        Ok(timeout(limit, self.stream.write_all(out)).await.map_err(|_| End::Quiet)??)
+    }
+
+    /// Ends the connection so that what was sent last arrives: bytes left unread would reset it.
+    async fn part(mut self) {
+        let _ = self.stream.shutdown().await;
+        let mut scrap = [0; 1024];
+        while matches!(self.stream.try_read(&mut scrap), Ok(count) if count > 0) {}
+    }
+}
+
+fn encode(out: &mut Vec<u8>, answer: Answer) {
+    match answer {
+        Answer::Honoured(rows) => *out = rows,
+        Answer::Denied { cool_down } => {
+            let millis = (cool_down + 999) / 1000;
+            let detail = (millis > 0).then(|| millis.to_string());
+            pg::error(out, false, "53300", "denied, trying again is harmless", detail.as_deref());
+        }
+        Answer::BrokenOff => {
+            pg::error(out, false, "40003", "broken off, it is not known whether it took effect", None);
+        }
+        Answer::Wrong(why) => pg::error(out, false, "08P01", why, None),
+    }
+}
+
+/// Tells a client for which there is no room, and parts with it.
+pub async fn turn_away(context: Rc<Context>, mut stream: TcpStream) {
+    let mut out = Vec::new();
+    pg::error(&mut out, true, "53300", "too many connections", None);
+    let farewell = async {
+        stream.write_all(&out).await?;
+        stream.shutdown().await?;
+        let mut scrap = [0; 1024];
+        while stream.read(&mut scrap).await? > 0 {}
+        std::io::Result::Ok(())
+    };
+    let _ = timeout(context.limits.startup, farewell).await;
+}
--- /dev/null
+++ b/crates/driver/src/desk.rs
@@ -0,0 +1,373 @@
+//! The actor that owns the router: every decision is asked for here, and carried out at once.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use aldermill_routing::{
+    Handle, Listed, MemberId, Micros, Need, Outcome, Router, Standing, Step, Task, Todo, Told, Verdict,
+};
+use aldermill_terms::Decoded;
+use aldermill_wire::pg;
+use aldermill_wire::statement::{Comment, quoted};
+use slog::{info, warn};
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until};
+
+use crate::catalog::{Bulletin, Catalog, Entry};
+use crate::context::Context;
+use crate::member::{Errand, Launch, Member};
+
+pub type ClientId = u64;
+
+/// What clients and members tell the desk.
+pub enum Call {
+    Take(Order),
+    Left(ClientId),
+    Ended(Ended),
+    Probed {
+        member: MemberId,
+        verdict: Verdict,
+        told: Told,
+    },
+    /// This member found no descriptor free for a connection.
+    Crowded(MemberId),
+}
+
+/// A client's statement with its comment, when it was whole.
+pub struct Order {
+    pub client: ClientId,
+    pub mailbox: mpsc::Sender<Mail>,
+    pub arrived: Instant,
+    pub statement: Vec<u8>,
+    pub comment: Comment,
+}
+
+/// How a launch ended.
+pub struct Ended {
+    pub handle: Handle,
+    pub verdict: Verdict,
+    pub took: Micros,
+    pub told: Told,
+    /// Where it was honoured: the messages that carry the value.
+    pub rows: Vec<u8>,
+}
+
+/// What the desk and the listener tell a client's actor.
+pub enum Mail {
+    Answer(Answer),
+    /// Close the connection if nothing is under way on it.
+    Yield,
+}
+
+pub enum Answer {
+    Honoured(Vec<u8>),
+    Denied {
+        cool_down: Micros,
+    },
+    BrokenOff,
+    /// Not taken: the statement names what is not there.
+    Wrong(&'static str),
+}
+
+/// A task under way and the client that waits for it.
+struct Open {
+    client: Option<(ClientId, mpsc::Sender<Mail>)>,
+    order: Rc<Order>,
+}
+
+/// A member's actor, as the desk sees it.
+struct Peer {
+    errands: mpsc::Sender<Errand>,
+    standing: watch::Sender<Standing>,
+    address: SocketAddr,
+    /// Its last start as the list tells it, and on the router's clock.
+    up_since: f64,
+    since: Option<Micros>,
+}
+
+pub struct Desk {
+    context: Rc<Context>,
+    decoded: Decoded,
+    router: Router,
+    peers: Vec<Peer>,
+    member_ids: HashMap<String, MemberId>,
+    groups: HashSet<u64>,
+    open: HashMap<Handle, Open>,
+    by_client: HashMap<ClientId, Handle>,
+    /// What ended while a decision was being carried out.
+    pending: VecDeque<Call>,
+    wake_at: Micros,
+    ready: watch::Sender<bool>,
+    requests: Option<mpsc::Sender<()>>,
+}
+
+impl Desk {
+    pub fn new(
+        context: Rc<Context>,
+        decoded: Decoded,
+        seed: u64,
+        ready: watch::Sender<bool>,
+        requests: Option<mpsc::Sender<()>>,
+    ) -> Desk {
+        let now = context.clock.now();
+        Desk {
+            router: Router::start(decoded.terms.clone(), seed, now),
+            decoded,
+            peers: Vec::new(),
+            member_ids: HashMap::new(),
+            groups: HashSet::new(),
+            open: HashMap::new(),
+            by_client: HashMap::new(),
+            pending: VecDeque::new(),
+            wake_at: now,
+            ready,
+            requests,
+            context,
+        }
+    }
+
+    /// Serves until every other actor is gone. The list comes first: the rule on drains counts from when it
+    /// was written. Nothing here ever waits for another actor.
+    pub async fn run(mut self, mut bulletins: mpsc::Receiver<Bulletin>, mut calls: mpsc::Receiver<Call>) {
+        loop {
+            tokio::select! {
+                biased;
+                Some(bulletin) = bulletins.recv() => self.bulletin(bulletin),
+                () = sleep_until(self.context.clock.instant(self.wake_at)) => {
+                    let todo = self.router.wake(self.context.clock.now());
+                    self.carry_out(todo);
+                }
+                call = calls.recv() => match call {
+                    Some(call) => self.call(call),
+                    None => return,
+                },
+            }
+            while let Some(call) = self.pending.pop_front() {
+                self.call(call);
+            }
+        }
+    }
+
+    fn call(&mut self, call: Call) {
+        match call {
+            Call::Take(order) => self.take(order),
+            Call::Left(client) => {
+                let Some(handle) = self.by_client.remove(&client) else { return };
+                if let Some(open) = self.open.get_mut(&handle) {
+                    open.client = None;
+                }
+                let todo = handle.left(&mut self.router, self.context.clock.now());
+                self.carry_out(todo);
+                self.release(handle);
+            }
+            Call::Ended(ended) => self.ended(ended),
+            Call::Probed { member, verdict, told } => {
+                let todo = self.router.probed(self.context.clock.now(), member, verdict, told);
+                self.carry_out(todo);
+            }
+            Call::Crowded(member) => {
+                // Idle connections of the others make room.
+                for (id, peer) in self.peers.iter().enumerate().filter(|(id, _)| *id != member) {
+                    if peer.errands.try_send(Errand::Shed).is_err() {
+                        warn!(self.context.log, "member's mailbox full, it keeps its idle connections";
+                            "member" => id);
+                    }
+                }
+            }
+        }
+    }
+
+    /// A client's task: from its statement to the router, and on its way.
+    fn take(&mut self, order: Order) {
+        let refuse = |answer| {
+            let _ = order.mailbox.try_send(Mail::Answer(answer));
+        };
+        let Ok(offering) = self.decoded.offering(&order.comment.offering) else {
+            return refuse(Answer::Wrong("unknown offering"));
+        };
+        if !self.groups.contains(&order.comment.group) {
+            return refuse(Answer::Wrong("no member of this cluster was ever listed"));
+        }
+        if self.open.len() >= self.context.limits.tasks {
+            return refuse(Answer::Denied { cool_down: 0 });
+        }
+        let clock = self.context.clock;
+        let now = clock.now();
+        let keyed = matches!(self.decoded.terms.offerings[offering].need, Need::Write | Need::OwnWrites);
+        let session = if keyed { quoted(&order.statement[order.comment.end..]) } else { None };
+        let written = order.comment.after.map(|after| clock.convert(after as Micros * 1000));
+        let task = Task {
+            offering,
+            group: order.comment.group,
+            // The wait has run since the statement arrived.
+            ttl: Micros::from(order.comment.wait) * 1000 - (now - clock.at(order.arrived)),
+            session,
+            last_write: written.map(|at| (now - at).max(1)),
+            repeat: order.comment.repeat,
+        };
+        let (handle, todo) = self.router.take(now, task);
+        self.by_client.insert(order.client, handle);
+        let client = Some((order.client, order.mailbox.clone()));
+        self.open.insert(handle, Open { client, order: Rc::new(order) });
+        self.carry_out(todo);
+    }
+
+    fn ended(&mut self, ended: Ended) {
+        let Ended { handle, verdict, took, told, rows } = ended;
+        if verdict == Verdict::Honoured {
+            self.answer(handle, Answer::Honoured(rows));
+        }
+        let closed = self.open.get(&handle).is_none_or(|open| open.client.is_none());
+        let outcome = Outcome { verdict, took, told, closed };
+        let todo = handle.ended(&mut self.router, self.context.clock.now(), outcome);
+        self.carry_out(todo);
+        self.release(handle);
+    }
+
+    /// Gives a task its one answer.
+    fn answer(&mut self, handle: Handle, answer: Answer) {
+        let Some((client, mailbox)) = self.open.get_mut(&handle).and_then(|open| open.client.take()) else {
+            return;
+        };
+        self.by_client.remove(&client);
+        // Its mailbox always has room for the answer it waits for; it may be gone.
+        let _ = mailbox.try_send(Mail::Answer(answer));
+    }
+
+    fn carry_out(&mut self, todo: Todo) {
+        for (handle, step) in todo.steps {
+            match step {
+                Step::Launch { member, limit } => self.launch(handle, member, limit),
+                Step::Deny { cool_down } => self.answer(handle, Answer::Denied { cool_down }),
+                Step::BreakOff => self.answer(handle, Answer::BrokenOff),
+            }
+            self.release(handle);
+        }
+        for member in todo.probes {
+            let until = Instant::now() + self.context.limits.probe;
+            if self.peers[member].errands.try_send(Errand::Probe { until }).is_err() {
+                let (verdict, told) = (Verdict::TimedOut, Told::default());
+                self.pending.push_back(Call::Probed { member, verdict, told });
+            }
+        }
+        if todo.subscribe
+            && let Some(requests) = &self.requests
+        {
+            let _ = requests.try_send(());
+        }
+        if let Some(at) = todo.wake_at {
+            self.wake_at = at;
+        }
+    }
+
+    fn launch(&mut self, handle: Handle, member: MemberId, limit: Micros) {
+        let Some(open) = self.open.get(&handle) else { return };
+        let sent = Instant::now();
+        let Order { statement, comment, .. } = &*open.order;
+        let wait = ((limit.max(0) + 999) / 1000).to_string();
+        let mut query = Vec::with_capacity(statement.len() + 16);
+        let (before, after) = (&statement[..comment.wait_at.start], &statement[comment.wait_at.end..]);
+        pg::query(&mut query, &[before, wait.as_bytes(), after]);
+        let until = sent + crate::clock::duration(limit);
+        if self.peers[member].errands.try_send(Errand::Launch(Launch { handle, query, sent, until })).is_err()
+        {
+            warn!(self.context.log, "member's mailbox full, launch not sent"; "member" => member);
+            let (verdict, told) = (Verdict::Moot, Told::default());
+            let ended = Ended { handle, verdict, took: 0, told, rows: Vec::new() };
+            self.pending.push_back(Call::Ended(ended));
+        }
+    }
+
+    /// Drops what is kept for a task of which nothing more can be heard.
+    fn release(&mut self, handle: Handle) {
+        if !self.router.knows(handle)
+            && let Some(open) = self.open.remove(&handle)
+            && let Some((client, _)) = open.client
+        {
+            self.by_client.remove(&client);
+        }
+    }
+
+    fn bulletin(&mut self, bulletin: Bulletin) {
+        let now = self.context.clock.now();
+        let todo = match bulletin {
+            Bulletin::Unavailable => self.router.list_unavailable(now),
+            Bulletin::List(catalog) => {
+                info!(self.context.log, "list"; "revision" => catalog.revision,
+                    "complete" => catalog.complete, "entries" => catalog.members.len());
+                let lines = self.lines(&catalog);
+                self.router.list(now, catalog.complete, lines)
+            }
+        };
+        self.carry_out(todo);
+        if !self.peers.is_empty() {
+            self.ready.send_if_modified(|ready| !std::mem::replace(ready, true));
+        }
+    }
+
+    fn lines(&mut self, catalog: &Catalog) -> Vec<Listed> {
+        if catalog.complete {
+            let listed: HashSet<&str> = catalog.members.iter().map(|entry| entry.id.as_str()).collect();
+            for (_, &id) in self.member_ids.iter().filter(|(name, _)| !listed.contains(name.as_str())) {
+                self.peers[id].standing.send_replace(Standing::Gone);
+            }
+        }
+        catalog.members.iter().filter_map(|entry| self.line(entry)).collect()
+    }
+
+    fn line(&mut self, entry: &Entry) -> Option<Listed> {
+        let Ok(address) = entry.host_port.parse::<SocketAddr>() else {
+            warn!(self.context.log, "list entry without a usable address, left out";
+                "member" => &entry.id, "host_port" => &entry.host_port);
+            return None;
+        };
+        let standing = entry.standing();
+        let member = match self.member_ids.get(&entry.id) {
+            Some(&member) => member,
+            None if standing == Standing::Gone => return None,
+            None => self.meet(entry, address),
+        };
+        let clock = self.context.clock;
+        let peer = &mut self.peers[member];
+        peer.standing.send_replace(standing);
+        let restarted = peer.up_since != entry.up_since_ms && standing == Standing::Ready;
+        if restarted {
+            peer.up_since = entry.up_since_ms;
+            peer.since = started(clock, entry.up_since_ms);
+        }
+        if (restarted || peer.address != address) && peer.errands.try_send(Errand::Renew(address)).is_ok() {
+            peer.address = address;
+        }
+        self.groups.insert(entry.cell);
+        Some(Listed {
+            member,
+            name: entry.id.clone(),
+            group: entry.cell,
+            zone: self.decoded.zone(&entry.locality),
+            standing,
+            since: self.peers[member].since,
+            size: self.decoded.size(entry.size),
+            primary: false,
+        })
+    }
+
+    /// Starts the actor of a member that was never listed before.
+    fn meet(&mut self, entry: &Entry, address: SocketAddr) -> MemberId {
+        let id = self.peers.len();
+        let (errands, mailbox) = mpsc::channel(self.context.limits.errands);
+        let (standing, seen) = watch::channel(entry.standing());
+        let member = Member::new(self.context.clone(), id, entry.id.clone(), address, seen);
+        spawn_local(member.run(mailbox));
+        let since = started(self.context.clock, entry.up_since_ms);
+        self.peers.push(Peer { errands, standing, address, up_since: entry.up_since_ms, since });
+        self.member_ids.insert(entry.id.clone(), id);
+        id
+    }
+}
+
+/// The list's word on a member's last start; zero is long ago.
+fn started(clock: crate::clock::Clock, up_since_ms: f64) -> Option<Micros> {
+    (up_since_ms > 0.0).then(|| clock.convert((up_since_ms * 1000.0) as Micros))
+}
--- /dev/null
+++ b/crates/driver/src/limits.rs
@@ -0,0 +1,89 @@
+use std::time::Duration;
+
+use aldermill_terms::Decoded;
+
+use crate::clock::duration;
+
+/// All sizes, counts and times that bound the driver, filled once at its start.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Client connections served at once.
+    pub clients: usize,
+    /// Client connections over that number that are being told so.
+    pub turned_away: usize,
+    /// Connections to members, idle ones included.
+    pub members: usize,
+    /// Tasks held at once.
+    pub tasks: usize,
+    /// One message of a client: a statement with a whole value in hexadecimal.
+    pub statement: usize,
+    /// One message of a member: a whole value.
+    pub answer: usize,
+    /// One line of the member list.
+    pub list_line: usize,
+    /// What a client may send ahead while its task is on the way.
+    pub ahead: usize,
+    /// Calls that wait for the router, and errands that wait at a member.
+    pub calls: usize,
+    pub errands: usize,
+    pub lists: usize,
+    pub log_lines: usize,
+    pub backlog: i32,
+    /// From a client's connection to its whole startup message.
+    pub startup: Duration,
+    /// From the first byte of a client's message to its last.
+    pub message: Duration,
+    /// How long a client may take to accept an answer.
+    pub accepting: Duration,
+    /// From the attempt to connect to a member until it is ready for a statement.
+    pub connect: Duration,
+    pub probe: Duration,
+    /// How long a connection to a member stays in the pool.
+    pub idle: Duration,
+    pub sweep: Duration,
+    /// Silence of discovery that is taken for a lost connection: two and a half of its usual gaps.
+    pub list_silence: Duration,
+    pub list_retry: (Duration, Duration),
+    /// After a request to stop, how long new connections are still taken.
+    pub stop_window: Duration,
+    /// And how long the rest of a message is still waited for.
+    pub stop_message: Duration,
+}
+
+impl Limits {
+    /// Shares out what the platform allows.
+    pub fn new(sockets: usize, decoded: &Decoded) -> Limits {
+        // Beside the shares: standard streams, signals, event queues, listener, discovery, and those that
+        // are being opened while others close.
+        let turned_away = (sockets / 32).clamp(4, 64);
+        let shared = sockets.saturating_sub(turned_away + 24).max(8);
+        let clients = shared * 3 / 5;
+        let members = shared - clients;
+        Limits {
+            clients,
+            turned_away,
+            members,
+            tasks: decoded.max_open.max(1),
+            statement: 2 * 64 * 1024 + 8 * 1024,
+            answer: 2 * 64 * 1024 + 8 * 1024,
+            list_line: 4 * 1024 * 1024,
+            ahead: 8 * 1024,
+            calls: 2 * (clients + members),
+            errands: clients + members,
+            lists: 16,
+            log_lines: 1024,
+            backlog: 1024,
+            startup: Duration::from_secs(5),
+            message: Duration::from_secs(10),
+            accepting: Duration::from_secs(5),
+            connect: duration(decoded.connect_timeout),
+            probe: duration(decoded.connect_timeout),
+            idle: duration(decoded.idle * 4 / 5),
+            sweep: Duration::from_secs(1),
+            list_silence: Duration::from_secs(5),
+            list_retry: (Duration::from_millis(100), Duration::from_secs(2)),
+            stop_window: Duration::from_millis(600),
+            stop_message: Duration::from_millis(500),
+        }
+    }
+}
--- /dev/null
+++ b/crates/driver/src/main.rs
@@ -0,0 +1,150 @@
+//! aldermill: a proxy before groups of databases, each a primary and its replicas.
+
+mod catalog;
+mod client;
+mod clock;
+mod context;
+mod desk;
+mod limits;
+mod listener;
+mod member;
+mod start;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bpaf::Bpaf;
+use slog::{Drain, Logger, info, o};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::catalog::{Bulletin, Watch};
+use crate::clock::Clock;
+use crate::context::Context;
+use crate::desk::Desk;
+use crate::limits::Limits;
+use crate::start::Start;
+
+/// A proxy before groups of databases, each a primary and its replicas
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Serve clients until told to stop by SIGTERM or SIGINT
+    #[bpaf(command)]
+    Serve {
+        /// The configuration
+        #[bpaf(long, argument("FILE"), env("GW_CONFIG"))]
+        config: String,
+    },
+    /// Read a configuration and say what was understood, or what is wrong
+    #[bpaf(command)]
+    Check {
+        /// The configuration
+        #[bpaf(long, argument("FILE"), env("GW_CONFIG"))]
+        config: String,
+    },
+    /// Print the version
+    #[bpaf(command)]
+    Version,
+}
+
+fn main() -> ExitCode {
+    let done = match command().run() {
+        Command::Serve { config } => read(&config).and_then(serve),
+        Command::Check { config } => read(&config).map(|start| describe(&start)),
+        Command::Version => {
+            println!("aldermill {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("aldermill: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read(config: &str) -> Result<Start, String> {
+    Start::read(config, |name| std::env::var(name).ok().filter(|value| !value.is_empty()))
+}
+
+fn describe(start: &Start) {
+    let limits = Limits::new(start.sockets, &start.decoded);
+    println!("driver {} listens on {}, discovery at {}", start.name, start.listen, start.discovery);
+    let known = start.known.as_ref().map_or(0, |known| known.members.len());
+    println!("{known} members known, {} offerings", start.decoded.terms.offerings.len());
+    println!("{} descriptors: {} for clients, {} for members", start.sockets, limits.clients, limits.members);
+}
+
+fn logger(limits: &Limits) -> (Logger, slog_async::AsyncGuard) {
+    let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+    let format = slog_term::FullFormat::new(decorator).use_utc_timestamp().build().fuse();
+    // A reader that stands still costs lines, never time.
+    let (drain, guard) = slog_async::Async::new(format)
+        .chan_size(limits.log_lines)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    (Logger::root(drain.fuse(), o!()), guard)
+}
+
+fn serve(start: Start) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| format!("runtime: {error}"))?;
+    runtime.block_on(LocalSet::new().run_until(run(start)))
+}
+
+/// Starts the actors and stays until the listener has served its last client.
+async fn run(start: Start) -> Result<(), String> {
+    let Start { name, listen, discovery, seed, sockets, known, decoded } = start;
+    let limits = Limits::new(sockets, &decoded);
+    let (log, _guard) = logger(&limits);
+    let mut terminate = signal(SignalKind::terminate()).map_err(|error| format!("signals: {error}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| format!("signals: {error}"))?;
+    let listener =
+        listener::bind(listen, limits.backlog).map_err(|error| format!("listen: {listen}: {error}"))?;
+
+    let (desk, calls) = mpsc::channel(limits.calls);
+    let (bulletin, bulletins) = mpsc::channel(limits.lists);
+    let (ready, seen_ready) = watch::channel(false);
+    let (stop, stopping) = watch::channel(false);
+    let member_room = Arc::new(Semaphore::new(limits.members));
+    let on_request = decoded.terms.list_on_request;
+    let (request, requests) = mpsc::channel(1);
+    let context = Rc::new(Context {
+        clock: Clock::start(),
+        limits,
+        log: log.clone(),
+        discovery,
+        desk,
+        ready: seen_ready,
+        stopping,
+        member_room,
+    });
+    info!(log, "serving"; "name" => name, "listen" => %listen, "version" => env!("CARGO_PKG_VERSION"));
+
+    let revision = known.as_ref().map(|known| known.revision);
+    if let Some(mut known) = known {
+        known.complete = true;
+        let _ = bulletin.send(Bulletin::List(known)).await;
+    }
+    let desk = Desk::new(context.clone(), decoded, seed, ready, on_request.then_some(request));
+    spawn_local(desk.run(bulletins, calls));
+    let requests = on_request.then_some(requests);
+    spawn_local(Watch { context: context.clone(), desk: bulletin, requests, revision }.run());
+    let serving = spawn_local(listener::run(context, listener));
+
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop.send_replace(true);
+    serving.await.map_err(|error| format!("listener: {error}"))?;
+    info!(log, "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/driver/src/member.rs
@@ -0,0 +1,325 @@
+//! The actor of one member: its pool of connections, and the launches and probes on them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use aldermill_routing::{Handle, MemberId, Micros, Role, Standing, Told, Verdict};
+use aldermill_terms::Decoded;
+use aldermill_wire::{Buffer, Exchange, pg};
+use slog::{info, warn};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
+
+use crate::context::Context;
+use crate::desk::{Call, Ended};
+
+/// What the desk asks of a member's actor.
+pub enum Errand {
+    Launch(Launch),
+    Probe {
+        until: Instant,
+    },
+    /// The member's process is another one, or reached elsewhere: old connections are of no use.
+    Renew(SocketAddr),
+    /// Others need descriptors: close an idle connection.
+    Shed,
+}
+
+pub struct Launch {
+    pub handle: Handle,
+    pub query: Vec<u8>,
+    pub sent: Instant,
+    pub until: Instant,
+}
+
+struct Connection {
+    stream: TcpStream,
+    buffer: Buffer,
+    idle_since: Instant,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Connection {
+    /// Neither closed by the peer nor spoken on out of turn.
+    fn is_quiet(&self) -> bool {
+        let quiet = self.stream.try_read(&mut [0; 1]);
+        self.buffer.is_empty() && quiet.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+}
+
+/// What a launch or a probe is for.
+enum Purpose {
+    Task { handle: Handle, sent: Instant },
+    Probe,
+}
+
+struct Done {
+    purpose: Purpose,
+    verdict: Verdict,
+    exchange: Exchange,
+    /// Set where it may carry another query.
+    connection: Option<Connection>,
+    /// Opened before the last renewal.
+    era: u64,
+}
+
+pub struct Member {
+    context: Rc<Context>,
+    id: MemberId,
+    name: String,
+    address: SocketAddr,
+    standing: watch::Receiver<Standing>,
+    idle: Vec<Connection>,
+    era: u64,
+    /// It could not be reached or broke connections, and that was logged.
+    lost: bool,
+}
+
+impl Member {
+    pub fn new(
+        context: Rc<Context>,
+        id: MemberId,
+        name: String,
+        address: SocketAddr,
+        standing: watch::Receiver<Standing>,
+    ) -> Member {
+        Member { context, id, name, address, standing, idle: Vec::new(), era: 0, lost: false }
+    }
+
+    pub async fn run(mut self, mut errands: mpsc::Receiver<Errand>) {
+        let mut under_way = JoinSet::new();
+        let mut sweep = interval(self.context.limits.sweep);
+        sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                Some(done) = under_way.join_next() => {
+                    if let Ok(done) = done && self.ended(done).await.is_err() {
+                        return;
+                    }
+                }
+                errand = errands.recv() => match errand {
+                    Some(Errand::Launch(Launch { handle, query, sent, until })) => {
+                        let work = self.visit(Purpose::Task { handle, sent }, query, until);
+                        under_way.spawn_local(work);
+                    }
+                    Some(Errand::Probe { until }) => {
+                        let mut query = Vec::new();
+                        pg::query(&mut query, &[b"SHOW usage"]);
+                        let work = self.visit(Purpose::Probe, query, until);
+                        under_way.spawn_local(work);
+                    }
+                    Some(Errand::Renew(address)) => {
+                        self.address = address;
+                        self.renew();
+                    }
+                    Some(Errand::Shed) => {
+                        if !self.idle.is_empty() {
+                            self.idle.remove(0);
+                        }
+                    }
+                    None => return,
+                },
+                _ = sweep.tick() => {
+                    let (now, limit) = (Instant::now(), self.context.limits.idle);
+                    let gone = *self.standing.borrow() == Standing::Gone;
+                    self.idle.retain(|connection| {
+                        !gone && now - connection.idle_since < limit && connection.is_quiet()
+                    });
+                }
+            }
+        }
+    }
+
+    fn renew(&mut self) {
+        self.era += 1;
+        self.idle.clear();
+    }
+
+    /// The newest idle connection that still stands.
+    fn pooled(&mut self) -> Option<Connection> {
+        let limit = self.context.limits.idle;
+        while let Some(connection) = self.idle.pop() {
+            if connection.idle_since.elapsed() < limit && connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// One query on a connection of its own, to its end or its time limit.
+    fn visit(
+        &mut self,
+        purpose: Purpose,
+        query: Vec<u8>,
+        until: Instant,
+    ) -> impl Future<Output = Done> + use<> {
+        let pooled = self.pooled();
+        let context = self.context.clone();
+        let (id, address, standing, era) = (self.id, self.address, self.standing.clone(), self.era);
+        async move {
+            let mut exchange = Exchange::default();
+            let opened = match pooled {
+                Some(connection) => Ok(connection),
+                None => open(&context, id, address, until).await,
+            };
+            let (verdict, connection) = match opened {
+                // A drain that was told since the decision forbids it.
+                Ok(connection) if *standing.borrow() != Standing::Ready => (Verdict::Moot, Some(connection)),
+                Ok(mut connection) => {
+                    let max = context.limits.answer;
+                    let verdict = converse(&mut connection, &query, until, max, &mut exchange).await;
+                    (verdict, exchange.is_ready().then_some(connection))
+                }
+                Err(verdict) => (verdict, None),
+            };
+            Done { purpose, verdict, exchange, connection, era }
+        }
+    }
+
+    async fn ended(&mut self, done: Done) -> Result<(), mpsc::error::SendError<Call>> {
+        let Done { purpose, mut verdict, exchange, connection, era } = done;
+        if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
+            if era == self.era {
+                // The process that the other connections lead to is most likely gone, too.
+                self.renew();
+            }
+            if !std::mem::replace(&mut self.lost, true) {
+                warn!(self.context.log, "member lost"; "member" => &self.name, "peer" => %self.address,
+                    "symptom" => ?verdict);
+            }
+        } else if exchange.is_ready() && std::mem::take(&mut self.lost) {
+            info!(self.context.log, "member back"; "member" => &self.name, "peer" => %self.address);
+        }
+        if let Some(mut connection) = connection
+            && era == self.era
+        {
+            connection.idle_since = Instant::now();
+            self.idle.push(connection);
+        }
+        let call = match purpose {
+            Purpose::Task { handle, sent } => {
+                let told = self.told(&exchange, exchange.usage.as_deref());
+                let took = sent.elapsed().as_micros() as Micros;
+                let rows = if verdict == Verdict::Honoured { exchange.rows } else { Vec::new() };
+                Call::Ended(Ended { handle, verdict, took, told, rows })
+            }
+            Purpose::Probe => {
+                if exchange.error.as_deref() == Some("57P03") {
+                    verdict = Verdict::Full;
+                }
+                let told = self.told(&exchange, std::str::from_utf8(exchange.value()).ok());
+                Call::Probed { member: self.id, verdict, told }
+            }
+        };
+        self.context.desk.send(call).await
+    }
+
+    /// What an answer says of the member; what cannot be read says nothing.
+    fn told(&self, exchange: &Exchange, usage: Option<&str>) -> Told {
+        let zero = self.context.clock.convert(0);
+        let pairs = usage.into_iter().flat_map(|usage| usage.split(','));
+        let pairs = pairs.filter_map(|pair| pair.trim().split_once('='));
+        let mut told = Decoded::report(pairs, zero).unwrap_or_default();
+        match exchange.role.as_deref() {
+            Some("writer") => told.role = Some(Role::Primary),
+            Some("reader") => told.role = Some(Role::Replica),
+            _ => {}
+        }
+        let position = exchange.position.as_ref().and_then(|position| position.parse::<Micros>().ok());
+        let position = position.map(|millis| zero.saturating_add(millis.saturating_mul(1000)));
+        told.position = told.position.max(position);
+        told
+    }
+}
+
+/// A new connection that is ready for a statement; without one, nothing of the launch ever ran.
+async fn open(
+    context: &Context,
+    id: MemberId,
+    address: SocketAddr,
+    until: Instant,
+) -> Result<Connection, Verdict> {
+    let until = until.min(Instant::now() + context.limits.connect);
+    let permit = match context.member_room.clone().try_acquire_owned() {
+        Ok(permit) => permit,
+        Err(_) => {
+            let _ = context.desk.send(Call::Crowded(id)).await;
+            let room = timeout_at(until, context.member_room.clone().acquire_owned()).await;
+            room.ok().and_then(Result::ok).ok_or(Verdict::Unconnected)?
+        }
+    };
+    let opening = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let mut hello = Vec::new();
+        pg::startup(&mut hello, "client", "core");
+        stream.write_all(&hello).await.ok()?;
+        let mut buffer = Buffer::default();
+        loop {
+            let message = pg::message(buffer.held(), context.limits.answer).ok()?;
+            let Some(message) = message else {
+                if stream.read_buf(buffer.tail()).await.ok()? == 0 {
+                    return None;
+                }
+                continue;
+            };
+            let length = message.length;
+            match message.tag {
+                b'Z' => {
+                    buffer.consume(length);
+                    let idle_since = Instant::now();
+                    return Some(Ok(Connection { stream, buffer, idle_since, _permit: permit }));
+                }
+                b'E' => {
+                    let full = pg::refusal(message.body).is_ok_and(|refusal| refusal.code == "53300");
+                    return Some(Err(if full { Verdict::Full } else { Verdict::Unconnected }));
+                }
+                b'R' if message.body != [0; 4] => return None,
+                _ => buffer.consume(length),
+            }
+        }
+    };
+    timeout_at(until, opening).await.ok().flatten().unwrap_or(Err(Verdict::Unconnected))
+}
+
+/// Sends the query and takes in the answer, as far as it comes before the time limit.
+async fn converse(
+    connection: &mut Connection,
+    query: &[u8],
+    until: Instant,
+    max: usize,
+    exchange: &mut Exchange,
+) -> Verdict {
+    let mut written = 0;
+    while written < query.len() {
+        match timeout_at(until, connection.stream.write(&query[written..])).await {
+            Ok(Ok(count)) if count > 0 => written += count,
+            // The member never had all of it, so it cannot have begun.
+            _ => return Verdict::Unconnected,
+        }
+    }
+    let ended_by = loop {
+        if exchange.absorb(&mut connection.buffer, max).is_err() {
+            break Verdict::Reset;
+        }
+        if exchange.is_over() {
+            break Verdict::Reset;
+        }
+        match timeout_at(until, connection.stream.read_buf(connection.buffer.tail())).await {
+            Err(_) => break Verdict::TimedOut,
+            Ok(Ok(count)) if count > 0 => {}
+            _ => break Verdict::Reset,
+        }
+    };
+    match exchange.error.as_deref() {
+        _ if exchange.is_served() => Verdict::Honoured,
+        Some("25006" | "72000") => Verdict::Miss,
+        Some("53300") => Verdict::Full,
+        Some(_) => Verdict::Error,
+        None => ended_by,
+    }
+}
--- /dev/null
+++ b/crates/driver/src/start.rs
@@ -0,0 +1,65 @@
+use std::net::SocketAddr;
+
+use aldermill_terms::Decoded;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use crate::catalog::Catalog;
+
+#[derive(Deserialize)]
+struct Allowed {
+    sockets: usize,
+}
+
+#[derive(Deserialize)]
+struct Form {
+    name: String,
+    listen: String,
+    discovery: String,
+    seed: String,
+    limits: Allowed,
+    known: Option<Catalog>,
+    settings: Box<RawValue>,
+}
+
+/// All that a driver is told at its start.
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub known: Option<Catalog>,
+    pub decoded: Decoded,
+}
+
+fn address(field: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{field}: {text:?} is no address with a port"))
+}
+
+impl Start {
+    /// Reads the configuration; GW_NAME, GW_LISTEN and GW_DISCOVERY come before what it says.
+    pub fn read(path: &str, env: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+        let text = std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
+        Start::parse(&text, env).map_err(|why| format!("{path}: {why}"))
+    }
+
+    fn parse(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+        let form: Form = serde_json::from_str(text).map_err(|error| error.to_string())?;
+        let told = |variable: &str, field: String| env(variable).unwrap_or(field);
+        let seed = u64::from_str_radix(&form.seed, 16);
+        let sockets = form.limits.sockets;
+        if sockets < 64 {
+            return Err(format!("limits.sockets: {sockets} is too few, 64 are needed"));
+        }
+        Ok(Start {
+            name: told("GW_NAME", form.name),
+            listen: address("listen", &told("GW_LISTEN", form.listen))?,
+            discovery: address("discovery", &told("GW_DISCOVERY", form.discovery))?,
+            seed: seed.map_err(|_| format!("seed: {:?} is no hexadecimal number", form.seed))?,
+            sockets,
+            known: form.known,
+            decoded: Decoded::parse(form.settings.get()).map_err(|trouble| format!("settings: {trouble}"))?,
+        })
+    }
+}
--- a/crates/drill/src/settings.rs
+++ b/crates/terms/src/lib.rs
@@ -1,9 +1,34 @@
+//! Decodes the settings that every driver is told at its start, in the drill and on sockets alike, into the
+//! router's terms and the few figures that the programs around it need.
+
 use std::collections::HashMap;
+use std::fmt;
 
 use aldermill_routing::{Effect, ListedRoles, Micros, Need, Offering, Role, Scope, Terms, Told};
 use serde::Deserialize;
 
-use crate::wire::{Trouble, micros};
+/// What cannot be read: the field, and why.
+#[derive(Debug)]
+pub struct Trouble {
+    field: String,
+    why: String,
+}
+
+impl Trouble {
+    pub fn new(field: &str, why: &str) -> Trouble {
+        Trouble { field: field.to_owned(), why: why.to_owned() }
+    }
+}
+
+impl fmt::Display for Trouble {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "field {}: {}", self.field, self.why)
+    }
+}
+
+pub fn micros(millis: f64) -> Micros {
+    (millis * 1000.0).round() as Micros
+}
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -36,6 +61,9 @@
     max_retry_after_ms: f64,
     retry_after: bool,
     probes: bool,
+    conn_idle_ms: f64,
+    connect_timeout_ms: f64,
+    max_open: usize,
 }
 
 #[derive(Deserialize)]
@@ -77,12 +105,18 @@
     deductions: Deductions,
 }
 
-/// What the adapter needs of the first message, beside the router's own terms.
+/// What a program around the router needs of the settings, beside the router's own terms.
 pub struct Decoded {
     pub terms: Terms,
+    /// A member closes a connection that was idle for so long.
+    pub idle: Micros,
+    pub connect_timeout: Micros,
+    /// Tasks that one driver may hold.
+    pub max_open: usize,
     offerings: HashMap<String, usize>,
     zones: Vec<String>,
-    zero: Micros,
+    /// Where the drill's clock stands when positions are zero.
+    pub zero: Micros,
     sizes_listed: bool,
 }
 
@@ -154,6 +188,9 @@
         let names = message.categories.into_iter().map(|category| category.name);
         Ok(Decoded {
             terms,
+            idle: micros(limits.conn_idle_ms),
+            connect_timeout: micros(limits.connect_timeout_ms),
+            max_open: limits.max_open,
             offerings: names.enumerate().map(|(index, name)| (name, index)).collect(),
             sizes_listed: matches!(message.weights.as_str(), "nominal" | "rough"),
             zero: micros(message.family_info.position_zero_ms),
@@ -174,33 +211,24 @@
         self.zones.iter().position(|zone| zone == name).unwrap_or(self.zones.len() + 1)
     }
 
-    /// What an answer's note and a load report say; the newer position of the two.
-    pub fn told(&self, stand: Option<u64>, load: Option<&str>) -> Result<Told, Trouble> {
+    /// What a load report says, its position being counted in seconds from `zero`.
+    pub fn report<'a>(
+        pairs: impl Iterator<Item = (&'a str, &'a str)>,
+        zero: Micros,
+    ) -> Result<Told, Trouble> {
         let mut told = Told::default();
-        for pair in load.into_iter().flat_map(|load| load.split(',')) {
-            let (name, value) = pair.split_once(':').unwrap_or((pair, ""));
-            if name != "x0" && name != "x1" {
-                continue;
-            }
-            let bad_number = || Trouble::new("load", &format!("bad number {pair:?}"));
-            let value: f64 = value.parse().map_err(|_| bad_number())?;
+        for (name, value) in pairs.filter(|(name, _)| matches!(*name, "x0" | "x1")) {
+            let value: f64 = value
+                .parse()
+                .ok()
+                .filter(|value: &f64| value.is_finite())
+                .ok_or_else(|| Trouble::new("load", &format!("bad number {name}:{value:?}")))?;
             if name == "x0" {
-                told.position = Some(self.zero + (value * 1e6).floor() as Micros);
+                told.position = Some(zero + (value * 1e6).floor() as Micros);
             } else {
                 told.role = Some(if value >= 0.5 { Role::Primary } else { Role::Replica });
             }
         }
-        if let Some(stand) = stand.filter(|&stand| stand > 0) {
-            told.role = match stand % 4 {
-                1 => Some(Role::Primary),
-                2 => Some(Role::Replica),
-                _ => told.role,
-            };
-            if stand >= 4 {
-                let position = self.zero + (stand / 4) as Micros * 1000;
-                told.position = told.position.max(Some(position));
-            }
-        }
         Ok(told)
     }
 }
