--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -139,7 +139,7 @@
                 b'd' | b'c' | b'f' => {}
                 _ => return Err(Malformed("unknown message type").into()),
             }
-            if out.len() > 0 {
+            if !out.is_empty() {
                 self.send(&out).await?;
                 out.shrink_to(4096);
             }
