--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use crate::context::Context;
 use crate::desk::{Answer, Call, ClientId, Mail, Order};
@@ -47,6 +47,8 @@
     pub seat: Rc<Seat>,
     pub mailbox: mpsc::Receiver<Mail>,
     pub address: mpsc::Sender<Mail>,
+    /// It has had an answer, so that it may be given up while the driver stops.
+    pub served: bool,
 }
 
 impl Client {
@@ -115,6 +117,7 @@
                     match Comment::parse(&statement) {
                         Ok(comment) => {
                             let answer = self.ask(arrived, statement, comment).await?;
+                            self.served = true;
                             encode(&mut out, answer);
                         }
                         Err(bad) => pg::error(&mut out, false, "08P01", bad.0, None),
@@ -176,12 +179,21 @@
         let mut stopping = context.stopping.clone();
         if !self.buffer.is_empty() {
             let limits = &context.limits;
-            let limit = if *stopping.borrow() { limits.stop_message } else { limits.message };
+            let limit = if stopping.borrow().is_some() { limits.stop_message } else { limits.message };
             let count =
                 timeout(limit, self.stream.read_buf(self.buffer.tail())).await.map_err(|_| End::Quiet)??;
             return if count > 0 { Ok(()) } else { Err(End::Quiet) };
         }
         self.seat.idle_since.set(Some(Instant::now()));
+        let served = self.served;
+        let stopped = async {
+            let window = stopping.wait_for(Option::is_some).await.map_or(None, |window| *window);
+            if let Some(closes) = window.filter(|_| !served) {
+                // It may have come for a task that is still on its way.
+                sleep_until(closes).await;
+            }
+        };
+        tokio::pin!(stopped);
         let read = loop {
             tokio::select! {
                 biased;
@@ -189,7 +201,7 @@
                 mail = self.mailbox.recv() => if matches!(mail, Some(Mail::Yield) | None) {
                     return Err(End::Quiet);
                 },
-                _ = stopping.wait_for(|&stopping| stopping) => return Err(End::Quiet),
+                () = &mut stopped => return Err(End::Quiet),
             }
         };
         self.seat.idle_since.set(None);
--- a/crates/driver/src/context.rs
+++ b/crates/driver/src/context.rs
@@ -3,6 +3,7 @@
 
 use slog::Logger;
 use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::time::Instant;
 
 use crate::clock::Clock;
 use crate::desk::Call;
@@ -17,7 +18,8 @@
     pub desk: mpsc::Sender<Call>,
     /// There is a list to decide on.
     pub ready: watch::Receiver<bool>,
-    pub stopping: watch::Receiver<bool>,
+    /// Set once the driver is to stop: until when new connections are still taken.
+    pub stopping: watch::Receiver<Option<Instant>>,
     /// The members' share of descriptors.
     pub member_room: Arc<Semaphore>,
 }
--- a/crates/driver/src/listener.rs
+++ b/crates/driver/src/listener.rs
@@ -53,8 +53,8 @@
                 }
             }
             Some(_) = turned_away.join_next() => {}
-            _ = stopping.wait_for(|&stopping| stopping), if closes_at.is_none() => {
-                closes_at = Some(Instant::now() + limits.stop_window);
+            Ok(window) = stopping.wait_for(Option::is_some), if closes_at.is_none() => {
+                closes_at = *window;
                 info!(context.log, "stopping"; "clients" => guests.len());
             }
             () = sleep_until(closes_at.unwrap_or_else(Instant::now)), if closes_at.is_some() && listener.is_some() => {
@@ -94,7 +94,7 @@
                 let seat = Rc::new(Seat::default());
                 guests.insert(id, Guest { seat: seat.clone(), address: address.clone() });
                 let buffer = Buffer::default();
-                let client = Client { context: context.clone(), id, stream, buffer, seat, mailbox, address };
+                let client = Client { context: context.clone(), id, stream, buffer, seat, mailbox, address, served: false };
                 clients.spawn_local(async move {
                     client.run().await;
                     id
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -19,6 +19,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::Instant;
 
 use crate::catalog::{Bulletin, Watch};
 use crate::clock::Clock;
@@ -103,6 +104,7 @@
 async fn run(start: Start) -> Result<(), String> {
     let Start { name, listen, discovery, seed, sockets, known, decoded } = start;
     let limits = Limits::new(sockets, &decoded);
+    let stop_window = limits.stop_window;
     let (log, _guard) = logger(&limits);
     let mut terminate = signal(SignalKind::terminate()).map_err(|error| format!("signals: {error}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| format!("signals: {error}"))?;
@@ -112,7 +114,7 @@
     let (desk, calls) = mpsc::channel(limits.calls);
     let (bulletin, bulletins) = mpsc::channel(limits.lists);
     let (ready, seen_ready) = watch::channel(false);
-    let (stop, stopping) = watch::channel(false);
+    let (stop, stopping) = watch::channel(None);
     let member_room = Arc::new(Semaphore::new(limits.members));
     let on_request = decoded.terms.list_on_request;
     let (request, requests) = mpsc::channel(1);
@@ -126,7 +128,8 @@
         stopping,
         member_room,
     });
-    info!(log, "serving"; "name" => name, "listen" => %listen, "version" => env!("CARGO_PKG_VERSION"));
+    let address = listener.local_addr().unwrap_or(listen);
+    info!(log, "serving"; "name" => name, "listen" => %address, "version" => env!("CARGO_PKG_VERSION"));
 
     let revision = known.as_ref().map(|known| known.revision);
     if let Some(mut known) = known {
@@ -143,7 +146,7 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    stop.send_replace(true);
+    stop.send_replace(Some(Instant::now() + stop_window));
     serving.await.map_err(|error| format!("listener: {error}"))?;
     info!(log, "stopped");
     Ok(())
--- /dev/null
+++ b/crates/driver/tests/sockets.rs
@@ -0,0 +1,716 @@
+//! Starts the program and speaks to it over loopback. Members and discovery are stand-ins of this file.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use aldermill_wire::{Buffer, pg};
+
+/// Long enough for any step on a busy machine.
+const LONG: Duration = Duration::from_secs(30);
+const MAX: usize = 1 << 20;
+
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LONG, "{what} never came");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+// ---- Stand-ins.
+
+type Act = dyn Fn(&str, &mut TcpStream) + Send + Sync;
+
+/// A member: answers startups by itself, and queries as `act` writes; to cut a connection, `act` shuts it.
+struct Member {
+    address: SocketAddr,
+    seen: Arc<Mutex<Vec<String>>>,
+    connections: Arc<AtomicUsize>,
+}
+
+impl Member {
+    fn start(act: impl Fn(&str, &mut TcpStream) + Send + Sync + 'static) -> Member {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (seen, connections) = (Arc::<Mutex<Vec<String>>>::default(), Arc::<AtomicUsize>::default());
+        let member = Member { address, seen: seen.clone(), connections: connections.clone() };
+        let act: Arc<Act> = Arc::new(act);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                connections.fetch_add(1, Ordering::SeqCst);
+                let (act, seen) = (act.clone(), seen.clone());
+                thread::spawn(move || serve_member(stream, &seen, &*act));
+            }
+        });
+        member
+    }
+
+    /// Statements of tasks that came whole.
+    fn tasks(&self) -> Vec<String> {
+        self.seen.lock().unwrap().iter().filter(|text| text.starts_with("/*")).cloned().collect()
+    }
+}
+
+fn serve_member(mut stream: TcpStream, seen: &Mutex<Vec<String>>, act: &Act) {
+    let mut buffer = Buffer::default();
+    let mut welcomed = false;
+    let mut piece = [0; 4096];
+    while let Ok(count @ 1..) = stream.read(&mut piece) {
+        buffer.tail().extend_from_slice(&piece[..count]);
+        if !welcomed {
+            let Some((_, length)) = pg::opening(buffer.held()).unwrap() else { continue };
+            buffer.consume(length);
+            let mut out = Vec::new();
+            pg::welcome(&mut out, 1);
+            let _ = stream.write_all(&out);
+            welcomed = true;
+        }
+        while let Some(message) = pg::message(buffer.held(), MAX).unwrap() {
+            let text = String::from_utf8(pg::query_text(message.body).unwrap().to_vec()).unwrap();
+            let length = message.length;
+            buffer.consume(length);
+            seen.lock().unwrap().push(text.clone());
+            act(&text, &mut stream);
+        }
+    }
+}
+
+fn unix_millis() -> u128 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis()
+}
+
+/// A whole answer: the value for tasks, the report for probes, and the role that the member claims.
+fn honour(text: &str, role: &str, stream: &mut TcpStream) {
+    let mut out = Vec::new();
+    let report = format!("x0={}.0,x1={},inflight=0", unix_millis() / 1000, u8::from(role == "writer"));
+    let value = if text == "SHOW usage" { report.as_bytes() } else { b"the value" };
+    pg::single_row(&mut out, "val", value, "SELECT 1");
+    pg::parameter_status(&mut out, "server_role", role);
+    pg::parameter_status(&mut out, "commit_clock", &unix_millis().to_string());
+    pg::ready(&mut out);
+    let _ = stream.write_all(&out);
+}
+
+fn refuse(code: &str, role: &str, stream: &mut TcpStream) {
+    let mut out = Vec::new();
+    pg::error(&mut out, false, code, "stand-in", None);
+    pg::parameter_status(&mut out, "server_role", role);
+    pg::ready(&mut out);
+    let _ = stream.write_all(&out);
+}
+
+/// A whole-hearted member: the primary answers all, a replica reads only.
+fn sound(role: &'static str) -> Member {
+    Member::start(move |text, stream| {
+        if role == "reader" && text.contains("INSERT") {
+            refuse("25006", role, stream);
+        } else {
+            honour(text, role, stream);
+        }
+    })
+}
+
+/// Discovery: every watch is told the lines said so far and those to come, in chunks cut at odd places.
+#[derive(Clone, Default)]
+struct Discovery {
+    lines: Arc<Mutex<Vec<String>>>,
+    mute: Arc<AtomicBool>,
+    requests: Arc<Mutex<Vec<String>>>,
+}
+
+impl Discovery {
+    fn start(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let discovery = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let discovery = discovery.clone();
+                thread::spawn(move || discovery.watch(stream));
+            }
+        });
+        address
+    }
+
+    fn watch(&self, stream: TcpStream) -> Option<()> {
+        let mut reader = BufReader::new(stream.try_clone().ok()?);
+        let mut request = String::new();
+        while !request.ends_with("\r\n\r\n") {
+            reader.read_line(&mut request).ok().filter(|&count| count > 0)?;
+        }
+        self.requests.lock().unwrap().push(request);
+        let mut stream = stream;
+        let mut chunk = |bytes: &[u8]| {
+            stream.write_all(format!("{:x}\r\n", bytes.len()).as_bytes()).ok()?;
+            stream.write_all(bytes).ok()?;
+            stream.write_all(b"\r\n").ok()
+        };
+        let mut told = 0;
+        let mut head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".as_slice();
+        loop {
+            if !self.mute.load(Ordering::SeqCst) {
+                if !head.is_empty() {
+                    reader.get_mut().write_all(std::mem::take(&mut head)).ok()?;
+                }
+                let lines = self.lines.lock().unwrap().get(told..).unwrap_or_default().to_vec();
+                told += lines.len();
+                for line in lines {
+                    let (first, second) = line.as_bytes().split_at(line.len() / 2);
+                    chunk(first)?;
+                    chunk(&[second, b"\n"].concat())?;
+                }
+                chunk(b"\n")?;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    fn say(&self, line: String) {
+        self.lines.lock().unwrap().push(line);
+    }
+}
+
+fn list(revision: u64, complete: bool, members: &[(&str, &Member, &str)]) -> String {
+    let members: Vec<String> = members
+        .iter()
+        .map(|(id, member, phase)| {
+            format!(
+                r#"{{"id":"{id}","host_port":"{}","locality":"here","flavor":"m","cell":2,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#,
+                member.address
+            )
+        })
+        .collect();
+    format!(r#"{{"revision":{revision},"complete":{complete},"members":[{}]}}"#, members.join(","))
+}
+
+const TERMS: &str = r#"{"azs":["here"],"myZone":"here","balancers":1,"registryMode":"automatic","weights":"off",
+ "categories":[
+  {"name":"look","effect":"pure","dedupScope":"all","windowMs":0,"targetMs":1000,"deadlineMs":20000,"worth":1,"lateWorth":0.5},
+  {"name":"order","effect":"side_effect","dedupScope":"all","windowMs":0,"targetMs":1000,"deadlineMs":20000,"worth":3,"lateWorth":0.5}],
+ "clients":{"marksRetry":true},"deductions":{"crossZone":0},
+ "familyInfo":{"behind":"off","maxAgeMs":[0,0],"needsByClass":["loose","update"],"positionZeroMs":0,"roleListed":"off","tokens":"client"},
+ "limits":{"maxAttempts":4,"maxRetryAfterMs":500,"retryAfter":true,"probes":true,"connIdleMs":30000,"connectTimeoutMs":2000,"maxOpen":1000},
+ "rules":{"coldFrom":0.2,"warmWithinMs":1000,"overloadFactor":2,"fallMs":1000}}"#;
+
+/// The program under test; killed when dropped.
+struct Driver {
+    child: Child,
+    address: SocketAddr,
+    log: Arc<Mutex<Vec<String>>>,
+    config: std::path::PathBuf,
+}
+
+fn aldermill(arguments: &[&str], config: &str) -> (Command, std::path::PathBuf) {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("config-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::SeqCst));
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_aldermill"));
+    command.args(arguments).env_clear().env("GW_CONFIG", &path);
+    (command, path)
+}
+
+fn config(discovery: SocketAddr, sockets: usize, known: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:1","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{TERMS}}}"#
+    )
+}
+
+impl Driver {
+    fn start(discovery: &Discovery, sockets: usize, known: &str) -> Driver {
+        let (mut command, path) = aldermill(&["serve"], &config(discovery.start(), sockets, known));
+        command.env("GW_LISTEN", "127.0.0.1:0").stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let log = Arc::<Mutex<Vec<String>>>::default();
+        let (lines, stderr) = (log.clone(), BufReader::new(child.stderr.take().unwrap()));
+        thread::spawn(move || {
+            for line in stderr.lines().map_while(Result::ok) {
+                lines.lock().unwrap().push(line);
+            }
+        });
+        let mut address = None;
+        until("the line that it serves", || {
+            let log = log.lock().unwrap();
+            let serving = log.iter().find_map(|line| line.split_once("listen: ").map(|(_, rest)| rest));
+            address = serving.map(|rest| rest.split(',').next().unwrap().trim().parse().unwrap());
+            address.is_some()
+        });
+        Driver { child, address: address.unwrap(), log, config: path }
+    }
+
+    /// With these members in service, as known at the start and as discovery says.
+    fn before(members: &[(&str, &Member)]) -> Driver {
+        let members: Vec<_> = members.iter().map(|&(id, member)| (id, member, "in_service")).collect();
+        let discovery = Discovery::default();
+        discovery.say(list(1, true, &members));
+        Driver::start(&discovery, 256, &list(1, true, &members))
+    }
+
+    fn logged(&self, text: &str) -> bool {
+        self.log.lock().unwrap().iter().any(|line| line.contains(text))
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+/// How the driver answered one query.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Said {
+    value: Option<Vec<u8>>,
+    code: String,
+    detail: String,
+    empty: bool,
+}
+
+struct Client {
+    stream: TcpStream,
+    buffer: Buffer,
+}
+
+impl Client {
+    fn bare(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Client { stream, buffer: Buffer::default() }
+    }
+
+    fn connect(address: SocketAddr) -> Client {
+        let mut client = Client::bare(address);
+        let mut hello = Vec::new();
+        pg::startup(&mut hello, "client", "core");
+        client.raw(&hello);
+        assert_eq!(client.answer(), Some(Said::default()));
+        client
+    }
+
+    fn raw(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    fn send(&mut self, statement: &str) {
+        let mut out = Vec::new();
+        pg::query(&mut out, &[statement.as_bytes()]);
+        self.raw(&out);
+    }
+
+    /// All up to the next ReadyForQuery, or to the end if that came with an error; `None` is a bare end.
+    fn answer(&mut self) -> Option<Said> {
+        let mut said = Said::default();
+        let mut piece = [0; 4096];
+        loop {
+            while let Some(message) = pg::message(self.buffer.held(), MAX).unwrap() {
+                match message.tag {
+                    b'D' => said.value = pg::single_value(message.body).unwrap().map(<[u8]>::to_vec),
+                    b'E' => {
+                        let refusal = pg::refusal(message.body).unwrap();
+                        (said.code, said.detail) = (refusal.code.to_owned(), refusal.detail.to_owned());
+                    }
+                    b'I' => said.empty = true,
+                    _ => {}
+                }
+                let (tag, length) = (message.tag, message.length);
+                self.buffer.consume(length);
+                if tag == b'Z' {
+                    return Some(said);
+                }
+            }
+            match self.stream.read(&mut piece) {
+                Ok(0) | Err(_) => return (!said.code.is_empty()).then_some(said),
+                Ok(count) => self.buffer.tail().extend_from_slice(&piece[..count]),
+            }
+        }
+    }
+
+    fn ask(&mut self, statement: &str) -> Said {
+        self.send(statement);
+        self.answer().expect("an answer before the end")
+    }
+
+    fn ended(&mut self) -> bool {
+        !matches!(self.stream.read(&mut [0; 64]), Ok(1..))
+    }
+}
+
+fn look(wait: u32) -> String {
+    format!("/* id=9b1f03aa5c7e2d41,c=look,d={wait},cluster=2 */ SELECT val FROM state WHERE uid = 'k'")
+}
+
+fn order(wait: u32) -> String {
+    format!(
+        "/* id=9b1f03aa5c7e2d42,c=order,d={wait},cluster=2 */ INSERT INTO state (uid, val) VALUES ('k', '\\x9f') RETURNING val"
+    )
+}
+
+fn honoured(said: &Said) -> bool {
+    said.value.as_deref() == Some(b"the value") && said.code.is_empty()
+}
+
+// ---- Cases.
+
+#[test]
+fn reads_and_writes_are_honoured_and_passed_on_unchanged_but_for_the_wait() {
+    let (primary, replica) = (sound("writer"), sound("reader"));
+    let driver = Driver::before(&[("a", &replica), ("b", &primary)]);
+    let mut client = Client::connect(driver.address);
+    assert!(client.ask("").empty);
+    for _ in 0..20 {
+        assert!(honoured(&client.ask(&look(15000))));
+        assert!(honoured(&client.ask(&order(15000))));
+    }
+    // The replica turned one write away at the most, before the primary was known.
+    let passed_on = [primary.tasks(), replica.tasks()].concat();
+    assert!(passed_on.len() <= 41, "{}", passed_on.len());
+    let masked = |text: &str| {
+        let (before, rest) = text.split_once(",d=").unwrap();
+        let (wait, after) = rest.split_once(',').unwrap();
+        assert!((1..=15000).contains(&wait.parse::<u32>().unwrap()), "{text}");
+        format!("{before},d=15000,{after}")
+    };
+    assert!(passed_on.iter().all(|text| [look(15000), order(15000)].contains(&masked(text))));
+    // One task at a time needs one connection a member, and one more for a probe on the way.
+    assert!(primary.connections.load(Ordering::SeqCst) <= 3);
+}
+
+#[test]
+fn a_startup_and_queries_in_one_segment_or_byte_by_byte_are_answered_in_order() {
+    let member = sound("writer");
+    let driver = Driver::before(&[("a", &member)]);
+    let mut bytes = Vec::new();
+    pg::startup(&mut bytes, "client", "core");
+    pg::query(&mut bytes, &[look(15000).as_bytes()]);
+    pg::query(&mut bytes, &[b" ; "]);
+    pg::query(&mut bytes, &[b"SELECT 1"]);
+    pg::query(&mut bytes, &[look(15000).as_bytes()]);
+    for size in [bytes.len(), 1] {
+        let mut client = Client::bare(driver.address);
+        client.stream.set_nodelay(true).unwrap();
+        // Encryption is declined first.
+        client.raw(&[0, 0, 0, 8, 4, 210, 22, 47]);
+        let mut declined = [0];
+        client.stream.read_exact(&mut declined).unwrap();
+        assert_eq!(declined, *b"N");
+        bytes.chunks(size).for_each(|piece| client.raw(piece));
+        assert_eq!(client.answer(), Some(Said::default()));
+        assert!(honoured(&client.answer().unwrap()));
+        assert!(client.answer().unwrap().empty);
+        assert_eq!(client.answer().unwrap().code, "08P01");
+        assert!(honoured(&client.answer().unwrap()));
+    }
+}
+
+#[test]
+fn bad_input_gets_its_error_and_reaches_no_member() {
+    let member = sound("writer");
+    let driver = Driver::before(&[("a", &member)]);
+    let mut client = Client::connect(driver.address);
+    let unknown = look(15000).replace("c=look", "c=other");
+    let elsewhere = look(15000).replace("cluster=2", "cluster=77");
+    for text in ["SELECT 1", &unknown, &elsewhere, &look(0), "/* id=1", "SET x TO 1"] {
+        assert_eq!(client.ask(text).code, "08P01", "{text}");
+    }
+    // The extended protocol is passed over up to its Sync.
+    client.raw(b"P\0\0\0\x08\0\0\0\0B\0\0\0\x04S\0\0\0\x04");
+    assert_eq!(client.answer().unwrap().code, "0A000");
+    assert!(honoured(&client.ask(&look(15000))));
+    // Where the framing is lost, the connection ends; the process lives.
+    for garbage in
+        [&b"Q\0\0\0\x01\0\0"[..], b"Q\x7f\xff\xff\xff", b"\x01\x02\x03\x04\x05\x06", b"y\0\0\0\x04"]
+    {
+        let mut client = Client::connect(driver.address);
+        client.raw(garbage);
+        assert_eq!(client.answer().unwrap().code, "08P01");
+        assert!(client.ended());
+    }
+    let mut cancel = Client::bare(driver.address);
+    cancel.raw(&[0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 2]);
+    assert!(cancel.ended());
+    assert!(honoured(&client.ask(&look(15000))));
+    assert_eq!(member.tasks().len(), 2);
+}
+
+#[test]
+fn a_write_walks_past_misses_to_the_primary() {
+    let (first, second, primary) = (sound("reader"), sound("reader"), sound("writer"));
+    let driver = Driver::before(&[("a", &first), ("b", &second), ("c", &primary)]);
+    let mut client = Client::connect(driver.address);
+    assert!(honoured(&client.ask(&order(15000))));
+    assert_eq!(primary.tasks().len(), 1);
+}
+
+#[test]
+fn what_finds_no_room_in_time_is_denied_with_a_cool_down() {
+    let member = Member::start(|text, stream| match text {
+        "SHOW usage" => honour(text, "writer", stream),
+        _ => refuse("53300", "writer", stream),
+    });
+    let driver = Driver::before(&[("a", &member)]);
+    let mut client = Client::connect(driver.address);
+    for statement in [look(2000), order(2000)] {
+        let said = client.ask(&statement);
+        assert_eq!((&said.code[..], said.value), ("53300", None));
+        assert!((1..=500).contains(&said.detail.parse::<u32>().unwrap()), "{}", said.detail);
+    }
+}
+
+#[test]
+fn an_effectful_task_of_unknown_fate_is_broken_off_after_one_copy() {
+    // Silence after the whole statement, a reset, an error, nonsense, and half a value.
+    let ways: [(&str, Box<Act>); 5] = [
+        ("silent", Box::new(|_, _| {})),
+        ("cut", Box::new(|_, stream| stream.shutdown(std::net::Shutdown::Both).unwrap())),
+        ("error", Box::new(|_, stream| refuse("XX000", "writer", stream))),
+        ("nonsense", Box::new(|_, stream| stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").unwrap())),
+        (
+            "half",
+            Box::new(|_, stream| {
+                let mut out = Vec::new();
+                pg::single_row(&mut out, "val", b"the value", "INSERT 0 1");
+                stream.write_all(&out[..out.len() - 20]).unwrap();
+                stream.shutdown(std::net::Shutdown::Both).unwrap();
+            }),
+        ),
+    ];
+    for (way, act) in ways {
+        let member = Member::start(move |text, stream| match text {
+            "SHOW usage" => honour(text, "writer", stream),
+            _ => act(text, stream),
+        });
+        let driver = Driver::before(&[("a", &member)]);
+        let mut client = Client::connect(driver.address);
+        let said = client.ask(&order(3000));
+        assert_eq!((&said.code[..], said.value), ("40003", None), "{way}");
+        assert_eq!(member.tasks().len(), 1, "{way}");
+        if way != "silent" {
+            assert!(member.connections.load(Ordering::SeqCst) >= 1);
+        }
+    }
+}
+
+#[test]
+fn a_launch_cut_before_its_last_byte_never_ran_and_goes_again() {
+    // Too large to fit the way there, the statement is never read whole on the first connection.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let whole = Arc::new(AtomicUsize::new(0));
+    let counted = whole.clone();
+    let member = Member { address, seen: Arc::default(), connections: Arc::default() };
+    thread::spawn(move || {
+        let mut cut = false;
+        for mut stream in listener.incoming().flatten() {
+            let (mut piece, mut buffer) = ([0; 1024], Buffer::default());
+            let seen = Mutex::default();
+            if cut {
+                let counted = counted.clone();
+                thread::spawn(move || {
+                    serve_member(stream, &seen, &move |text, stream| {
+                        counted.fetch_add(usize::from(text.starts_with("/*")), Ordering::SeqCst);
+                        honour(text, "writer", stream);
+                    });
+                });
+                continue;
+            }
+            // A refused startup: nothing of the statement can have been written.
+            while pg::opening(buffer.held()).unwrap().is_none() {
+                let count = stream.read(&mut piece).unwrap();
+                buffer.tail().extend_from_slice(&piece[..count]);
+            }
+            cut = true;
+        }
+    });
+    let driver = Driver::before(&[("a", &member)]);
+    let mut client = Client::connect(driver.address);
+    assert!(honoured(&client.ask(&order(15000))));
+    assert_eq!(whole.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn reads_go_past_a_member_that_fails_them() {
+    let broken = Member::start(|_, stream| stream.shutdown(std::net::Shutdown::Both).unwrap());
+    let primary = sound("writer");
+    let driver = Driver::before(&[("a", &broken), ("b", &primary)]);
+    let mut client = Client::connect(driver.address);
+    for _ in 0..10 {
+        assert!(honoured(&client.ask(&look(15000))));
+    }
+    until("the line on the lost member", || driver.logged("member lost"));
+    let lines = driver.log.lock().unwrap().iter().filter(|line| line.contains("member lost")).count();
+    assert_eq!(lines, 1, "once, not once a task");
+}
+
+#[test]
+fn a_client_that_leaves_costs_nothing_but_its_own_task() {
+    let member = Member::start(|text, stream| {
+        if text.contains("id=5") {
+            thread::sleep(Duration::from_millis(300));
+        }
+        honour(text, "writer", stream);
+    });
+    let driver = Driver::before(&[("a", &member)]);
+    let slow = look(15000).replace("id=9b1f03aa5c7e2d41", "id=5");
+    let mut gone = Client::connect(driver.address);
+    gone.send(&slow);
+    until("the launch", || member.tasks().len() == 1);
+    drop(gone);
+    let mut client = Client::connect(driver.address);
+    for _ in 0..5 {
+        assert!(honoured(&client.ask(&look(15000))));
+    }
+    assert_eq!(member.tasks().len(), 6);
+}
+
+#[test]
+fn the_list_is_followed_through_changes_nonsense_and_silence() {
+    let (old, new, newer) = (sound("writer"), sound("writer"), sound("writer"));
+    let discovery = Discovery::default();
+    discovery.mute.store(true, Ordering::SeqCst);
+    // Silent discovery: what was known at the start serves.
+    let driver = Driver::start(&discovery, 256, &list(1, true, &[("a", &old, "in_service")]));
+    let mut client = Client::connect(driver.address);
+    assert!(client.ask("").empty);
+    assert!(honoured(&client.ask(&look(15000))));
+    // A silent watch is opened again, from the revision held.
+    until("another watch", || discovery.requests.lock().unwrap().len() >= 2);
+    assert!(discovery.requests.lock().unwrap().iter().all(|request| request.contains("index=1")));
+    discovery.say(list(2, false, &[("a", &old, "terminating"), ("b", &new, "in_service")]));
+    discovery.mute.store(false, Ordering::SeqCst);
+    until("a task at the new member", || {
+        assert!(honoured(&client.ask(&look(15000))));
+        !new.tasks().is_empty()
+    });
+    // Once told of the drain, nothing more goes there.
+    let before = old.tasks().len();
+    for _ in 0..5 {
+        assert!(honoured(&client.ask(&look(15000))));
+    }
+    assert_eq!(old.tasks().len(), before);
+    // Nonsense is logged and the list asked for anew, whole.
+    let watches = discovery.requests.lock().unwrap().len();
+    discovery.say("{\"revision\":3,\"members\":[{".to_owned());
+    until("a new watch", || discovery.requests.lock().unwrap().len() > watches);
+    assert!(driver.logged("list lost"));
+    // The member moves: same id, other address.
+    discovery.lines.lock().unwrap().clear();
+    discovery.say(list(4, true, &[("b", &newer, "in_service")]));
+    until("a task at the new address", || {
+        assert!(honoured(&client.ask(&look(15000))));
+        !newer.tasks().is_empty()
+    });
+    let requests = discovery.requests.lock().unwrap();
+    assert!(!requests[watches].contains("index="), "{}", requests[watches]);
+}
+
+#[test]
+fn told_to_stop_it_answers_what_it_took_and_ends_well() {
+    let member = Member::start(|text, stream| {
+        if text.starts_with("/*") {
+            thread::sleep(Duration::from_millis(400));
+        }
+        honour(text, "writer", stream);
+    });
+    let mut driver = Driver::before(&[("a", &member)]);
+    let mut busy: Vec<Client> = (0..4).map(|_| Client::connect(driver.address)).collect();
+    let mut idle = Client::connect(driver.address);
+    assert!(honoured(&idle.ask(&look(15000))));
+    let mut fresh = Client::connect(driver.address);
+    busy.iter_mut().for_each(|client| client.send(&look(15000)));
+    until("the launches", || member.tasks().len() == 5);
+    let told = Instant::now();
+    driver.signal("-TERM");
+    assert!(idle.ended());
+    // Who had no answer yet is still served for a while; on a machine too slow for that nothing is claimed.
+    let mut out = Vec::new();
+    pg::query(&mut out, &[look(15000).as_bytes()]);
+    let served = fresh.stream.write_all(&out).is_ok() && fresh.answer().is_some_and(|said| honoured(&said));
+    assert!(served || told.elapsed() > Duration::from_millis(500));
+    assert!(fresh.ended());
+    for client in &mut busy {
+        assert!(honoured(&client.answer().unwrap()));
+        assert!(client.ended());
+    }
+    assert!(driver.child.wait().unwrap().success());
+    assert!(driver.logged("stopped"));
+}
+
+#[test]
+fn clients_over_their_share_are_told_and_idle_ones_make_room() {
+    let member = Member::start(|text, stream| {
+        if text.starts_with("/*") && text.contains("id=5") {
+            thread::sleep(Duration::from_secs(2));
+        }
+        honour(text, "writer", stream);
+    });
+    let discovery = Discovery::default();
+    let driver = Driver::start(&discovery, 64, &list(1, true, &[("a", &member, "in_service")]));
+    let slow = look(15000).replace("id=9b1f03aa5c7e2d41", "id=5");
+    let mut clients: Vec<Client> = (0..200).map(|_| Client::connect(driver.address)).collect();
+    let open = clients.iter_mut().filter(|client| {
+        client.stream.set_nonblocking(true).unwrap();
+        let open = matches!(client.stream.peek(&mut [0; 1]), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock);
+        client.stream.set_nonblocking(false).unwrap();
+        open
+    });
+    let mut open: Vec<&mut Client> = open.collect();
+    assert!((8..64).contains(&open.len()), "{}", open.len());
+    // With a task under way on each, the next is told that there is no room.
+    open.iter_mut().for_each(|client| client.send(&slow));
+    let mut more = Client::bare(driver.address);
+    let mut hello = Vec::new();
+    pg::startup(&mut hello, "client", "core");
+    more.raw(&hello);
+    let said = more.answer();
+    assert!(said.is_none_or(|said| said.code == "53300"));
+    let mut codes: HashMap<String, usize> = HashMap::new();
+    for client in open {
+        let said = client.answer().unwrap();
+        *codes.entry(said.code).or_default() += usize::from(said.value.is_some()).max(1);
+    }
+    assert!(codes.keys().all(|code| code.is_empty() || code == "53300"), "{codes:?}");
+    assert!(driver.logged("client share of descriptors used up"));
+}
+
+#[test]
+fn what_is_wrong_with_a_start_is_said_in_one_line() {
+    let fails = |output: Output, words: &[&str]| {
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success() && said.trim_end().lines().count() == 1, "{said}");
+        assert!(words.iter().all(|word| said.contains(word)), "{said}");
+    };
+    let run = |verb: &str, config: &str| {
+        let (mut command, path) = aldermill(&[verb], config);
+        let output = command.output().unwrap();
+        std::fs::remove_file(path).unwrap();
+        output
+    };
+    let good = config("127.0.0.1:8500".parse().unwrap(), 256, "null");
+    for verb in ["serve", "check"] {
+        fails(run(verb, "{"), &["config-", "EOF"]);
+        fails(run(verb, &good.replace("\"seed\":\"8c", "\"seed\":\"xx")), &["config-", "seed"]);
+        fails(run(verb, &good.replace("127.0.0.1:1\"", "nowhere\"")), &["config-", "listen"]);
+        fails(run(verb, &good.replace("\"weights\"", "\"heights\"")), &["config-", "weights"]);
+        fails(run(verb, &good.replace("\"sockets\":256", "\"sockets\":6")), &["config-", "limits.sockets"]);
+    }
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    fails(run("serve", &good.replace("127.0.0.1:1\"", &format!("{address}\""))), &["listen", &address]);
+    let understood = run("check", &good);
+    assert!(understood.status.success());
+    assert!(String::from_utf8(understood.stdout).unwrap().contains("2 offerings"));
+}
