--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -96,13 +96,16 @@
         let mut out = Vec::new();
         // After a message of the extended protocol, all up to the next Sync is passed over.
         let mut passing_over = false;
+        // Since when a message is under way that is not whole.
+        let mut begun = None;
         loop {
             let max = self.context.limits.statement;
             let Some(message) = pg::message(self.buffer.held(), max)? else {
-                self.more().await?;
+                self.more(&mut begun).await?;
                 continue;
             };
             let arrived = Instant::now();
+            begun = None;
             let (tag, length) = (message.tag, message.length);
             let statement = if tag == b'Q' { pg::query_text(message.body)?.to_vec() } else { Vec::new() };
             self.buffer.consume(length);
@@ -174,14 +177,15 @@
     }
 
     /// Waits for more bytes. Between messages the connection may be given up here.
-    async fn more(&mut self) -> Result<(), End> {
+    async fn more(&mut self, begun: &mut Option<Instant>) -> Result<(), End> {
         let context = self.context.clone();
         let mut stopping = context.stopping.clone();
         if !self.buffer.is_empty() {
             let limits = &context.limits;
             let limit = if stopping.borrow().is_some() { limits.stop_message } else { limits.message };
-            let count =
-                timeout(limit, self.stream.read_buf(self.buffer.tail())).await.map_err(|_| End::Quiet)??;
+            let until = *begun.get_or_insert_with(Instant::now) + limit;
+            let read = self.stream.read_buf(self.buffer.tail());
+            let count = timeout_at(until, read).await.map_err(|_| End::Quiet)??;
             return if count > 0 { Ok(()) } else { Err(End::Quiet) };
         }
         self.seat.idle_since.set(Some(Instant::now()));
--- a/crates/driver/src/clock.rs
+++ b/crates/driver/src/clock.rs
@@ -29,7 +29,9 @@
 
     /// A Unix time on this clock, whatever steps the system's clock has made since the start.
     pub fn convert(&self, unix: Micros) -> Micros {
-        unix - (unix_now() - self.now())
+        // In this order a pause between the two makes a position older, never newer than it is.
+        let now = self.now();
+        unix - (unix_now() - now)
     }
 }
 
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -80,7 +80,8 @@
 /// A member's actor, as the desk sees it.
 struct Peer {
     errands: mpsc::Sender<Errand>,
-    standing: watch::Sender<Standing>,
+    /// Whether the list's last word lets anything new be sent there.
+    open: watch::Sender<bool>,
     address: SocketAddr,
     /// Its last start as the list tells it, and on the router's clock.
     up_since: f64,
@@ -311,12 +312,21 @@
         if catalog.complete {
             let listed: HashSet<&str> = catalog.members.iter().map(|entry| entry.id.as_str()).collect();
             for (_, &id) in self.member_ids.iter().filter(|(name, _)| !listed.contains(name.as_str())) {
-                self.peers[id].standing.send_replace(Standing::Gone);
+                self.peers[id].open.send_replace(self.lets_send(Standing::Gone));
             }
         }
         catalog.members.iter().filter_map(|entry| self.line(entry)).collect()
     }
 
+    /// The rule on drains: where only draining members are bound by it, others may be asked still.
+    fn lets_send(&self, standing: Standing) -> bool {
+        match standing {
+            Standing::Ready => true,
+            Standing::Draining => false,
+            Standing::Gone => self.decoded.terms.only_draining_binds,
+        }
+    }
+
     fn line(&mut self, entry: &Entry) -> Option<Listed> {
         let Ok(address) = entry.host_port.parse::<SocketAddr>() else {
             warn!(self.context.log, "list entry without a usable address, left out";
@@ -330,8 +340,9 @@
             None => self.meet(entry, address),
         };
         let clock = self.context.clock;
+        let open = self.lets_send(standing);
         let peer = &mut self.peers[member];
-        peer.standing.send_replace(standing);
+        peer.open.send_replace(open);
         let restarted = peer.up_since != entry.up_since_ms && standing == Standing::Ready;
         if restarted {
             peer.up_since = entry.up_since_ms;
@@ -357,11 +368,11 @@
     fn meet(&mut self, entry: &Entry, address: SocketAddr) -> MemberId {
         let id = self.peers.len();
         let (errands, mailbox) = mpsc::channel(self.context.limits.errands);
-        let (standing, seen) = watch::channel(entry.standing());
+        let (open, seen) = watch::channel(self.lets_send(entry.standing()));
         let member = Member::new(self.context.clone(), id, entry.id.clone(), address, seen);
         spawn_local(member.run(mailbox));
         let since = started(self.context.clock, entry.up_since_ms);
-        self.peers.push(Peer { errands, standing, address, up_since: entry.up_since_ms, since });
+        self.peers.push(Peer { errands, open, address, up_since: entry.up_since_ms, since });
         self.member_ids.insert(entry.id.clone(), id);
         id
     }
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -137,7 +137,7 @@
         let _ = bulletin.send(Bulletin::List(known)).await;
     }
     let desk = Desk::new(context.clone(), decoded, seed, ready, on_request.then_some(request));
-    spawn_local(desk.run(bulletins, calls));
+    let deciding = spawn_local(desk.run(bulletins, calls));
     let requests = on_request.then_some(requests);
     spawn_local(Watch { context: context.clone(), desk: bulletin, requests, revision }.run());
     let serving = spawn_local(listener::run(context, listener));
@@ -145,6 +145,7 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        ended = deciding => return Err(format!("the router's actor ended: {ended:?}")),
     }
     stop.send_replace(Some(Instant::now() + stop_window));
     serving.await.map_err(|error| format!("listener: {error}"))?;
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -1,12 +1,14 @@
 //! The actor of one member: its pool of connections, and the launches and probes on them.
 
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use aldermill_routing::{Handle, MemberId, Micros, Role, Standing, Told, Verdict};
+use aldermill_routing::{Handle, MemberId, Micros, Role, Told, Verdict};
 use aldermill_terms::Decoded;
 use aldermill_wire::{Buffer, Exchange, pg};
 use slog::{info, warn};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, watch};
@@ -45,8 +47,9 @@
 impl Connection {
     /// Neither closed by the peer nor spoken on out of turn.
     fn is_quiet(&self) -> bool {
-        let quiet = self.stream.try_read(&mut [0; 1]);
-        self.buffer.is_empty() && quiet.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+        // Asked of the system itself: what the runtime knows of readiness may be a turn old.
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        self.buffer.is_empty() && peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
     }
 }
 
@@ -71,7 +74,8 @@
     id: MemberId,
     name: String,
     address: SocketAddr,
-    standing: watch::Receiver<Standing>,
+    /// Whether the list's last word lets anything new be sent there.
+    open: watch::Receiver<bool>,
     idle: Vec<Connection>,
     era: u64,
     /// It could not be reached or broke connections, and that was logged.
@@ -84,9 +88,9 @@
         id: MemberId,
         name: String,
         address: SocketAddr,
-        standing: watch::Receiver<Standing>,
+        open: watch::Receiver<bool>,
     ) -> Member {
-        Member { context, id, name, address, standing, idle: Vec::new(), era: 0, lost: false }
+        Member { context, id, name, address, open, idle: Vec::new(), era: 0, lost: false }
     }
 
     pub async fn run(mut self, mut errands: mpsc::Receiver<Errand>) {
@@ -125,9 +129,9 @@
                 },
                 _ = sweep.tick() => {
                     let (now, limit) = (Instant::now(), self.context.limits.idle);
-                    let gone = *self.standing.borrow() == Standing::Gone;
+                    let open = *self.open.borrow();
                     self.idle.retain(|connection| {
-                        !gone && now - connection.idle_since < limit && connection.is_quiet()
+                        open && now - connection.idle_since < limit && connection.is_quiet()
                     });
                 }
             }
@@ -159,16 +163,16 @@
     ) -> impl Future<Output = Done> + use<> {
         let pooled = self.pooled();
         let context = self.context.clone();
-        let (id, address, standing, era) = (self.id, self.address, self.standing.clone(), self.era);
+        let (id, address, open, era) = (self.id, self.address, self.open.clone(), self.era);
         async move {
             let mut exchange = Exchange::default();
             let opened = match pooled {
                 Some(connection) => Ok(connection),
-                None => open(&context, id, address, until).await,
+                None => connect(&context, id, address, until).await,
             };
             let (verdict, connection) = match opened {
                 // A drain that was told since the decision forbids it.
-                Ok(connection) if *standing.borrow() != Standing::Ready => (Verdict::Moot, Some(connection)),
+                Ok(connection) if !*open.borrow() => (Verdict::Moot, Some(connection)),
                 Ok(mut connection) => {
                     let max = context.limits.answer;
                     let verdict = converse(&mut connection, &query, until, max, &mut exchange).await;
@@ -183,8 +187,8 @@
     async fn ended(&mut self, done: Done) -> Result<(), mpsc::error::SendError<Call>> {
         let Done { purpose, mut verdict, exchange, connection, era } = done;
         if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
-            if era == self.era {
-                // The process that the other connections lead to is most likely gone, too.
+            if verdict == Verdict::Reset && era == self.era {
+                // What the other connections lead to is most likely gone, too.
                 self.renew();
             }
             if !std::mem::replace(&mut self.lost, true) {
@@ -237,7 +241,7 @@
 }
 
 /// A new connection that is ready for a statement; without one, nothing of the launch ever ran.
-async fn open(
+async fn connect(
     context: &Context,
     id: MemberId,
     address: SocketAddr,
--- a/crates/driver/tests/sockets.rs
+++ b/crates/driver/tests/sockets.rs
@@ -176,13 +176,15 @@
     }
 }
 
+/// One line of the list; a member whose id ends in a digit is of that group, others of group 2.
 fn list(revision: u64, complete: bool, members: &[(&str, &Member, &str)]) -> String {
     let members: Vec<String> = members
         .iter()
         .map(|(id, member, phase)| {
             format!(
-                r#"{{"id":"{id}","host_port":"{}","locality":"here","flavor":"m","cell":2,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#,
-                member.address
+                r#"{{"id":"{id}","host_port":"{}","locality":"here","flavor":"m","cell":{},"phase":"{phase}","size":1.0,"up_since_ms":0}}"#,
+                member.address,
+                id.chars().last().and_then(|last| last.to_digit(10)).unwrap_or(2)
             )
         })
         .collect();
@@ -686,6 +688,30 @@
     assert!(driver.logged("client share of descriptors used up"));
 }
 
+#[test]
+fn a_member_at_its_limit_takes_the_place_of_others_idle_connections() {
+    let slow = || {
+        Member::start(|text, stream| {
+            if text.starts_with("/*") {
+                thread::sleep(Duration::from_millis(300));
+            }
+            honour(text, "reader", stream);
+        })
+    };
+    let (first, second) = (slow(), slow());
+    let discovery = Discovery::default();
+    let members = [("a2", &first, "in_service"), ("b3", &second, "in_service")];
+    let driver = Driver::start(&discovery, 64, &list(1, true, &members));
+    let mut clients: Vec<Client> = (0..10).map(|_| Client::connect(driver.address)).collect();
+    for group in ["cluster=2", "cluster=3", "cluster=2"] {
+        let statement = look(15000).replace("cluster=2", group);
+        clients.iter_mut().for_each(|client| client.send(&statement));
+        assert!(clients.iter_mut().all(|client| honoured(&client.answer().unwrap())), "{group}");
+    }
+    // Ten at once do not fit into the members' share beside the first member's ten idle ones.
+    assert!(second.connections.load(Ordering::SeqCst) >= 8);
+}
+
 #[test]
 fn what_is_wrong_with_a_start_is_said_in_one_line() {
     let fails = |output: Output, words: &[&str]| {
