Limits count memory as well; partings linger; tests of cuts, drains and full-size values

Limits shared out descriptors only: with 1,024 descriptors and 192 MB, full-size statements and answers on every connection could have passed the memory. limits.rs now bounds clients and members by both. A client connection closed with bytes unread is reset, which may cost the last answer: client.rs now waits up to 0.3 s for the other end.

--- a/crates/driver/src/catalog.rs
+++ b/crates/driver/src/catalog.rs
@@ -126,7 +126,11 @@
                 Ok(Ok(_)) => {}
             }
             if lines.is_none() {
-                let Some(head) = http::head(buffer.held()).map_err(|bad| bad.to_string())? else { continue };
+                let Some(head) =
+                    http::head(buffer.held(), limits.list_head).map_err(|bad| bad.to_string())?
+                else {
+                    continue;
+                };
                 if head.status != 200 {
                     return Err(format!("status {}", head.status));
                 }
--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use aldermill_wire::statement::{Comment, is_empty};
 use aldermill_wire::{Buffer, Malformed, pg};
@@ -63,7 +64,7 @@
             pg::error(&mut out, true, "08P01", bad.0, None);
             let _ = self.send(&out).await;
         }
-        self.part().await;
+        part(self.stream, self.context.limits.parting).await;
     }
 
     /// The startup, and requests for encryption before it.
@@ -216,13 +217,17 @@
         let limit = self.context.limits.accepting;
         Ok(timeout(limit, self.stream.write_all(out)).await.map_err(|_| End::Quiet)??)
     }
+}
 
-    /// Ends the connection so that what was sent last arrives: bytes left unread would reset it.
-    async fn part(mut self) {
-        let _ = self.stream.shutdown().await;
+/// Ends a connection so that what was sent last arrives: closed with bytes unread, it would be reset.
+async fn part(mut stream: TcpStream, limit: Duration) {
+    let until_end = async {
+        stream.shutdown().await?;
         let mut scrap = [0; 1024];
-        while matches!(self.stream.try_read(&mut scrap), Ok(count) if count > 0) {}
-    }
+        while stream.read(&mut scrap).await? > 0 {}
+        std::io::Result::Ok(())
+    };
+    let _ = timeout(limit, until_end).await;
 }
 
 fn encode(out: &mut Vec<u8>, answer: Answer) {
@@ -244,12 +249,6 @@
 pub async fn turn_away(context: Rc<Context>, mut stream: TcpStream) {
     let mut out = Vec::new();
     pg::error(&mut out, true, "53300", "too many connections", None);
-    let farewell = async {
-        stream.write_all(&out).await?;
-        stream.shutdown().await?;
-        let mut scrap = [0; 1024];
-        while stream.read(&mut scrap).await? > 0 {}
-        std::io::Result::Ok(())
-    };
-    let _ = timeout(context.limits.startup, farewell).await;
+    let _ = timeout(context.limits.accepting, stream.write_all(&out)).await;
+    part(stream, context.limits.startup).await;
 }
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -188,6 +188,9 @@
         let Ok(offering) = self.decoded.offering(&order.comment.offering) else {
             return refuse(Answer::Wrong("unknown offering"));
         };
+        if self.groups.is_empty() {
+            return refuse(Answer::Denied { cool_down: 0 });
+        }
         if !self.groups.contains(&order.comment.group) {
             return refuse(Answer::Wrong("no member of this cluster was ever listed"));
         }
--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -19,7 +19,8 @@
     pub statement: usize,
     /// One message of a member: a whole value.
     pub answer: usize,
-    /// One line of the member list.
+    /// The head of discovery's answer, and one line of the member list.
+    pub list_head: usize,
     pub list_line: usize,
     /// What a client may send ahead while its task is on the way.
     pub ahead: usize,
@@ -35,6 +36,8 @@
     pub message: Duration,
     /// How long a client may take to accept an answer.
     pub accepting: Duration,
+    /// How long the other side's end is waited for once this side has ended.
+    pub parting: Duration,
     /// From the attempt to connect to a member until it is ready for a statement.
     pub connect: Duration,
     pub probe: Duration,
@@ -52,20 +55,26 @@
 
 impl Limits {
     /// Shares out what the platform allows.
-    pub fn new(sockets: usize, decoded: &Decoded) -> Limits {
+    pub fn new(sockets: usize, memory_mb: usize, decoded: &Decoded) -> Limits {
+        let statement = 2 * 64 * 1024 + 4 * 1024;
+        let answer = 2 * 64 * 1024 + 4 * 1024;
         // Beside the shares: standard streams, signals, event queues, listener, discovery, and those that
         // are being opened while others close.
         let turned_away = (sockets / 32).clamp(4, 64);
         let shared = sockets.saturating_sub(turned_away + 24).max(8);
-        let clients = shared * 3 / 5;
-        let members = shared - clients;
+        // Were every client's connection to hold a statement and an answer of full size, and every member's
+        // an answer, that still fits; the last tenth is the program's own.
+        let memory = memory_mb * 1024 * 1024;
+        let clients = (shared * 3 / 5).min(memory * 6 / 10 / (statement + answer)).max(4);
+        let members = (shared - clients).min(memory * 3 / 10 / answer).max(4);
         Limits {
             clients,
             turned_away,
             members,
             tasks: decoded.max_open.max(1),
-            statement: 2 * 64 * 1024 + 8 * 1024,
-            answer: 2 * 64 * 1024 + 8 * 1024,
+            statement,
+            answer,
+            list_head: 16 * 1024,
             list_line: 4 * 1024 * 1024,
             ahead: 8 * 1024,
             calls: 2 * (clients + members),
@@ -76,6 +85,7 @@
             startup: Duration::from_secs(5),
             message: Duration::from_secs(10),
             accepting: Duration::from_secs(5),
+            parting: Duration::from_millis(300),
             connect: duration(decoded.connect_timeout),
             probe: duration(decoded.connect_timeout),
             idle: duration(decoded.idle * 4 / 5),
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -74,11 +74,11 @@
 }
 
 fn describe(start: &Start) {
-    let limits = Limits::new(start.sockets, &start.decoded);
+    let limits = &start.limits;
     println!("driver {} listens on {}, discovery at {}", start.name, start.listen, start.discovery);
     let known = start.known.as_ref().map_or(0, |known| known.members.len());
     println!("{known} members known, {} offerings", start.decoded.terms.offerings.len());
-    println!("{} descriptors: {} for clients, {} for members", start.sockets, limits.clients, limits.members);
+    println!("connections: {} from clients, {} to members", limits.clients, limits.members);
 }
 
 fn logger(limits: &Limits) -> (Logger, slog_async::AsyncGuard) {
@@ -102,8 +102,7 @@
 
 /// Starts the actors and stays until the listener has served its last client.
 async fn run(start: Start) -> Result<(), String> {
-    let Start { name, listen, discovery, seed, sockets, known, decoded } = start;
-    let limits = Limits::new(sockets, &decoded);
+    let Start { name, listen, discovery, seed, limits, known, decoded } = start;
     let stop_window = limits.stop_window;
     let (log, _guard) = logger(&limits);
     let mut terminate = signal(SignalKind::terminate()).map_err(|error| format!("signals: {error}"))?;
--- a/crates/driver/src/start.rs
+++ b/crates/driver/src/start.rs
@@ -5,9 +5,11 @@
 use serde_json::value::RawValue;
 
 use crate::catalog::Catalog;
+use crate::limits::Limits;
 
 #[derive(Deserialize)]
 struct Allowed {
+    memory_mb: usize,
     sockets: usize,
 }
 
@@ -28,7 +30,7 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub seed: u64,
-    pub sockets: usize,
+    pub limits: Limits,
     pub known: Option<Catalog>,
     pub decoded: Decoded,
 }
@@ -48,18 +50,23 @@
         let form: Form = serde_json::from_str(text).map_err(|error| error.to_string())?;
         let told = |variable: &str, field: String| env(variable).unwrap_or(field);
         let seed = u64::from_str_radix(&form.seed, 16);
-        let sockets = form.limits.sockets;
+        let Allowed { memory_mb, sockets } = form.limits;
         if sockets < 64 {
             return Err(format!("limits.sockets: {sockets} is too few, 64 are needed"));
         }
+        if memory_mb < 16 {
+            return Err(format!("limits.memory_mb: {memory_mb} is too little, 16 are needed"));
+        }
+        let decoded =
+            Decoded::parse(form.settings.get()).map_err(|trouble| format!("settings: {trouble}"))?;
         Ok(Start {
             name: told("GW_NAME", form.name),
             listen: address("listen", &told("GW_LISTEN", form.listen))?,
             discovery: address("discovery", &told("GW_DISCOVERY", form.discovery))?,
             seed: seed.map_err(|_| format!("seed: {:?} is no hexadecimal number", form.seed))?,
-            sockets,
+            limits: Limits::new(sockets, memory_mb, &decoded),
             known: form.known,
-            decoded: Decoded::parse(form.settings.get()).map_err(|trouble| format!("settings: {trouble}"))?,
+            decoded,
         })
     }
 }
--- a/crates/driver/tests/sockets.rs
+++ b/crates/driver/tests/sockets.rs
@@ -36,16 +36,25 @@
 
 impl Member {
     fn start(act: impl Fn(&str, &mut TcpStream) + Send + Sync + 'static) -> Member {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Member::at(TcpListener::bind("127.0.0.1:0").unwrap(), |_, _| true, act)
+    }
+
+    /// One that gives up a connection when `bears` does not bear what has come on it: first an opening, then
+    /// queries, whole or not.
+    fn at(
+        listener: TcpListener,
+        bears: impl Fn(&[u8], bool) -> bool + Send + Sync + 'static,
+        act: impl Fn(&str, &mut TcpStream) + Send + Sync + 'static,
+    ) -> Member {
         let address = listener.local_addr().unwrap();
         let (seen, connections) = (Arc::<Mutex<Vec<String>>>::default(), Arc::<AtomicUsize>::default());
         let member = Member { address, seen: seen.clone(), connections: connections.clone() };
-        let act: Arc<Act> = Arc::new(act);
+        let (bears, act) = (Arc::new(bears), Arc::new(act));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 connections.fetch_add(1, Ordering::SeqCst);
-                let (act, seen) = (act.clone(), seen.clone());
-                thread::spawn(move || serve_member(stream, &seen, &*act));
+                let (bears, act, seen) = (bears.clone(), act.clone(), seen.clone());
+                thread::spawn(move || serve_member(stream, &seen, &*bears, &*act));
             }
         });
         member
@@ -57,12 +66,20 @@
     }
 }
 
-fn serve_member(mut stream: TcpStream, seen: &Mutex<Vec<String>>, act: &Act) {
+fn serve_member(
+    mut stream: TcpStream,
+    seen: &Mutex<Vec<String>>,
+    bears: &dyn Fn(&[u8], bool) -> bool,
+    act: &Act,
+) {
     let mut buffer = Buffer::default();
     let mut welcomed = false;
-    let mut piece = [0; 4096];
+    let mut piece = [0; 1024];
     while let Ok(count @ 1..) = stream.read(&mut piece) {
         buffer.tail().extend_from_slice(&piece[..count]);
+        if !bears(buffer.held(), welcomed) {
+            return;
+        }
         if !welcomed {
             let Some((_, length)) = pg::opening(buffer.held()).unwrap() else { continue };
             buffer.consume(length);
@@ -508,39 +525,82 @@
 
 #[test]
 fn a_launch_cut_before_its_last_byte_never_ran_and_goes_again() {
-    // Too large to fit the way there, the statement is never read whole on the first connection.
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let whole = Arc::new(AtomicUsize::new(0));
-    let counted = whole.clone();
-    let member = Member { address, seen: Arc::default(), connections: Arc::default() };
-    thread::spawn(move || {
-        let mut cut = false;
-        for mut stream in listener.incoming().flatten() {
-            let (mut piece, mut buffer) = ([0; 1024], Buffer::default());
-            let seen = Mutex::default();
-            if cut {
-                let counted = counted.clone();
-                thread::spawn(move || {
-                    serve_member(stream, &seen, &move |text, stream| {
-                        counted.fetch_add(usize::from(text.starts_with("/*")), Ordering::SeqCst);
-                        honour(text, "writer", stream);
-                    });
-                });
-                continue;
-            }
-            // A refused startup: nothing of the statement can have been written.
-            while pg::opening(buffer.held()).unwrap().is_none() {
-                let count = stream.read(&mut piece).unwrap();
-                buffer.tail().extend_from_slice(&piece[..count]);
-            }
-            cut = true;
-        }
-    });
+    // A narrow way: with small segments the statement cannot be handed to the system whole.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.set_tcp_mss(536).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(64).unwrap();
+    let cuts = Arc::new(AtomicUsize::new(0));
+    let counted = cuts.clone();
+    // The first two times that a task's beginning comes, the connection is cut.
+    let bears = move |bytes: &[u8], welcomed: bool| {
+        !welcomed || !bytes[5..].starts_with(b"/*") || counted.fetch_add(1, Ordering::SeqCst) >= 2
+    };
+    let member = Member::at(socket.into(), bears, |text, stream| honour(text, "writer", stream));
     let driver = Driver::before(&[("a", &member)]);
     let mut client = Client::connect(driver.address);
-    assert!(honoured(&client.ask(&order(15000))));
-    assert_eq!(whole.load(Ordering::SeqCst), 1);
+    let large = order(15000).replace("9f", &"9f".repeat(60_000));
+    assert!(honoured(&client.ask(&large)));
+    assert!(cuts.load(Ordering::SeqCst) > 2);
+    assert_eq!(member.tasks().len(), 1);
+}
+
+#[test]
+fn a_drain_told_while_a_connection_opens_keeps_the_launch_back() {
+    let (asked, hold) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(true)));
+    let (seen_asked, seen_hold) = (asked.clone(), hold.clone());
+    // The first member admits nobody until the list has told of its drain.
+    let bears = move |_: &[u8], welcomed: bool| {
+        seen_asked.store(true, Ordering::SeqCst);
+        until("the drain", || welcomed || !seen_hold.load(Ordering::SeqCst));
+        true
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let drained = Member::at(listener, bears, |text, stream| honour(text, "writer", stream));
+    let primary = sound("writer");
+    let discovery = Discovery::default();
+    let driver = Driver::start(&discovery, 256, &list(1, true, &[("a", &drained, "in_service")]));
+    let mut client = Client::connect(driver.address);
+    client.send(&look(15000));
+    until("a connection", || asked.load(Ordering::SeqCst));
+    discovery.say(list(2, false, &[("a", &drained, "terminating"), ("b", &primary, "in_service")]));
+    until("the list", || driver.logged("revision: 2"));
+    hold.store(false, Ordering::SeqCst);
+    assert!(honoured(&client.answer().unwrap()));
+    assert_eq!((drained.tasks().len(), primary.tasks().len()), (0, 1));
+}
+
+#[test]
+fn values_of_full_size_on_every_connection_fit_into_the_memory() {
+    let member = Member::start(|text, stream| {
+        let mut out = Vec::new();
+        pg::single_row(
+            &mut out,
+            "val",
+            &vec![7; if text.starts_with("/*") { 65_536 } else { 0 }],
+            "SELECT 1",
+        );
+        pg::parameter_status(&mut out, "server_role", "writer");
+        pg::ready(&mut out);
+        let _ = stream.write_all(&out);
+    });
+    let discovery = Discovery::default();
+    let driver = Driver::start(&discovery, 256, &list(1, true, &[("a", &member, "in_service")]));
+    let large = order(15000).replace("9f", &"9f".repeat(65_536));
+    let mut clients: Vec<Client> = (0..100).map(|_| Client::connect(driver.address)).collect();
+    for _ in 0..3 {
+        clients.iter_mut().for_each(|client| client.send(&large));
+        for client in &mut clients {
+            let said = client.answer().unwrap();
+            assert!(said.value.is_some_and(|value| value.len() == 65_536) || said.code == "53300");
+        }
+    }
+    let status = std::fs::read_to_string(format!("/proc/{}/status", driver.child.id())).unwrap();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    let kilobytes: u64 = peak.trim().trim_end_matches(" kB").parse().unwrap();
+    println!("at its highest {kilobytes} kB");
+    assert!(kilobytes < 64 * 1024, "{kilobytes}");
 }
 
 #[test]
--- a/crates/wire/src/buffer.rs
+++ b/crates/wire/src/buffer.rs
@@ -22,7 +22,8 @@
     pub fn tail(&mut self) -> &mut Vec<u8> {
         self.compact();
         if self.data.capacity() - self.data.len() < SMALL / 4 {
-            self.data.reserve(self.data.len().max(SMALL));
+            // By half: a statement of full size is not to take twice its room.
+            self.data.reserve_exact((self.data.len() / 2).max(SMALL));
         }
         &mut self.data
     }
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -2,8 +2,6 @@
 
 use crate::Malformed;
 
-const MAX_HEAD: usize = 16 * 1024;
-
 /// How long an answer's body is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Body {
@@ -25,9 +23,9 @@
 }
 
 /// The head of an answer at the front of `bytes`, or `None` while it is not whole.
-pub fn head(bytes: &[u8]) -> Result<Option<Head>, Malformed> {
+pub fn head(bytes: &[u8], max: usize) -> Result<Option<Head>, Malformed> {
     let Some(end) = memchr::memmem::find(bytes, b"\r\n\r\n") else {
-        return if bytes.len() > MAX_HEAD { Err(Malformed("head too long")) } else { Ok(None) };
+        return if bytes.len() > max { Err(Malformed("head too long")) } else { Ok(None) };
     };
     let text = std::str::from_utf8(&bytes[..end]).map_err(|_| Malformed("head is not text"))?;
     let mut lines = text.split("\r\n");
--- a/crates/wire/tests/parsers.rs
+++ b/crates/wire/tests/parsers.rs
@@ -175,13 +175,13 @@
     let head =
         b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\ntransfer-encoding: Chunked\r\n\r\n4\r\n";
     for end in 0..head.len() {
-        let read = http::head(&head[..end]).unwrap();
+        let read = http::head(&head[..end], 200).unwrap();
         assert_eq!(read.is_some(), end >= head.len() - 3, "{end}");
     }
-    let read = http::head(head).unwrap().unwrap();
+    let read = http::head(head, 200).unwrap().unwrap();
     assert_eq!((read.status, read.body, read.length), (200, Body::Chunked, head.len() - 3));
-    assert!(http::head(b"SMTP ready\r\n\r\n").is_err());
-    assert!(http::head(&[b'a'; 20_000]).is_err());
+    assert!(http::head(b"SMTP ready\r\n\r\n", 200).is_err());
+    assert!(http::head(&[b'a'; 201], 200).is_err());
 }
 
 #[test]
@@ -192,7 +192,7 @@
         let _ = pg::refusal(&bytes);
         let _ = pg::parameter(&bytes);
         let _ = pg::single_value(&bytes);
-        let _ = http::head(&bytes);
+        let _ = http::head(&bytes, MAX);
         let _ = Comment::parse(&bytes);
         let _ = (quoted(&bytes), is_empty(&bytes));
         let _ = absorb(&bytes, &cuts);
@@ -217,7 +217,7 @@
         };
         let _ = absorb(&spoil(&answer), &cuts);
         let spoilt = spoil(&chunked);
-        if let Ok(Some(head)) = http::head(&spoilt) {
+        if let Ok(Some(head)) = http::head(&spoilt, MAX) {
             let _ = lines(&spoilt[head.length..], &cuts, head.body);
         }
         let spoilt = spoil(&comment);
