What was never launched and pays little when late is given up at half of its time

Ruled out: the driver (first launches within 0.13 ms, no client sent again, no connection refused); at fault was useful_until in decide.rs, which held bounded reads of a group without a primary until 85% of launches would come too late. The driver reads listed roles where the list tells them, and asks silent clients' machines.

--- a/crates/driver/src/catalog.rs
+++ b/crates/driver/src/catalog.rs
@@ -24,6 +24,9 @@
     pub size: f64,
     #[serde(default)]
     pub up_since_ms: f64,
+    /// Where the list tells roles.
+    #[serde(default)]
+    access: Option<String>,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
@@ -35,6 +38,10 @@
 }
 
 impl Entry {
+    pub fn is_primary(&self) -> bool {
+        self.access.as_deref() == Some("writer")
+    }
+
     pub fn standing(&self) -> Standing {
         match self.phase {
             Phase::InService => Standing::Ready,
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -363,7 +363,7 @@
             standing,
             since: self.peers[member].since,
             size: self.decoded.size(entry.size),
-            primary: false,
+            primary: entry.is_primary(),
         })
     }
 
--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -30,6 +30,8 @@
     pub lists: usize,
     pub log_lines: usize,
     pub backlog: i32,
+    /// Silence of a client's machine after which it is asked whether it is there.
+    pub keepalive: Duration,
     /// From a client's connection to its whole startup message.
     pub startup: Duration,
     /// From the first byte of a client's message to its last.
@@ -82,6 +84,7 @@
             lists: 16,
             log_lines: 1024,
             backlog: 1024,
+            keepalive: Duration::from_secs(30),
             startup: Duration::from_secs(5),
             message: Duration::from_secs(10),
             accepting: Duration::from_secs(5),
--- a/crates/driver/src/listener.rs
+++ b/crates/driver/src/listener.rs
@@ -6,7 +6,7 @@
 
 use aldermill_wire::Buffer;
 use slog::{info, warn};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -34,6 +34,7 @@
 /// Serves until the driver is to stop and the last client has its answer.
 pub async fn run(context: Rc<Context>, listener: TcpListener) {
     let limits = context.limits.clone();
+    let keepalive = TcpKeepalive::new().with_time(limits.keepalive).with_interval(limits.keepalive / 3);
     let mut stopping = context.stopping.clone();
     let mut guests: HashMap<ClientId, Guest> = HashMap::new();
     let mut clients = JoinSet::new();
@@ -70,6 +71,8 @@
                     }
                 };
                 let _ = stream.set_nodelay(true);
+                // Ends connections whose other side is gone without a word.
+                let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
                 if guests.len() >= limits.clients {
                     if !std::mem::replace(&mut full, true) {
                         warn!(context.log, "client share of descriptors used up, idle ones are closed, \
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -341,13 +341,17 @@
         self.terms.drivers as f64 > 1.5 * START
     }
 
-    /// Until when a launch of the task would most likely pay, and until when an answer pays at all.
+    /// Until when a launch of the task would most likely pay, and until when an answer pays at all. Protects a
+    /// client from a long wait for nothing: what was never launched and pays little when late is not held beyond
+    /// half of its time. Should also cover groups that have lost all members. Harms what finds room just after.
     fn useful_until(&self, now: Micros, errand: &Errand) -> (Micros, Micros) {
         let end = errand.arrived + errand.task.ttl;
-        let late_pays = self.terms.offerings[errand.task.offering].late_share > 0.0;
-        let useful = if late_pays { end } else { end.min(errand.quoted_by) };
+        let late_share = self.terms.offerings[errand.task.offering].late_share;
+        let useful = if late_share > 0.0 { end } else { end.min(errand.quoted_by) };
         let share = if now == errand.arrived { 0.5 } else { 0.85 };
-        (useful - self.took[errand.task.offering].quantile(share).unwrap_or(0) - BEAT, useful)
+        let hopeless = useful - self.took[errand.task.offering].quantile(share).unwrap_or(0) - BEAT;
+        let held = errand.launches == 0 && late_share < 0.5;
+        (if held { hopeless.min(errand.arrived + errand.task.ttl / 2) } else { hopeless }, useful)
     }
 
     /// Protects against reports too late to prove anything fresh: a replica's 'miss' tells its position as of
--- a/crates/routing/tests/router/cases.rs
+++ b/crates/routing/tests/router/cases.rs
@@ -346,3 +346,16 @@
     assert!(target(&world, hurried).is_some());
     assert!(world.denied.is_empty());
 }
+
+#[test]
+fn what_was_never_launched_and_pays_little_when_late_is_denied_by_half_of_its_time() {
+    let mut world = heard(terms());
+    (0..4).for_each(|id| world.relist(id, Standing::Gone, None));
+    let (read, write) = (world.take(LOOSE, 1_600 * MS), world.take(WRITE, 1_600 * MS));
+    world.pass(700 * MS);
+    assert!(world.denied.is_empty());
+    world.pass(140 * MS);
+    assert_eq!(world.denied, [read]);
+    world.pass(600 * MS);
+    assert_eq!(world.denied, [read, write]);
+}
