A probe that finds no connection in time is unanswered, not refused

Ruled out: the way through the driver (0.1 ms), stale pooled connections (a trace showed all members heard again within 0.3 s of the cut's end). After it, few launches went to members that answered probes: connect in member.rs told a probe's time limit as 'could not connect', which the module takes for a dead process, so that every member beyond the cut got a cold one's part for 16 s.

--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -178,6 +178,10 @@
                     let verdict = converse(&mut connection, &query, until, max, &mut exchange).await;
                     (verdict, exchange.is_ready().then_some(connection))
                 }
+                // For a task that connection never came up; a probe was not answered, and no more is known.
+                Err(Verdict::TimedOut) if matches!(purpose, Purpose::Task { .. }) => {
+                    (Verdict::Unconnected, None)
+                }
                 Err(verdict) => (verdict, None),
             };
             Done { purpose, verdict, exchange, connection, era }
@@ -253,7 +257,7 @@
         Err(_) => {
             let _ = context.desk.send(Call::Crowded(id)).await;
             let room = timeout_at(until, context.member_room.clone().acquire_owned()).await;
-            room.ok().and_then(Result::ok).ok_or(Verdict::Unconnected)?
+            room.ok().and_then(Result::ok).ok_or(Verdict::TimedOut)?
         }
     };
     let opening = async {
@@ -287,7 +291,10 @@
             }
         }
     };
-    timeout_at(until, opening).await.ok().flatten().unwrap_or(Err(Verdict::Unconnected))
+    match timeout_at(until, opening).await {
+        Ok(opened) => opened.unwrap_or(Err(Verdict::Unconnected)),
+        Err(_) => Err(Verdict::TimedOut),
+    }
 }
 
 /// Sends the query and takes in the answer, as far as it comes before the time limit.
--- a/crates/driver/tests/sockets.rs
+++ b/crates/driver/tests/sockets.rs
@@ -244,7 +244,11 @@
 
 impl Driver {
     fn start(discovery: &Discovery, sockets: usize, known: &str) -> Driver {
-        let (mut command, path) = aldermill(&["serve"], &config(discovery.start(), sockets, known));
+        Driver::of(&config(discovery.start(), sockets, known))
+    }
+
+    fn of(config: &str) -> Driver {
+        let (mut command, path) = aldermill(&["serve"], config);
         command.env("GW_LISTEN", "127.0.0.1:0").stderr(Stdio::piped());
         let mut child = command.spawn().unwrap();
         let log = Arc::<Mutex<Vec<String>>>::default();
@@ -474,6 +478,24 @@
     assert_eq!(primary.tasks().len(), 1);
 }
 
+#[test]
+fn a_listed_primary_is_tried_first_where_the_list_tells_roles() {
+    let (replica, primary) = (sound("reader"), sound("writer"));
+    let known = list(1, true, &[("a", &replica, "in_service"), ("b", &primary, "in_service")]);
+    let known = known.replacen("\"cell\"", "\"access\":\"reader\",\"cell\"", 1);
+    let last = known.rfind("\"cell\"").unwrap();
+    let known = format!("{}\"access\":\"writer\",{}", &known[..last], &known[last..]);
+    let config = config(Discovery::default().start(), 256, &known);
+    let driver = Driver::of(
+        &config
+            .replace("\"probes\":true", "\"probes\":false")
+            .replace("\"roleListed\":\"off\"", "\"roleListed\":\"delayed\""),
+    );
+    let mut client = Client::connect(driver.address);
+    assert!(honoured(&client.ask(&order(15000))));
+    assert_eq!((replica.tasks().len(), primary.tasks().len()), (0, 1));
+}
+
 #[test]
 fn what_finds_no_room_in_time_is_denied_with_a_cool_down() {
     let member = Member::start(|text, stream| match text {
@@ -617,6 +639,19 @@
     assert_eq!(lines, 1, "once, not once a task");
 }
 
+#[test]
+fn a_probe_that_finds_no_connection_in_time_is_no_sign_of_a_dead_process() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let refuses = || loop {
+        thread::sleep(LONG);
+    };
+    let silent = Member::at(listener, move |_, _| refuses(), |_, _| {});
+    let driver = Driver::before(&[("a", &silent)]);
+    until("a second probe", || silent.connections.load(Ordering::SeqCst) >= 2);
+    thread::sleep(Duration::from_millis(200));
+    assert!(!driver.logged("symptom: Unconnected"));
+}
+
 #[test]
 fn a_client_that_leaves_costs_nothing_but_its_own_task() {
     let member = Member::start(|text, stream| {
