--- a/crates/driver/tests/sockets.rs
+++ b/crates/driver/tests/sockets.rs
@@ -248,8 +248,12 @@
     }
 
     fn of(config: &str) -> Driver {
+        Driver::at("127.0.0.1:0".parse().unwrap(), config)
+    }
+
+    fn at(listen: SocketAddr, config: &str) -> Driver {
         let (mut command, path) = aldermill(&["serve"], config);
-        command.env("GW_LISTEN", "127.0.0.1:0").stderr(Stdio::piped());
+        command.env("GW_LISTEN", listen.to_string()).stderr(Stdio::piped());
         let mut child = command.spawn().unwrap();
         let log = Arc::<Mutex<Vec<String>>>::default();
         let (lines, stderr) = (log.clone(), BufReader::new(child.stderr.take().unwrap()));
@@ -746,6 +750,21 @@
     assert!(driver.logged("stopped"));
 }
 
+#[test]
+fn killed_outright_it_starts_again_under_its_address() {
+    let member = sound("writer");
+    let discovery = Discovery::default();
+    let config = config(discovery.start(), 256, &list(1, true, &[("a", &member, "in_service")]));
+    let mut driver = Driver::of(&config);
+    let mut clients: Vec<Client> = (0..5).map(|_| Client::connect(driver.address)).collect();
+    assert!(clients.iter_mut().all(|client| honoured(&client.ask(&order(15000)))));
+    driver.child.kill().unwrap();
+    driver.child.wait().unwrap();
+    let again = Driver::at(driver.address, &config);
+    assert!(clients.iter_mut().all(Client::ended));
+    assert!(honoured(&Client::connect(again.address).ask(&order(15000))));
+}
+
 #[test]
 fn clients_over_their_share_are_told_and_idle_ones_make_room() {
     let member = Member::start(|text, stream| {
