--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -24,6 +24,8 @@
 enum End {
     /// The client left, or may be left in peace.
     Quiet,
+    /// Its place is needed; nothing was sent to it lately that could be lost.
+    Yielded,
     /// It sent what the protocol does not allow.
     Malformed(Malformed),
 }
@@ -58,6 +60,9 @@
             Ok(()) => self.serve().await,
             Err(end) => Err(end),
         };
+        if let Err(End::Yielded) = end {
+            return;
+        }
         if let Err(End::Malformed(bad)) = end {
             slog::debug!(self.context.log, "client's bytes end its connection"; "why" => bad.0);
             let mut out = Vec::new();
@@ -204,7 +209,7 @@
                 biased;
                 read = self.stream.read_buf(self.buffer.tail()) => break read,
                 mail = self.mailbox.recv() => if matches!(mail, Some(Mail::Yield) | None) {
-                    return Err(End::Quiet);
+                    return Err(End::Yielded);
                 },
                 () = &mut stopped => return Err(End::Quiet),
             }
--- a/crates/driver/src/clock.rs
+++ b/crates/driver/src/clock.rs
@@ -31,7 +31,7 @@
     pub fn convert(&self, unix: Micros) -> Micros {
         // In this order a pause between the two makes a position older, never newer than it is.
         let now = self.now();
-        unix - (unix_now() - now)
+        unix.saturating_sub(unix_now() - now)
     }
 }
 
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::catalog::{Bulletin, Catalog, Entry};
+use crate::clock::{Clock, duration};
 use crate::context::Context;
 use crate::member::{Errand, Launch, Member};
 
@@ -201,14 +202,14 @@
         let now = clock.now();
         let keyed = matches!(self.decoded.terms.offerings[offering].need, Need::Write | Need::OwnWrites);
         let session = if keyed { quoted(&order.statement[order.comment.end..]) } else { None };
-        let written = order.comment.after.map(|after| clock.convert(after as Micros * 1000));
+        let written = order.comment.after.map(|after| clock.convert(millis(after)));
         let task = Task {
             offering,
             group: order.comment.group,
             // The wait has run since the statement arrived.
             ttl: Micros::from(order.comment.wait) * 1000 - (now - clock.at(order.arrived)),
             session,
-            last_write: written.map(|at| (now - at).max(1)),
+            last_write: written.map(|at| now.saturating_sub(at).max(1)),
             repeat: order.comment.repeat,
         };
         let (handle, todo) = self.router.take(now, task);
@@ -274,9 +275,8 @@
         let mut query = Vec::with_capacity(statement.len() + 16);
         let (before, after) = (&statement[..comment.wait_at.start], &statement[comment.wait_at.end..]);
         pg::query(&mut query, &[before, wait.as_bytes(), after]);
-        let until = sent + crate::clock::duration(limit);
-        if self.peers[member].errands.try_send(Errand::Launch(Launch { handle, query, sent, until })).is_err()
-        {
+        let launch = Launch { handle, query, sent, until: sent + duration(limit) };
+        if self.peers[member].errands.try_send(Errand::Launch(launch)).is_err() {
             warn!(self.context.log, "member's mailbox full, launch not sent"; "member" => member);
             let (verdict, told) = (Verdict::Moot, Told::default());
             let ended = Ended { handle, verdict, took: 0, told, rows: Vec::new() };
@@ -381,7 +381,11 @@
     }
 }
 
+fn millis(millis: u64) -> Micros {
+    Micros::try_from(millis).map_or(Micros::MAX, |millis| millis.saturating_mul(1000))
+}
+
 /// The list's word on a member's last start; zero is long ago.
-fn started(clock: crate::clock::Clock, up_since_ms: f64) -> Option<Micros> {
+fn started(clock: Clock, up_since_ms: f64) -> Option<Micros> {
     (up_since_ms > 0.0).then(|| clock.convert((up_since_ms * 1000.0) as Micros))
 }
--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use aldermill_routing::Micros;
 use aldermill_terms::Decoded;
 
 use crate::clock::duration;
@@ -9,6 +10,8 @@
 pub struct Limits {
     /// Client connections served at once.
     pub clients: usize,
+    /// Idle ones over that number that are being closed for new ones.
+    pub yielding: usize,
     /// Client connections over that number that are being told so.
     pub turned_away: usize,
     /// Connections to members, idle ones included.
@@ -43,6 +46,8 @@
     /// From the attempt to connect to a member until it is ready for a statement.
     pub connect: Duration,
     pub probe: Duration,
+    /// How far a member's position may be ahead of this machine's clock, which is to be the same.
+    pub ahead_of_clock: Micros,
     /// How long a connection to a member stays in the pool.
     pub idle: Duration,
     pub sweep: Duration,
@@ -60,10 +65,11 @@
     pub fn new(sockets: usize, memory_mb: usize, decoded: &Decoded) -> Limits {
         let statement = 2 * 64 * 1024 + 4 * 1024;
         let answer = 2 * 64 * 1024 + 4 * 1024;
-        // Beside the shares: standard streams, signals, event queues, listener, discovery, and those that
-        // are being opened while others close.
+        // Beside the shares: standard streams, signals, event queues, listener and discovery, and those
+        // client connections that are about to be closed.
+        let yielding = 12;
         let turned_away = (sockets / 32).clamp(4, 64);
-        let shared = sockets.saturating_sub(turned_away + 24).max(8);
+        let shared = sockets.saturating_sub(turned_away + yielding + 20).max(8);
         // Were every client's connection to hold a statement and an answer of full size, and every member's
         // an answer, that still fits; the last tenth is the program's own.
         let memory = memory_mb * 1024 * 1024;
@@ -71,6 +77,7 @@
         let members = (shared - clients).min(memory * 3 / 10 / answer).max(4);
         Limits {
             clients,
+            yielding,
             turned_away,
             members,
             tasks: decoded.max_open.max(1),
@@ -91,6 +98,7 @@
             parting: Duration::from_millis(300),
             connect: duration(decoded.connect_timeout),
             probe: duration(decoded.connect_timeout),
+            ahead_of_clock: 1_000_000,
             idle: duration(decoded.idle * 4 / 5),
             sweep: Duration::from_secs(1),
             list_silence: Duration::from_secs(5),
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -1,5 +1,6 @@
 //! The actor of one member: its pool of connections, and the launches and probes on them.
 
+use std::collections::HashMap;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -7,12 +8,12 @@
 use aldermill_routing::{Handle, MemberId, Micros, Role, Told, Verdict};
 use aldermill_terms::Decoded;
 use aldermill_wire::{Buffer, Exchange, pg};
-use slog::{info, warn};
+use slog::{error, info, warn};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, watch};
-use tokio::task::JoinSet;
+use tokio::task::{self, JoinSet};
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
 
 use crate::context::Context;
@@ -60,12 +61,11 @@
 }
 
 struct Done {
-    purpose: Purpose,
     verdict: Verdict,
     exchange: Exchange,
     /// Set where it may carry another query.
     connection: Option<Connection>,
-    /// Opened before the last renewal.
+    /// Renewals before it: a connection from before the last one is not kept.
     era: u64,
 }
 
@@ -77,6 +77,8 @@
     /// Whether the list's last word lets anything new be sent there.
     open: watch::Receiver<bool>,
     idle: Vec<Connection>,
+    under_way: JoinSet<Done>,
+    purposes: HashMap<task::Id, Purpose>,
     era: u64,
     /// It could not be reached or broke connections, and that was logged.
     lost: bool,
@@ -90,31 +92,49 @@
         address: SocketAddr,
         open: watch::Receiver<bool>,
     ) -> Member {
-        Member { context, id, name, address, open, idle: Vec::new(), era: 0, lost: false }
+        Member {
+            context,
+            id,
+            name,
+            address,
+            open,
+            idle: Vec::new(),
+            under_way: JoinSet::new(),
+            purposes: HashMap::new(),
+            era: 0,
+            lost: false,
+        }
     }
 
     pub async fn run(mut self, mut errands: mpsc::Receiver<Errand>) {
-        let mut under_way = JoinSet::new();
         let mut sweep = interval(self.context.limits.sweep);
         sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 biased;
-                Some(done) = under_way.join_next() => {
-                    if let Ok(done) = done && self.ended(done).await.is_err() {
+                Some(done) = self.under_way.join_next_with_id() => {
+                    let (visit, done) = match done {
+                        Ok(done) => done,
+                        // What became of it is not known, so it may have run.
+                        Err(error) => {
+                            error!(self.context.log, "a visit failed"; "member" => &self.name, "why" => %error);
+                            let (verdict, exchange) = (Verdict::Reset, Exchange::default());
+                            (error.id(), Done { verdict, exchange, connection: None, era: self.era })
+                        }
+                    };
+                    let Some(purpose) = self.purposes.remove(&visit) else { continue };
+                    if self.ended(purpose, done).await.is_err() {
                         return;
                     }
                 }
                 errand = errands.recv() => match errand {
                     Some(Errand::Launch(Launch { handle, query, sent, until })) => {
-                        let work = self.visit(Purpose::Task { handle, sent }, query, until);
-                        under_way.spawn_local(work);
+                        self.visit(Purpose::Task { handle, sent }, query, until);
                     }
                     Some(Errand::Probe { until }) => {
                         let mut query = Vec::new();
                         pg::query(&mut query, &[b"SHOW usage"]);
-                        let work = self.visit(Purpose::Probe, query, until);
-                        under_way.spawn_local(work);
+                        self.visit(Purpose::Probe, query, until);
                     }
                     Some(Errand::Renew(address)) => {
                         self.address = address;
@@ -154,17 +174,13 @@
         None
     }
 
-    /// One query on a connection of its own, to its end or its time limit.
-    fn visit(
-        &mut self,
-        purpose: Purpose,
-        query: Vec<u8>,
-        until: Instant,
-    ) -> impl Future<Output = Done> + use<> {
+    /// Starts one query on a connection of its own, to its end or its time limit.
+    fn visit(&mut self, purpose: Purpose, query: Vec<u8>, until: Instant) {
+        let for_task = matches!(purpose, Purpose::Task { .. });
         let pooled = self.pooled();
         let context = self.context.clone();
         let (id, address, open, era) = (self.id, self.address, self.open.clone(), self.era);
-        async move {
+        let visit = self.under_way.spawn_local(async move {
             let mut exchange = Exchange::default();
             let opened = match pooled {
                 Some(connection) => Ok(connection),
@@ -179,17 +195,16 @@
                     (verdict, exchange.is_ready().then_some(connection))
                 }
                 // For a task that connection never came up; a probe was not answered, and no more is known.
-                Err(Verdict::TimedOut) if matches!(purpose, Purpose::Task { .. }) => {
-                    (Verdict::Unconnected, None)
-                }
+                Err(Verdict::TimedOut) if for_task => (Verdict::Unconnected, None),
                 Err(verdict) => (verdict, None),
             };
-            Done { purpose, verdict, exchange, connection, era }
-        }
+            Done { verdict, exchange, connection, era }
+        });
+        self.purposes.insert(visit.id(), purpose);
     }
 
-    async fn ended(&mut self, done: Done) -> Result<(), mpsc::error::SendError<Call>> {
-        let Done { purpose, mut verdict, exchange, connection, era } = done;
+    async fn ended(&mut self, purpose: Purpose, done: Done) -> Result<(), mpsc::error::SendError<Call>> {
+        let Done { mut verdict, exchange, connection, era } = done;
         if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
             if verdict == Verdict::Reset && era == self.era {
                 // What the other connections lead to is most likely gone, too.
@@ -239,7 +254,9 @@
         }
         let position = exchange.position.as_ref().and_then(|position| position.parse::<Micros>().ok());
         let position = position.map(|millis| zero.saturating_add(millis.saturating_mul(1000)));
-        told.position = told.position.max(position);
+        // Nothing is applied before it was committed: a position ahead of the clock proves nothing.
+        let believable = self.context.clock.now() + self.context.limits.ahead_of_clock;
+        told.position = told.position.max(position).filter(|&position| position <= believable);
         told
     }
 }
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -224,7 +224,7 @@
                 .filter(|value: &f64| value.is_finite())
                 .ok_or_else(|| Trouble::new("load", &format!("bad number {name}:{value:?}")))?;
             if name == "x0" {
-                told.position = Some(zero + (value * 1e6).floor() as Micros);
+                told.position = Some(zero.saturating_add((value * 1e6).floor() as Micros));
             } else {
                 told.role = Some(if value >= 0.5 { Role::Primary } else { Role::Replica });
             }
