--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -65,6 +65,7 @@
     exchange: Exchange,
     /// Set where it may carry another query.
     connection: Option<Connection>,
+    began: Instant,
     /// Renewals before it: a connection from before the last one is not kept.
     era: u64,
 }
@@ -80,6 +81,8 @@
     under_way: JoinSet<Done>,
     purposes: HashMap<task::Id, Purpose>,
     era: u64,
+    /// When it last answered anything.
+    heard: Instant,
     /// It could not be reached or broke connections, and that was logged.
     lost: bool,
 }
@@ -102,6 +105,7 @@
             under_way: JoinSet::new(),
             purposes: HashMap::new(),
             era: 0,
+            heard: Instant::now(),
             lost: false,
         }
     }
@@ -119,7 +123,8 @@
                         Err(error) => {
                             error!(self.context.log, "a visit failed"; "member" => &self.name, "why" => %error);
                             let (verdict, exchange) = (Verdict::Reset, Exchange::default());
-                            (error.id(), Done { verdict, exchange, connection: None, era: self.era })
+                            let (began, era) = (Instant::now(), self.era);
+                            (error.id(), Done { verdict, exchange, connection: None, began, era })
                         }
                     };
                     let Some(purpose) = self.purposes.remove(&visit) else { continue };
@@ -177,7 +182,7 @@
     /// Starts one query on a connection of its own, to its end or its time limit.
     fn visit(&mut self, purpose: Purpose, query: Vec<u8>, until: Instant) {
         let for_task = matches!(purpose, Purpose::Task { .. });
-        let pooled = self.pooled();
+        let (began, pooled) = (Instant::now(), self.pooled());
         let context = self.context.clone();
         let (id, address, open, era) = (self.id, self.address, self.open.clone(), self.era);
         let visit = self.under_way.spawn_local(async move {
@@ -198,13 +203,20 @@
                 Err(Verdict::TimedOut) if for_task => (Verdict::Unconnected, None),
                 Err(verdict) => (verdict, None),
             };
-            Done { verdict, exchange, connection, era }
+            Done { verdict, exchange, connection, began, era }
         });
         self.purposes.insert(visit.id(), purpose);
     }
 
     async fn ended(&mut self, purpose: Purpose, done: Done) -> Result<(), mpsc::error::SendError<Call>> {
-        let Done { mut verdict, exchange, connection, era } = done;
+        let Done { mut verdict, exchange, connection, began, era } = done;
+        if exchange.is_over() {
+            self.heard = Instant::now();
+        } else if verdict == Verdict::TimedOut && self.heard < began {
+            // Not a word since it began: connections from before may lead nowhere, and stay silent for ever
+            // where a machine vanished or a link was cut. New ones tell at once.
+            self.idle.retain(|connection| connection.idle_since >= began);
+        }
         if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
             if verdict == Verdict::Reset && era == self.era {
                 // What the other connections lead to is most likely gone, too.
--- a/crates/driver/tests/sockets.rs
+++ b/crates/driver/tests/sockets.rs
@@ -658,6 +658,35 @@
     assert!(!driver.logged("symptom: Unconnected"));
 }
 
+#[test]
+fn one_silence_is_enough_to_give_up_old_connections() {
+    let (vanished, old) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
+    let (seen_vanished, seen_old) = (vanished.clone(), old.clone());
+    let member = Member::start(move |text, stream| {
+        let peer = stream.peer_addr().unwrap();
+        if !seen_vanished.load(Ordering::SeqCst) {
+            seen_old.lock().unwrap().push(peer);
+            thread::sleep(Duration::from_millis(100));
+        }
+        // Connections from before it vanished stay open and silent; new ones are answered.
+        if !seen_vanished.load(Ordering::SeqCst) || !seen_old.lock().unwrap().contains(&peer) {
+            honour(text, "writer", stream);
+        }
+    });
+    let driver = Driver::before(&[("a", &member)]);
+    let mut clients: Vec<Client> = (0..6).map(|_| Client::connect(driver.address)).collect();
+    clients.iter_mut().for_each(|client| client.send(&look(15000)));
+    assert!(clients.iter_mut().all(|client| honoured(&client.answer().unwrap())));
+    vanished.store(true, Ordering::SeqCst);
+    let mut silent = 0;
+    until("an answer over a new connection", || {
+        let honoured = honoured(&clients[0].ask(&order(1000)));
+        silent += usize::from(!honoured);
+        honoured
+    });
+    assert!(silent <= 2, "{silent}");
+}
+
 #[test]
 fn a_client_that_leaves_costs_nothing_but_its_own_task() {
     let member = Member::start(|text, stream| {
