SIGHUP moves discovery; spoilt answers are noticed at once; connections that never ask go first

A list counts as held once it was handed on, so that a watch broken off in between loses none. - pg.rs, exchange.rs, member.rs: inner lengths are compared as soon as they are there; an answer that begins is due in 0.3 s, 5 ms behind its last bytes; nothing of an answer without its end is told to the module; an unreadable parameter says nothing.

--- a/crates/driver/src/catalog.rs
+++ b/crates/driver/src/catalog.rs
@@ -1,5 +1,6 @@
 //! The member list in discovery's form, and the actor that follows it.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use aldermill_routing::Standing;
@@ -9,7 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::context::Context;
 
@@ -77,49 +78,59 @@
     /// Follows the list for ever; whatever goes wrong, the last list stays in force.
     pub async fn run(mut self) {
         let (least, most) = self.context.limits.list_retry;
+        let mut moves = self.context.discovery.clone();
         let mut wait = least;
         let mut silent = false;
+        let mut wanted = self.requests.is_none();
         loop {
             if let Some(requests) = &mut self.requests
+                && !std::mem::take(&mut wanted)
                 && requests.recv().await.is_none()
             {
                 return;
             }
+            let peer = *moves.borrow_and_update();
             let mut told = false;
-            let why = match self.follow(&mut told, &mut silent).await {
-                Ok(()) => return,
-                Err(why) => why,
+            let followed = tokio::select! {
+                followed = self.follow(peer, &mut told, &mut silent) => followed,
+                Ok(()) = moves.changed() => {
+                    info!(self.context.log, "discovery moved, asked there for what has changed";
+                        "from" => %peer, "revision" => self.revision);
+                    (wait, wanted) = (least, true);
+                    continue;
+                }
             };
+            let Err(why) = followed else { return };
             if told {
                 wait = least;
             }
             if !std::mem::replace(&mut silent, true) {
                 warn!(self.context.log, "list lost, the last one stays in force";
-                    "peer" => %self.context.discovery, "why" => why, "revision" => self.revision);
+                    "peer" => %peer, "why" => why, "revision" => self.revision);
             }
             if self.requests.is_some() {
                 if self.desk.send(Bulletin::Unavailable).await.is_err() {
                     return;
                 }
             } else {
-                sleep(wait).await;
-                wait = (wait * 2).min(most);
+                let moved = timeout(wait, moves.changed()).await.is_ok();
+                wait = if moved { least } else { (wait * 2).min(most) };
             }
         }
     }
 
     /// One watch, until it breaks; `Ok` when nobody wants the list any more.
-    async fn follow(&mut self, told: &mut bool, silent: &mut bool) -> Result<(), String> {
+    async fn follow(&mut self, peer: SocketAddr, told: &mut bool, silent: &mut bool) -> Result<(), String> {
         let context = self.context.clone();
         let limits = &context.limits;
-        let mut stream = timeout(limits.list_silence, TcpStream::connect(context.discovery))
+        let mut stream = timeout(limits.list_silence, TcpStream::connect(peer))
             .await
             .map_err(|_| "no connection".to_owned())?
             .map_err(|error| error.to_string())?;
         let index = self.revision.map_or(String::new(), |revision| format!("&index={revision}"));
         let mut request = Vec::new();
         let path = format!("/catalog/members?stream=1{index}");
-        http::get(&mut request, &context.discovery.to_string(), &path);
+        http::get(&mut request, &peer.to_string(), &path);
         stream.write_all(&request).await.map_err(|error| error.to_string())?;
 
         let mut buffer = Buffer::default();
@@ -150,7 +161,7 @@
                 buffer.consume(used);
                 let Some(line) = line else { break };
                 if std::mem::take(silent) {
-                    info!(context.log, "list back"; "peer" => %context.discovery);
+                    info!(context.log, "list back"; "peer" => %peer);
                 }
                 *told = true;
                 if !line.trim_ascii().is_empty() && !self.tell(&line).await? {
@@ -173,7 +184,10 @@
             self.revision = None;
             return Err("changes to another list than the one held".to_owned());
         }
-        self.revision = Some(catalog.revision);
-        Ok(self.desk.send(Bulletin::List(catalog)).await.is_ok())
+        // Counted as held once it is handed on: the watch may be broken off while it waits for that.
+        let revision = catalog.revision;
+        let taken = self.desk.send(Bulletin::List(catalog)).await.is_ok();
+        self.revision = Some(revision);
+        Ok(taken)
     }
 }
--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -8,16 +8,17 @@
 use aldermill_wire::{Buffer, Malformed, pg};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::context::Context;
 use crate::desk::{Answer, Call, ClientId, Mail, Order};
 
-/// What the listener sees of a client: since when nothing is under way.
+/// What the listener sees of a client: since when nothing is under way, and whether anything ever was.
 #[derive(Default)]
 pub struct Seat {
     pub idle_since: Cell<Option<Instant>>,
+    pub served: Cell<bool>,
 }
 
 /// Why a conversation ends.
@@ -50,12 +51,12 @@
     pub seat: Rc<Seat>,
     pub mailbox: mpsc::Receiver<Mail>,
     pub address: mpsc::Sender<Mail>,
-    /// It has had an answer, so that it may be given up while the driver stops.
-    pub served: bool,
+    pub connected: Instant,
 }
 
 impl Client {
     pub async fn run(mut self) {
+        self.seat.idle_since.set(Some(self.connected));
         let end = match self.greet().await {
             Ok(()) => self.serve().await,
             Err(end) => Err(end),
@@ -63,23 +64,28 @@
         if let Err(End::Yielded) = end {
             return;
         }
+        self.buffer = Buffer::default();
         if let Err(End::Malformed(bad)) = end {
             slog::debug!(self.context.log, "client's bytes end its connection"; "why" => bad.0);
             let mut out = Vec::new();
             pg::error(&mut out, true, "08P01", bad.0, None);
             let _ = self.send(&out).await;
         }
-        part(self.stream, self.context.limits.parting).await;
+        part(self.stream, self.context.limits.parting, self.context.limits.scrap).await;
     }
 
     /// The startup, and requests for encryption before it.
     async fn greet(&mut self) -> Result<(), End> {
-        let until = Instant::now() + self.context.limits.startup;
+        let until = self.connected + self.context.limits.startup;
         loop {
             match pg::opening(self.buffer.held())? {
                 None => {
-                    let read = self.stream.read_buf(self.buffer.tail());
-                    if timeout_at(until, read).await.map_err(|_| End::Quiet)?? == 0 {
+                    let read = tokio::select! {
+                        biased;
+                        read = timeout_at(until, self.stream.read_buf(self.buffer.tail())) => read,
+                        _ = self.mailbox.recv() => return Err(End::Yielded),
+                    };
+                    if read.map_err(|_| End::Quiet)?? == 0 {
                         return Err(End::Quiet);
                     }
                 }
@@ -102,11 +108,16 @@
         let mut out = Vec::new();
         // After a message of the extended protocol, all up to the next Sync is passed over.
         let mut passing_over = false;
-        // Since when a message is under way that is not whole.
+        // Since when a message is under way that is not whole, and the room reserved where it is large.
         let mut begun = None;
+        let mut large = None;
         loop {
             let max = self.context.limits.statement;
             let Some(message) = pg::message(self.buffer.held(), max)? else {
+                let claimed = pg::claimed(self.buffer.held());
+                if claimed > self.context.limits.small && large.is_none() {
+                    large = Some(self.reserve(claimed).await?);
+                }
                 self.more(&mut begun).await?;
                 continue;
             };
@@ -126,7 +137,7 @@
                     match Comment::parse(&statement) {
                         Ok(comment) => {
                             let answer = self.ask(arrived, statement, comment).await?;
-                            self.served = true;
+                            self.seat.served.set(true);
                             encode(&mut out, answer);
                         }
                         Err(bad) => pg::error(&mut out, false, "08P01", bad.0, None),
@@ -153,7 +164,23 @@
             }
             if !out.is_empty() {
                 self.send(&out).await?;
-                out.shrink_to(4096);
+                out.clear();
+                out.shrink_to(self.context.limits.small / 2);
+            }
+            large = None;
+        }
+    }
+
+    /// Room for a large message, which the client is denied where others have taken it all.
+    async fn reserve(&mut self, size: usize) -> Result<OwnedSemaphorePermit, End> {
+        let room = self.context.large_room.clone();
+        match room.try_acquire_many_owned(size.div_ceil(1024) as u32) {
+            Ok(permit) => Ok(permit),
+            Err(_) => {
+                let mut out = Vec::new();
+                pg::error(&mut out, true, "53300", "no room for a statement of this size", None);
+                self.send(&out).await?;
+                Err(End::Quiet)
             }
         }
     }
@@ -189,13 +216,19 @@
         if !self.buffer.is_empty() {
             let limits = &context.limits;
             let limit = if stopping.borrow().is_some() { limits.stop_message } else { limits.message };
-            let until = *begun.get_or_insert_with(Instant::now) + limit;
+            let mut until = *begun.get_or_insert_with(Instant::now) + limit;
+            if !self.seat.served.get() {
+                until = until.min(self.connected + limits.first);
+            }
             let read = self.stream.read_buf(self.buffer.tail());
             let count = timeout_at(until, read).await.map_err(|_| End::Quiet)??;
             return if count > 0 { Ok(()) } else { Err(End::Quiet) };
         }
-        self.seat.idle_since.set(Some(Instant::now()));
-        let served = self.served;
+        let served = self.seat.served.get();
+        let limits = &context.limits;
+        let (since, limit) =
+            if served { (Instant::now(), limits.client_idle) } else { (self.connected, limits.first) };
+        self.seat.idle_since.set(Some(since));
         let stopped = async {
             let window = stopping.wait_for(Option::is_some).await.map_or(None, |window| *window);
             if let Some(closes) = window.filter(|_| !served) {
@@ -212,6 +245,7 @@
                     return Err(End::Yielded);
                 },
                 () = &mut stopped => return Err(End::Quiet),
+                () = sleep_until(since + limit) => return Err(End::Quiet),
             }
         };
         self.seat.idle_since.set(None);
@@ -224,12 +258,20 @@
     }
 }
 
-/// Ends a connection so that what was sent last arrives: closed with bytes unread, it would be reset.
-async fn part(mut stream: TcpStream, limit: Duration) {
+/// Ends a connection so that what was sent last arrives: closed with bytes unread, it would be reset. Of a client
+/// that goes on sending no more than so many bytes are taken in.
+async fn part(mut stream: TcpStream, limit: Duration, mut scrap: usize) {
     let until_end = async {
         stream.shutdown().await?;
-        let mut scrap = [0; 1024];
-        while stream.read(&mut scrap).await? > 0 {}
+        let mut bytes = Vec::with_capacity(16 * 1024);
+        while scrap > 0 {
+            bytes.clear();
+            match stream.read_buf(&mut bytes).await? {
+                0 => return Ok(()),
+                count => scrap = scrap.saturating_sub(count),
+            }
+        }
+        sleep(limit).await;
         std::io::Result::Ok(())
     };
     let _ = timeout(limit, until_end).await;
@@ -255,5 +297,5 @@
     let mut out = Vec::new();
     pg::error(&mut out, true, "53300", "too many connections", None);
     let _ = timeout(context.limits.accepting, stream.write_all(&out)).await;
-    part(stream, context.limits.startup).await;
+    part(stream, context.limits.parting, context.limits.scrap).await;
 }
--- a/crates/driver/src/context.rs
+++ b/crates/driver/src/context.rs
@@ -14,12 +14,15 @@
     pub clock: Clock,
     pub limits: Limits,
     pub log: Logger,
-    pub discovery: SocketAddr,
+    /// Where discovery is, as the configuration last said.
+    pub discovery: watch::Receiver<SocketAddr>,
     pub desk: mpsc::Sender<Call>,
     /// There is a list to decide on.
     pub ready: watch::Receiver<bool>,
     /// Set once the driver is to stop: until when new connections are still taken.
     pub stopping: watch::Receiver<Option<Instant>>,
+    /// Room for clients' large messages, in KiB.
+    pub large_room: Arc<Semaphore>,
     /// The members' share of descriptors.
     pub member_room: Arc<Semaphore>,
 }
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -97,6 +97,8 @@
     member_ids: HashMap<String, MemberId>,
     groups: HashSet<u64>,
     open: HashMap<Handle, Open>,
+    /// The ids of the tasks under way.
+    open_ids: HashSet<String>,
     by_client: HashMap<ClientId, Handle>,
     /// What ended while a decision was being carried out.
     pending: VecDeque<Call>,
@@ -121,6 +123,7 @@
             member_ids: HashMap::new(),
             groups: HashSet::new(),
             open: HashMap::new(),
+            open_ids: HashSet::new(),
             by_client: HashMap::new(),
             pending: VecDeque::new(),
             wake_at: now,
@@ -195,6 +198,9 @@
         if !self.groups.contains(&order.comment.group) {
             return refuse(Answer::Wrong("no member of this cluster was ever listed"));
         }
+        if self.open_ids.contains(&order.comment.id) {
+            return refuse(Answer::Wrong("a task with this id is under way"));
+        }
         if self.open.len() >= self.context.limits.tasks {
             return refuse(Answer::Denied { cool_down: 0 });
         }
@@ -214,6 +220,7 @@
         };
         let (handle, todo) = self.router.take(now, task);
         self.by_client.insert(order.client, handle);
+        self.open_ids.insert(order.comment.id.clone());
         let client = Some((order.client, order.mailbox.clone()));
         self.open.insert(handle, Open { client, order: Rc::new(order) });
         self.carry_out(todo);
@@ -288,9 +295,11 @@
     fn release(&mut self, handle: Handle) {
         if !self.router.knows(handle)
             && let Some(open) = self.open.remove(&handle)
-            && let Some((client, _)) = open.client
         {
-            self.by_client.remove(&client);
+            self.open_ids.remove(&open.order.comment.id);
+            if let Some((client, _)) = open.client {
+                self.by_client.remove(&client);
+            }
         }
     }
 
--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -5,6 +5,9 @@
 
 use crate::clock::duration;
 
+/// A message of this size is nothing to be careful about.
+const SMALL: usize = 8 * 1024;
+
 /// All sizes, counts and times that bound the driver, filled once at its start.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -35,10 +38,18 @@
     pub backlog: i32,
     /// Silence of a client's machine after which it is asked whether it is there.
     pub keepalive: Duration,
-    /// From a client's connection to its whole startup message.
+    /// From a client's connection to its whole startup message, and to its first whole statement.
     pub startup: Duration,
+    pub first: Duration,
     /// From the first byte of a client's message to its last.
     pub message: Duration,
+    /// How long a client's connection may stand without a task.
+    pub client_idle: Duration,
+    /// What a message beyond this size needs is reserved, in KiB of so many.
+    pub small: usize,
+    pub large_room: usize,
+    /// What is still read of a client that is parted with, so that the error reaches it.
+    pub scrap: usize,
     /// How long a client may take to accept an answer.
     pub accepting: Duration,
     /// How long the other side's end is waited for once this side has ended.
@@ -46,6 +57,12 @@
     /// From the attempt to connect to a member until it is ready for a statement.
     pub connect: Duration,
     pub probe: Duration,
+    /// From the first byte of a member's answer to its last.
+    pub answering: Duration,
+    /// From the last byte of a value to the end of its answer.
+    pub closing: Duration,
+    /// How long a connection to a member has stood after an answer when nothing more can come of that.
+    pub rest: Duration,
     /// How far a member's position may be ahead of this machine's clock, which is to be the same.
     pub ahead_of_clock: Micros,
     /// How long a connection to a member stays in the pool.
@@ -70,10 +87,10 @@
         let yielding = 12;
         let turned_away = (sockets / 32).clamp(4, 64);
         let shared = sockets.saturating_sub(turned_away + yielding + 20).max(8);
-        // Were every client's connection to hold a statement and an answer of full size, and every member's
-        // an answer, that still fits; the last tenth is the program's own.
+        // Large statements share three tenths of the memory, and so do answers of full size on every member's
+        // connection; a connection with small messages takes less than its part of three tenths more.
         let memory = memory_mb * 1024 * 1024;
-        let clients = (shared * 3 / 5).min(memory * 6 / 10 / (statement + answer)).max(4);
+        let clients = (shared * 3 / 5).min(memory * 3 / 10 / (4 * SMALL)).max(4);
         let members = (shared - clients).min(memory * 3 / 10 / answer).max(4);
         Limits {
             clients,
@@ -92,12 +109,20 @@
             log_lines: 1024,
             backlog: 1024,
             keepalive: Duration::from_secs(30),
-            startup: Duration::from_secs(5),
+            startup: Duration::from_secs(2),
+            first: Duration::from_millis(2500),
             message: Duration::from_secs(10),
-            accepting: Duration::from_secs(5),
+            client_idle: Duration::from_secs(5),
+            small: SMALL,
+            large_room: memory * 3 / 10 / 1024,
+            scrap: 256 * 1024,
+            accepting: Duration::from_secs(2),
             parting: Duration::from_millis(300),
             connect: duration(decoded.connect_timeout),
             probe: duration(decoded.connect_timeout),
+            answering: Duration::from_millis(300),
+            closing: Duration::from_millis(5),
+            rest: Duration::from_millis(100),
             ahead_of_clock: 1_000_000,
             idle: duration(decoded.idle * 4 / 5),
             sweep: Duration::from_secs(1),
--- a/crates/driver/src/listener.rs
+++ b/crates/driver/src/listener.rs
@@ -38,6 +38,7 @@
     let mut closes_at: Option<Instant> = None;
     loop {
         tokio::select! {
+            biased;
             Some(left) = hall.clients.join_next_with_id() => hall.left(left),
             Some(_) = hall.turned_away.join_next() => {}
             Ok(window) = stopping.wait_for(Option::is_some), if closes_at.is_none() => {
@@ -46,7 +47,11 @@
             }
             () = sleep_until(closes_at.unwrap_or_else(Instant::now)), if closes_at.is_some() => break,
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => hall.receive(stream),
+                Ok((stream, _)) => {
+                    hall.receive(stream);
+                    // However many come at once, those already here are served in between.
+                    task::yield_now().await;
+                }
                 Err(error) => {
                     warn!(hall.context.log, "accepting failed"; "why" => %error);
                     sleep(hall.context.limits.sweep / 100).await;
@@ -96,7 +101,8 @@
         }
     }
 
-    /// At the clients' share, the connection that was idle longest is closed.
+    /// At the clients' share, a connection without a task is closed: one that never had any first, else the one
+    /// that was idle longest.
     fn makes_room(&mut self) -> bool {
         let limits = &self.context.limits;
         if !std::mem::replace(&mut self.full, true) {
@@ -107,7 +113,8 @@
             return false;
         }
         let idle = self.guests.values().filter(|guest| guest.seat.idle_since.get().is_some());
-        let Some(guest) = idle.min_by_key(|guest| guest.seat.idle_since.get()) else { return false };
+        let rank = |guest: &&Guest| (guest.seat.served.get(), guest.seat.idle_since.get());
+        let Some(guest) = idle.min_by_key(rank) else { return false };
         guest.seat.idle_since.set(None);
         guest.address.try_send(Mail::Yield).is_ok()
     }
@@ -127,7 +134,7 @@
             seat,
             mailbox,
             address,
-            served: false,
+            connected: Instant::now(),
         };
         let task = self.clients.spawn_local(client.run());
         self.guests.insert(task.id(), guest);
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod listener;
 mod member;
+mod reload;
 mod start;
 
 use std::process::ExitCode;
@@ -16,7 +17,7 @@
 
 use bpaf::Bpaf;
 use slog::{Drain, Logger, info, o};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::Instant;
@@ -26,6 +27,7 @@
 use crate::context::Context;
 use crate::desk::Desk;
 use crate::limits::Limits;
+use crate::reload::Reload;
 use crate::start::Start;
 
 /// A proxy before groups of databases, each a primary and its replicas
@@ -53,7 +55,7 @@
 
 fn main() -> ExitCode {
     let done = match command().run() {
-        Command::Serve { config } => read(&config).and_then(serve),
+        Command::Serve { config } => serve(config),
         Command::Check { config } => read(&config).map(|start| describe(&start)),
         Command::Version => {
             println!("aldermill {}", env!("CARGO_PKG_VERSION"));
@@ -92,21 +94,28 @@
     (Logger::root(drain.fuse(), o!()), guard)
 }
 
-fn serve(start: Start) -> Result<(), String> {
+fn serve(config: String) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| format!("runtime: {error}"))?;
-    runtime.block_on(LocalSet::new().run_until(run(start)))
+    runtime.block_on(LocalSet::new().run_until(async {
+        // Before anything else: from here on none of them ends the program by itself.
+        let heard = |kind| signal(kind).map_err(|error| format!("signals: {error}"));
+        let ends = [heard(SignalKind::terminate())?, heard(SignalKind::interrupt())?];
+        let hangup = heard(SignalKind::hangup())?;
+        run(read(&config)?, config, ends, hangup).await
+    }))
 }
 
 /// Starts the actors and stays until the listener has served its last client.
-async fn run(start: Start) -> Result<(), String> {
-    let Start { name, listen, discovery, seed, limits, known, decoded } = start;
+async fn run(start: Start, config: String, ends: [Signal; 2], hangup: Signal) -> Result<(), String> {
+    let Start { name, listen, discovery, seed, limits, known, decoded, fixed } = start;
     let stop_window = limits.stop_window;
     let (log, _guard) = logger(&limits);
-    let mut terminate = signal(SignalKind::terminate()).map_err(|error| format!("signals: {error}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| format!("signals: {error}"))?;
+    let [mut terminate, mut interrupt] = ends;
+    let (address, discovery) = watch::channel(discovery);
+    spawn_local(Reload { config, fixed, discovery: address, log: log.clone() }.run(hangup));
     let listener =
         listener::bind(listen, limits.backlog).map_err(|error| format!("listen: {listen}: {error}"))?;
 
@@ -114,6 +123,7 @@
     let (bulletin, bulletins) = mpsc::channel(limits.lists);
     let (ready, seen_ready) = watch::channel(false);
     let (stop, stopping) = watch::channel(None);
+    let large_room = Arc::new(Semaphore::new(limits.large_room));
     let member_room = Arc::new(Semaphore::new(limits.members));
     let on_request = decoded.terms.list_on_request;
     let (request, requests) = mpsc::channel(1);
@@ -125,6 +135,7 @@
         desk,
         ready: seen_ready,
         stopping,
+        large_room,
         member_room,
     });
     let address = listener.local_addr().unwrap_or(listen);
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -18,6 +18,7 @@
 
 use crate::context::Context;
 use crate::desk::{Call, Ended};
+use crate::limits::Limits;
 
 /// What the desk asks of a member's actor.
 pub enum Errand {
@@ -168,11 +169,14 @@
         self.idle.clear();
     }
 
-    /// The newest idle connection that still stands.
+    /// The newest idle connection that still stands and has rested, else the one that stood longest.
     fn pooled(&mut self) -> Option<Connection> {
-        let limit = self.context.limits.idle;
-        while let Some(connection) = self.idle.pop() {
-            if connection.idle_since.elapsed() < limit && connection.is_quiet() {
+        let limits = &self.context.limits;
+        while !self.idle.is_empty() {
+            let rested =
+                self.idle.iter().rposition(|connection| connection.idle_since.elapsed() >= limits.rest);
+            let connection = self.idle.remove(rested.unwrap_or(0));
+            if connection.idle_since.elapsed() < limits.idle && connection.is_quiet() {
                 return Some(connection);
             }
         }
@@ -187,7 +191,7 @@
         let (id, address, open, era) = (self.id, self.address, self.open.clone(), self.era);
         let visit = self.under_way.spawn_local(async move {
             let mut exchange = Exchange::default();
-            let opened = match pooled {
+            let opened = match settled(pooled, until, &context.limits).await {
                 Some(connection) => Ok(connection),
                 None => connect(&context, id, address, until).await,
             };
@@ -195,8 +199,8 @@
                 // A drain that was told since the decision forbids it.
                 Ok(connection) if !*open.borrow() => (Verdict::Moot, Some(connection)),
                 Ok(mut connection) => {
-                    let max = context.limits.answer;
-                    let verdict = converse(&mut connection, &query, until, max, &mut exchange).await;
+                    let limits = &context.limits;
+                    let verdict = converse(&mut connection, &query, until, limits, &mut exchange).await;
                     (verdict, exchange.is_ready().then_some(connection))
                 }
                 // For a task that connection never came up; a probe was not answered, and no more is known.
@@ -259,6 +263,9 @@
 
     /// What an answer says of the member; what cannot be read says nothing.
     fn told(&self, exchange: &Exchange, usage: Option<&str>) -> Told {
+        if !exchange.is_over() {
+            return Told::default();
+        }
         let zero = self.context.clock.convert(0);
         let pairs = usage.into_iter().flat_map(|usage| usage.split(','));
         let pairs = pairs.filter_map(|pair| pair.trim().split_once('='));
@@ -277,6 +284,46 @@
     }
 }
 
+/// The connection, once nothing more can come of its last answer: a second copy or noise behind an answer must
+/// never be read as the next one. Of one that has not rested an empty query is asked, whose answer must be the
+/// very next that comes; `None` where it is not.
+async fn settled(pooled: Option<Connection>, until: Instant, limits: &Limits) -> Option<Connection> {
+    let mut connection = pooled?;
+    if connection.idle_since.elapsed() >= limits.rest {
+        return Some(connection);
+    }
+    let Connection { stream, buffer, .. } = &mut connection;
+    let asked = async {
+        let mut query = Vec::new();
+        pg::query(&mut query, &[]);
+        stream.write_all(&query).await.ok()?;
+        let mut empty = false;
+        loop {
+            let Some(message) = pg::message(buffer.held(), limits.answer).ok()? else {
+                let count = stream.read_buf(buffer.tail()).await.ok()?;
+                if count == 0 {
+                    return None;
+                }
+                continue;
+            };
+            match message.tag {
+                b'I' if !empty => empty = true,
+                b'S' | b'N' if empty => {}
+                b'Z' if empty => {
+                    buffer.consume(message.length);
+                    return buffer.is_empty().then_some(());
+                }
+                _ => return None,
+            }
+            let length = message.length;
+            buffer.consume(length);
+        }
+    };
+    let until = until.min(Instant::now() + limits.connect);
+    timeout_at(until, asked).await.ok()??;
+    Some(connection)
+}
+
 /// A new connection that is ready for a statement; without one, nothing of the launch ever ran.
 async fn connect(
     context: &Context,
@@ -335,7 +382,7 @@
     connection: &mut Connection,
     query: &[u8],
     until: Instant,
-    max: usize,
+    limits: &Limits,
     exchange: &mut Exchange,
 ) -> Verdict {
     let mut written = 0;
@@ -346,16 +393,24 @@
             _ => return Verdict::Unconnected,
         }
     }
+    // An answer comes in one piece, or nearly: what has begun and does not go on is spoilt, and at once where its
+    // last bytes are those of a whole answer. One that is whole but for its end waits no longer for that.
+    let mut due = until;
     let ended_by = loop {
-        if exchange.absorb(&mut connection.buffer, max).is_err() {
+        if exchange.absorb(&mut connection.buffer, limits.answer).is_err() {
             break Verdict::Spoilt;
         }
         if exchange.is_over() {
             break Verdict::Reset;
         }
-        match timeout_at(until, connection.stream.read_buf(connection.buffer.tail())).await {
+        let cut_short = exchange.is_served() || pg::ends_as_answer(connection.buffer.held());
+        let wait = if cut_short { due.min(Instant::now() + limits.closing) } else { due };
+        match timeout_at(wait, connection.stream.read_buf(connection.buffer.tail())).await {
+            Err(_) if wait < until => break Verdict::Spoilt,
             Err(_) => break Verdict::TimedOut,
-            Ok(Ok(count)) if count > 0 => {}
+            Ok(Ok(count)) if count > 0 => {
+                due = if due == until { until.min(Instant::now() + limits.answering) } else { due };
+            }
             _ => break Verdict::Reset,
         }
     };
--- a/crates/driver/src/start.rs
+++ b/crates/driver/src/start.rs
@@ -2,6 +2,7 @@
 
 use aldermill_terms::Decoded;
 use serde::Deserialize;
+use serde_json::Value;
 use serde_json::value::RawValue;
 
 use crate::catalog::Catalog;
@@ -19,11 +20,14 @@
     listen: String,
     discovery: String,
     seed: String,
-    limits: Allowed,
+    limits: Box<RawValue>,
     known: Option<Catalog>,
     settings: Box<RawValue>,
 }
 
+/// What the file says of that which cannot change while the program runs.
+pub type Fixed = [(&'static str, Value); 4];
+
 /// All that a driver is told at its start.
 pub struct Start {
     pub name: String,
@@ -33,6 +37,7 @@
     pub limits: Limits,
     pub known: Option<Catalog>,
     pub decoded: Decoded,
+    pub fixed: Fixed,
 }
 
 fn address(field: &str, text: &str) -> Result<SocketAddr, String> {
@@ -50,7 +55,8 @@
         let form: Form = serde_json::from_str(text).map_err(|error| error.to_string())?;
         let told = |variable: &str, field: String| env(variable).unwrap_or(field);
         let seed = u64::from_str_radix(&form.seed, 16);
-        let Allowed { memory_mb, sockets } = form.limits;
+        let Allowed { memory_mb, sockets } =
+            serde_json::from_str(form.limits.get()).map_err(|error| format!("limits: {error}"))?;
         if sockets < 64 {
             return Err(format!("limits.sockets: {sockets} is too few, 64 are needed"));
         }
@@ -59,7 +65,15 @@
         }
         let decoded =
             Decoded::parse(form.settings.get()).map_err(|trouble| format!("settings: {trouble}"))?;
+        let value = |raw: &RawValue| serde_json::from_str(raw.get()).unwrap_or_default();
+        let fixed = [
+            ("name", form.name.clone().into()),
+            ("listen", form.listen.clone().into()),
+            ("limits", value(&form.limits)),
+            ("settings", value(&form.settings)),
+        ];
         Ok(Start {
+            fixed,
             name: told("GW_NAME", form.name),
             listen: address("listen", &told("GW_LISTEN", form.listen))?,
             discovery: address("discovery", &told("GW_DISCOVERY", form.discovery))?,
--- a/crates/wire/src/exchange.rs
+++ b/crates/wire/src/exchange.rs
@@ -23,10 +23,13 @@
     /// Takes all whole messages from the buffer, up to the end of this answer.
     pub fn absorb(&mut self, buffer: &mut Buffer, max: usize) -> Result<(), Malformed> {
         while !self.is_over() {
+            pg::plausible(buffer.held())?;
             let Some(message) = pg::message(buffer.held(), max)? else { return Ok(()) };
             let (body, length) = (message.body, message.length);
             match message.tag {
-                b'T' if self.rows.is_empty() => self.rows.extend_from_slice(&buffer.held()[..length]),
+                b'T' if self.rows.is_empty() && self.error.is_none() => {
+                    self.rows.extend_from_slice(&buffer.held()[..length])
+                }
                 b'D' if !self.rows.is_empty() && self.value.is_none() && !self.completed => {
                     let value = pg::single_value(body)?.map_or(0, <[u8]>::len);
                     self.rows.extend_from_slice(&buffer.held()[..length]);
@@ -42,7 +45,8 @@
                     self.fatal = refusal.fatal;
                 }
                 b'S' => {
-                    let (name, value) = pg::parameter(body)?;
+                    // One that cannot be read says nothing; the value beside it is as good as any.
+                    let (name, value) = pg::parameter(body).unwrap_or_default();
                     let kept = match name {
                         "server_role" => Some(&mut self.role),
                         "commit_clock" => Some(&mut self.position),
--- a/crates/wire/src/pg.rs
+++ b/crates/wire/src/pg.rs
@@ -8,6 +8,10 @@
 const GSS: u32 = 80_877_104;
 /// A startup message has a few short parameters.
 const MAX_STARTUP: usize = 10_000;
+/// What a row description says of a column behind its name.
+const COLUMN: usize = 18;
+/// All of an answer but its value is short.
+const MAX_NOTE: usize = 8 * 1024;
 
 /// What may come first on a client's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +60,57 @@
     Ok(body.map(|body| Message { tag: bytes[0], body, length: length + 1 }))
 }
 
+/// Whether what has come of a member's message so far can still become one that has a place in an answer: its
+/// type's length, and inner lengths and ends that agree with it. `bytes` may hold any part of it from its front.
+pub fn plausible(bytes: &[u8]) -> Result<(), Malformed> {
+    let Some(&tag) = bytes.first() else { return Ok(()) };
+    if !b"TDCESNZ".contains(&tag) {
+        return Err(Malformed("message that has no place in an answer"));
+    }
+    let Some(length) = word(bytes, 1) else { return Ok(()) };
+    let Some(body) = (length as usize).checked_sub(4) else {
+        return Err(Malformed("bytes that are no message"));
+    };
+    let held = &bytes[5..bytes.len().min(5 + body)];
+    // Where the message must end, as far as its inside tells that already.
+    let end = match tag {
+        b'Z' => Some(1),
+        b'D' => held.get(2..6).map(|word| {
+            let value = i32::from_be_bytes([word[0], word[1], word[2], word[3]]);
+            6 + usize::try_from(value).unwrap_or(0)
+        }),
+        b'T' => held.get(2..).and_then(|rest| memchr::memchr(0, rest)).map(|name| 2 + name + 1 + COLUMN),
+        b'C' => memchr::memchr(0, held).map(|text| text + 1),
+        b'S' => memchr::memchr_iter(0, held).nth(1).map(|text| text + 1),
+        _ => fields_end(held),
+    };
+    let bounded = tag == b'D' || body <= MAX_NOTE;
+    if bounded && end.is_none_or(|end| end == body) {
+        Ok(())
+    } else {
+        Err(Malformed("lengths that do not fit"))
+    }
+}
+
+/// Where the fields of an error or a notice end, each a letter and a text.
+fn fields_end(held: &[u8]) -> Option<usize> {
+    let mut at = 0;
+    while *held.get(at)? != 0 {
+        at += 1 + memchr::memchr(0, &held[at + 1..])? + 1;
+    }
+    Some(at + 1)
+}
+
+/// Whether `bytes` end as an answer does. Inside of a message that is not whole, its length claims too much.
+pub fn ends_as_answer(bytes: &[u8]) -> bool {
+    bytes.ends_with(b"Z\0\0\0\x05I")
+}
+
+/// How long the message at the front of `bytes` says it is; 0 while that has not come.
+pub fn claimed(bytes: &[u8]) -> usize {
+    word(bytes, 1).map_or(0, |length| length as usize)
+}
+
 fn word(bytes: &[u8], at: usize) -> Option<u32> {
     let word = bytes.get(at..at + 4)?;
     Some(u32::from_be_bytes(word.try_into().ok()?))
@@ -79,7 +134,8 @@
 /// Name and value of a ParameterStatus.
 pub fn parameter(mut body: &[u8]) -> Result<(&str, &str), Malformed> {
     let mut next = || std::str::from_utf8(text(&mut body)?).ok();
-    next().zip(next()).ok_or(Malformed("parameter status without its parts"))
+    let parts = next().zip(next()).filter(|_| body.is_empty());
+    parts.ok_or(Malformed("parameter status without its parts"))
 }
 
 /// What an ErrorResponse says, as far as anything follows from it.
--- a/crates/wire/src/statement.rs
+++ b/crates/wire/src/statement.rs
@@ -5,9 +5,13 @@
 
 use crate::Malformed;
 
+/// An hour: no client waits longer for one answer.
+const MAX_WAIT: u32 = 3_600_000;
+
 /// What a statement's comment says of its task.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Comment {
+    pub id: String,
     pub offering: String,
     /// How long the client waits, in milliseconds.
     pub wait: u32,
@@ -56,12 +60,13 @@
                 return Err(Malformed("comment field repeated or empty"));
             }
         }
-        id.ok_or(Malformed("comment lacks id"))?;
+        let id = id.ok_or(Malformed("comment lacks id"))?;
         let (wait, wait_at) = wait.ok_or(Malformed("comment lacks d"))?;
-        if wait == 0 {
-            return Err(Malformed("comment leaves no time"));
+        if !(1..=MAX_WAIT).contains(&wait) {
+            return Err(Malformed("comment leaves no time, or more than any client has"));
         }
         Ok(Comment {
+            id: id.to_owned(),
             offering: offering.ok_or(Malformed("comment lacks c"))?.to_owned(),
             wait,
             repeat: repeat.unwrap_or(false),
