A reset is a death only where all idle connections were reset; idle clients close after 2.1 s

A dead process resets all; where none is left to ask, the next connection is refused, and that is told. 6071 requests found no client connection left, as clients that asked once kept theirs for 5 s; ruled out: the listener's share (129 of 256, 85 for clients' requests).

--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -112,7 +112,7 @@
             startup: Duration::from_secs(2),
             first: Duration::from_millis(2500),
             message: Duration::from_secs(10),
-            client_idle: Duration::from_secs(5),
+            client_idle: Duration::from_millis(2100),
             small: SMALL,
             large_room: memory * 3 / 10 / 1024,
             scrap: 256 * 1024,
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -1,6 +1,7 @@
 //! The actor of one member: its pool of connections, and the launches and probes on them.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -47,11 +48,15 @@
 }
 
 impl Connection {
+    /// What stands in the way of reading: nothing to read as yet, or a reset. `None` is bytes, or a proper end.
+    fn obstacle(&self) -> Option<ErrorKind> {
+        // Asked of the system itself: what the runtime knows of readiness may be a turn old.
+        SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]).err().map(|error| error.kind())
+    }
+
     /// Neither closed by the peer nor spoken on out of turn.
     fn is_quiet(&self) -> bool {
-        // Asked of the system itself: what the runtime knows of readiness may be a turn old.
-        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
-        self.buffer.is_empty() && peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+        self.buffer.is_empty() && self.obstacle() == Some(ErrorKind::WouldBlock)
     }
 }
 
@@ -164,6 +169,12 @@
         }
     }
 
+    /// A process that dies resets all of its connections. One that closes them, idle or after an answer, lives.
+    fn all_reset(&self) -> bool {
+        let reset = |connection: &Connection| connection.obstacle() == Some(ErrorKind::ConnectionReset);
+        !self.idle.is_empty() && self.idle.iter().all(reset)
+    }
+
     fn renew(&mut self) {
         self.era += 1;
         self.idle.clear();
@@ -221,8 +232,8 @@
             // where a machine vanished or a link was cut. New ones tell at once.
             self.idle.retain(|connection| connection.idle_since >= began);
         }
-        if verdict == Verdict::Reset && self.idle.iter().any(Connection::is_quiet) {
-            // A process that ends ends all of its connections: with others standing, only this one broke.
+        if verdict == Verdict::Reset && !self.all_reset() {
+            // Only this connection broke, as far as can be seen. Where the process did die, the next one is refused.
             verdict = Verdict::Spoilt;
         }
         if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
--- a/crates/driver/tests/sockets.rs
+++ b/crates/driver/tests/sockets.rs
@@ -688,6 +688,8 @@
     });
     let driver = Driver::before(&[("a", &member)]);
     let mut clients: Vec<Client> = (0..4).map(|_| Client::connect(driver.address)).collect();
+    // Both without another connection to that member and beside some.
+    assert_eq!(clients[0].ask(&named(&order(15000), "cut")).code, "40003");
     for (number, client) in clients.iter_mut().enumerate() {
         client.send(&named(&order(15000), &format!("slow{number}")));
     }
