--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -59,6 +59,8 @@
     pub probe: Duration,
     /// From the first byte of a member's answer to its last.
     pub answering: Duration,
+    /// After so many spoilt answers in a row there is a line in the log.
+    pub spoilt_told: usize,
     /// From the last byte of a value to the end of its answer.
     pub closing: Duration,
     /// How long a connection to a member has stood after an answer when nothing more can come of that.
@@ -121,6 +123,7 @@
             connect: duration(decoded.connect_timeout),
             probe: duration(decoded.connect_timeout),
             answering: Duration::from_millis(300),
+            spoilt_told: 3,
             closing: Duration::from_millis(5),
             rest: Duration::from_millis(100),
             ahead_of_clock: 1_000_000,
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -89,6 +89,8 @@
     era: u64,
     /// When it last answered anything.
     heard: Instant,
+    /// Answers in a row that were cut short or could not be read.
+    spoilt: usize,
     /// It could not be reached or broke connections, and that was logged.
     lost: bool,
 }
@@ -112,6 +114,7 @@
             purposes: HashMap::new(),
             era: 0,
             heard: Instant::now(),
+            spoilt: 0,
             lost: false,
         }
     }
@@ -236,6 +239,15 @@
             // Only this connection broke, as far as can be seen. Where the process did die, the next one is refused.
             verdict = Verdict::Spoilt;
         }
+        if verdict == Verdict::Spoilt {
+            self.spoilt += 1;
+            if self.spoilt == self.context.limits.spoilt_told {
+                warn!(self.context.log, "member answers nothing that can be used"; "member" => &self.name,
+                    "peer" => %self.address, "launches" => self.spoilt);
+            }
+        } else if exchange.is_ready() {
+            self.spoilt = 0;
+        }
         if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
             if verdict == Verdict::Reset && era == self.era {
                 // What the other connections lead to is most likely gone, too.
