Only a refused connection is a death; gone members are let go; idle closes read nothing

Ruled out: members turning away (no 'full'), windows, the clients' share.

- member.rs: only a refusal, an unreachable address or silence is Unconnected; a connection that opened and then broke before the statement was written is Dropped: never ran, the member stands.
The module counts it as it does Spoilt.
- client.rs: an idle connection is closed as it is, no longer read for 0.3 s first: a statement that crossed the close was swallowed, and its client could not know that it was never taken.
- decide.rs, desk.rs: a member gone from the list, nothing out, unheard for 10 s, is forgotten with its actor, pool and index; a primary missing from a whole list is no primary any more (its group waited for it); sessions beyond 10,000 age out and leave a bound behind.

--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -25,7 +25,8 @@
 enum End {
     /// The client left, or may be left in peace.
     Quiet,
-    /// Its place is needed; nothing was sent to it lately that could be lost.
+    /// Its place is needed, or it stood idle for long. It is closed at once: what crosses that stays unread, and
+    /// the client, seeing so, asks anew elsewhere.
     Yielded,
     /// It sent what the protocol does not allow.
     Malformed(Malformed),
@@ -244,8 +245,8 @@
                 mail = self.mailbox.recv() => if matches!(mail, Some(Mail::Yield) | None) {
                     return Err(End::Yielded);
                 },
-                () = &mut stopped => return Err(End::Quiet),
-                () = sleep_until(since + limit) => return Err(End::Quiet),
+                () = &mut stopped => return Err(End::Yielded),
+                () = sleep_until(since + limit) => return Err(End::Yielded),
             }
         };
         self.seat.idle_since.set(None);
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -93,7 +93,8 @@
     context: Rc<Context>,
     decoded: Decoded,
     router: Router,
-    peers: Vec<Peer>,
+    /// By the router's index; an index whose member was let go stands empty until it is given out anew.
+    peers: Vec<Option<Peer>>,
     member_ids: HashMap<String, MemberId>,
     groups: HashSet<u64>,
     open: HashMap<Handle, Open>,
@@ -175,6 +176,7 @@
             Call::Crowded(member) => {
                 // Idle connections of the others make room.
                 for (id, peer) in self.peers.iter().enumerate().filter(|(id, _)| *id != member) {
+                    let Some(peer) = peer else { continue };
                     if peer.errands.try_send(Errand::Shed).is_err() {
                         warn!(self.context.log, "member's mailbox full, it keeps its idle connections";
                             "member" => id);
@@ -259,7 +261,8 @@
         }
         for member in todo.probes {
             let until = Instant::now() + self.context.limits.probe;
-            if self.peers[member].errands.try_send(Errand::Probe { until }).is_err() {
+            let peer = self.peers[member].as_ref();
+            if peer.is_none_or(|peer| peer.errands.try_send(Errand::Probe { until }).is_err()) {
                 let (verdict, told) = (Verdict::TimedOut, Told::default());
                 self.pending.push_back(Call::Probed { member, verdict, told });
             }
@@ -283,7 +286,8 @@
         let (before, after) = (&statement[..comment.wait_at.start], &statement[comment.wait_at.end..]);
         pg::query(&mut query, &[before, wait.as_bytes(), after]);
         let launch = Launch { handle, query, sent, until: sent + duration(limit) };
-        if self.peers[member].errands.try_send(Errand::Launch(launch)).is_err() {
+        let peer = self.peers[member].as_ref();
+        if peer.is_none_or(|peer| peer.errands.try_send(Errand::Launch(launch)).is_err()) {
             warn!(self.context.log, "member's mailbox full, launch not sent"; "member" => member);
             let (verdict, told) = (Verdict::Moot, Told::default());
             let ended = Ended { handle, verdict, took: 0, told, rows: Vec::new() };
@@ -315,16 +319,32 @@
             }
         };
         self.carry_out(todo);
+        self.forget(now);
         if !self.peers.is_empty() {
             self.ready.send_if_modified(|ready| !std::mem::replace(ready, true));
         }
     }
 
+    /// Lets go of members that are gone and will not be heard of again: actor, connections and index.
+    fn forget(&mut self, now: Micros) {
+        let Desk { router, peers, member_ids, .. } = self;
+        member_ids.retain(|_, &mut id| {
+            let forgotten = router.forget(now, id);
+            if forgotten {
+                peers[id] = None;
+            }
+            !forgotten
+        });
+    }
+
     fn lines(&mut self, catalog: &Catalog) -> Vec<Listed> {
         if catalog.complete {
             let listed: HashSet<&str> = catalog.members.iter().map(|entry| entry.id.as_str()).collect();
+            let open = self.lets_send(Standing::Gone);
             for (_, &id) in self.member_ids.iter().filter(|(name, _)| !listed.contains(name.as_str())) {
-                self.peers[id].open.send_replace(self.lets_send(Standing::Gone));
+                if let Some(peer) = &self.peers[id] {
+                    peer.open.send_replace(open);
+                }
             }
         }
         catalog.members.iter().filter_map(|entry| self.line(entry)).collect()
@@ -353,7 +373,7 @@
         };
         let clock = self.context.clock;
         let open = self.lets_send(standing);
-        let peer = &mut self.peers[member];
+        let peer = self.peers[member].as_mut()?;
         peer.open.send_replace(open);
         let restarted = peer.up_since != entry.up_since_ms && standing == Standing::Ready;
         if restarted {
@@ -363,6 +383,7 @@
         if (restarted || peer.address != address) && peer.errands.try_send(Errand::Renew(address)).is_ok() {
             peer.address = address;
         }
+        let since = peer.since;
         self.groups.insert(entry.cell);
         Some(Listed {
             member,
@@ -370,7 +391,7 @@
             group: entry.cell,
             zone: self.decoded.zone(&entry.locality),
             standing,
-            since: self.peers[member].since,
+            since,
             size: self.decoded.size(entry.size),
             primary: entry.is_primary(),
         })
@@ -378,13 +399,16 @@
 
     /// Starts the actor of a member that was never listed before.
     fn meet(&mut self, entry: &Entry, address: SocketAddr) -> MemberId {
-        let id = self.peers.len();
+        let id = self.peers.iter().position(Option::is_none).unwrap_or(self.peers.len());
         let (errands, mailbox) = mpsc::channel(self.context.limits.errands);
         let (open, seen) = watch::channel(self.lets_send(entry.standing()));
         let member = Member::new(self.context.clone(), id, entry.id.clone(), address, seen);
         spawn_local(member.run(mailbox));
         let since = started(self.context.clock, entry.up_since_ms);
-        self.peers.push(Peer { errands, open, address, up_since: entry.up_since_ms, since });
+        if id == self.peers.len() {
+            self.peers.push(None);
+        }
+        self.peers[id] = Some(Peer { errands, open, address, up_since: entry.up_since_ms, since });
         self.member_ids.insert(entry.id.clone(), id);
         id
     }
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -239,7 +239,7 @@
             // Only this connection broke, as far as can be seen. Where the process did die, the next one is refused.
             verdict = Verdict::Spoilt;
         }
-        if verdict == Verdict::Spoilt {
+        if matches!(verdict, Verdict::Spoilt | Verdict::Dropped) {
             self.spoilt += 1;
             if self.spoilt == self.context.limits.spoilt_told {
                 warn!(self.context.log, "member answers nothing that can be used"; "member" => &self.name,
@@ -347,7 +347,8 @@
     Some(connection)
 }
 
-/// A new connection that is ready for a statement; without one, nothing of the launch ever ran.
+/// A new connection that is ready for a statement; without one, nothing of the launch ever ran. Only a refusal
+/// shows that no process is there: one that took the connection and then broke it stands.
 async fn connect(
     context: &Context,
     id: MemberId,
@@ -364,7 +365,12 @@
         }
     };
     let opening = async {
-        let mut stream = TcpStream::connect(address).await.ok()?;
+        let mut stream = match TcpStream::connect(address).await {
+            Err(error) if error.kind() != ErrorKind::ConnectionReset => {
+                return Some(Err(Verdict::Unconnected));
+            }
+            connected => connected.ok()?,
+        };
         stream.set_nodelay(true).ok()?;
         let mut hello = Vec::new();
         pg::startup(&mut hello, "client", "core");
@@ -387,7 +393,7 @@
                 }
                 b'E' => {
                     let full = pg::refusal(message.body).is_ok_and(|refusal| refusal.code == "53300");
-                    return Some(Err(if full { Verdict::Full } else { Verdict::Unconnected }));
+                    return Some(Err(if full { Verdict::Full } else { Verdict::Dropped }));
                 }
                 b'R' if message.body != [0; 4] => return None,
                 _ => buffer.consume(length),
@@ -395,7 +401,7 @@
         }
     };
     match timeout_at(until, opening).await {
-        Ok(opened) => opened.unwrap_or(Err(Verdict::Unconnected)),
+        Ok(opened) => opened.unwrap_or(Err(Verdict::Dropped)),
         Err(_) => Err(Verdict::TimedOut),
     }
 }
@@ -413,7 +419,8 @@
         match timeout_at(until, connection.stream.write(&query[written..])).await {
             Ok(Ok(count)) if count > 0 => written += count,
             // The member never had all of it, so it cannot have begun.
-            _ => return Verdict::Unconnected,
+            Ok(_) => return Verdict::Dropped,
+            Err(_) => return Verdict::Unconnected,
         }
     }
     // An answer comes in one piece, or nearly: what has begun and does not go on is spoilt, and at once where its
--- a/crates/driver/tests/sockets.rs
+++ b/crates/driver/tests/sockets.rs
@@ -707,6 +707,38 @@
     assert!(!driver.logged("member lost"), "the member stood all the while");
 }
 
+#[test]
+fn a_new_connection_that_breaks_is_no_death_and_a_refused_one_is() {
+    let opened = Arc::new(AtomicUsize::new(0));
+    let count = opened.clone();
+    // Two of three connections break at their opening.
+    let bears = move |_: &[u8], welcomed: bool| welcomed || count.fetch_add(1, Ordering::SeqCst) % 3 == 2;
+    let act = |text: &str, stream: &mut TcpStream| {
+        honour(text, "writer", stream);
+        stream.shutdown(std::net::Shutdown::Both).unwrap();
+    };
+    let member = Member::at(TcpListener::bind("127.0.0.1:0").unwrap(), bears, act);
+    let driver = Driver::before(&[("a", &member)]);
+    let mut client = Client::connect(driver.address);
+    for _ in 0..10 {
+        let said = client.ask(&order(15000));
+        assert!(honoured(&said), "{said:?}");
+    }
+    assert!(opened.load(Ordering::SeqCst) >= 30 && !driver.logged("member lost"));
+}
+
+#[test]
+fn a_connection_closed_as_idle_leaves_what_crossed_that_unread() {
+    let member = sound("writer");
+    let driver = Driver::before(&[("a", &member)]);
+    let mut client = Client::connect(driver.address);
+    assert!(honoured(&client.ask(&look(15000))));
+    assert!(client.ended(), "idle for long");
+    // It is gone as a whole, so that a statement written now is known not to be taken.
+    client.send(&look(15000));
+    until("the reset", || client.stream.take_error().unwrap().is_some());
+}
+
 #[test]
 fn what_comes_behind_an_answer_is_never_taken_for_the_next_one() {
     let member = Member::start(move |text, stream| {
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -18,10 +18,8 @@
 };
 
 const MS: Micros = 1_000;
-/// How often the router looks at what no event brings: ends of time, silence, probes, the list.
-const BEAT: Micros = 20 * MS;
-/// The design's hold of a write after a round of misses.
-const HOLD: Micros = 500 * MS;
+const BEAT: Micros = 20 * MS; // how often the router looks at what no event brings
+const HOLD: Micros = 500 * MS; // the design's, of a write after a round of misses
 const BAR: Micros = 5_000 * MS;
 const FAILURES: usize = 5;
 const FAILURE_WINDOW: Micros = 10_000 * MS;
@@ -29,9 +27,9 @@
 const PROBE_EVERY: Micros = 1_000 * MS;
 /// Probes of members whose proof of freshness has run out, and of a group without a primary.
 const PROBE_NEEDED: Micros = 100 * MS;
-/// Probes that a task taken pays for: the allowance.
-const PROBES_A_TASK: f64 = 0.7;
+const PROBES_A_TASK: f64 = 0.7; // that a task taken pays for: the allowance
 const KEEP: u32 = 32;
+const SESSIONS: usize = 10_000; // remembered before older ones are forgotten
 /// Launches at a member that windows start with and stay at, all drivers together.
 const START: f64 = 10.0;
 const STAY: f64 = 4.0;
@@ -63,13 +61,10 @@
     quoted_by: Micros,
     repeat: bool,
     launches: u32,
-    /// Where a launch is out, and since when.
-    out: Option<(MemberId, Micros)>,
-    /// When, and in which zone, a launch may first have run.
-    may_have_run: Option<(Micros, usize)>,
+    out: Option<(MemberId, Micros)>, // where a launch is out, and since when
+    may_have_run: Option<(Micros, usize)>, // when first, and in which zone
     misses: usize,
-    /// It has waited for a replica's word.
-    asked: bool,
+    asked: bool, // it has waited for a replica's word
     last: Option<MemberId>,
     closed: bool,
 }
@@ -83,56 +78,43 @@
     since: Option<Micros>,
     size: f64,
     position: Micros,
-    /// Seen as primary by its own word, and not since seen as replica.
-    seen_primary: bool,
-    /// The time of its newest word that it is a replica.
-    demoted: Micros,
+    seen_primary: bool, // by its own word, and not since seen as replica
+    demoted: Micros,    // the time of its newest word that it is a replica
     heard: Micros,
     answered: Micros,
-    /// When the newest launch that it answered was sent.
-    overtaken: Micros,
-    /// It could not be reached; believed until then, or until it is heard.
-    lost_until: Micros,
-    /// Its process was seen dead: refused or reset. Taken for cold from the moment it is heard again.
-    fell: bool,
+    overtaken: Micros,  // when the newest launch that it answered was sent
+    lost_until: Micros, // it could not be reached; believed until then, or until it is heard
+    fell: bool,         // its process was seen dead; taken for cold from the moment it is heard again
     barred_until: Micros,
     failures: VecDeque<Micros>,
-    /// Answers spoilt since the last honoured one.
-    spoilt: usize,
+    spoilt: usize, // launches spoilt or dropped since the last honoured one
     probe_misses: u32,
     probe_out: bool,
     probed: Micros,
     out: Vec<Handle>,
-    /// Launches that may be out at once; below one, the part of the time that one may be out.
-    window: f64,
-    /// Launches saved up at `credited`, where the window or the part of a cold member is below one.
-    credit: f64,
+    window: f64, // launches that may be out at once; below one, the part of the time that one may be
+    credit: f64, // launches saved up at `credited`, where window or a cold part is below one
     credited: Micros,
     took: Histogram,
     sent: VecDeque<Micros>,
-    /// Launches honoured in one window of the overload rule, as of late.
-    honoured: f64,
+    honoured: f64, // launches in one window of the overload rule, as of late
 }
 
 #[derive(Default)]
 struct Group {
     members: Vec<MemberId>,
     primary: Option<MemberId>,
-    /// The time of the newest word on the primary.
-    word: Micros,
+    word: Micros, // the time of the newest word on the primary
     listed: Option<MemberId>,
     walk_after: Micros,
-    /// Launches that the primary is owed by its size and window, beyond those it had.
-    owed: f64,
-    /// When a read last found too few replicas proven fresh, and how new it wanted them.
-    short: Option<(Micros, Micros)>,
+    owed: f64, // launches due to the primary by its size and window, beyond those it had
+    short: Option<(Micros, Micros)>, // when reads last lacked fresh replicas, and how new they wanted them
     held: Vec<Handle>,
 }
 
 impl Member {
-    /// Protects a process that died and came back from the crowd that waits for it, before the list tells.
-    /// Should also cover starts that no list tells. Harms a member that only dropped connections: it gets a
-    /// cold member's part until it must be warm.
+    /// Protects a process that died and came back from the crowd that waits for it. Should also cover starts
+    /// that no list tells. Harms a member that only refused: it gets a cold part until it must be warm.
     fn hear(&mut self, now: Micros, credit: f64) {
         (self.heard, self.lost_until) = (now, now);
         if std::mem::take(&mut self.fell) {
@@ -150,14 +132,13 @@
     errands: HashMap<Handle, Errand>,
     next_handle: u64,
     sessions: HashMap<String, Micros>,
+    forgotten: Option<Micros>, // a write of a session not found may be as new as that
     took: Vec<Histogram>,
-    /// The wait that most tasks of an offering bring, and how sure that is.
-    usual_wait: Vec<(Micros, i32)>,
+    usual_wait: Vec<(Micros, i32)>, // that most tasks of an offering bring, and how sure that is
     warm_load: f64,
     mean_size: f64,
     allowance: f64,
     next_beat: Micros,
-    asked: bool,
     ask_at: Micros,
     ask_wait: Micros,
     todo: Todo,
@@ -175,6 +156,7 @@
             errands: HashMap::new(),
             next_handle: 0,
             sessions: HashMap::new(),
+            forgotten: None,
             // Until launches tell better, most are taken to last half of the quoted time.
             took: terms.offerings.iter().map(|offering| Histogram::of(offering.quoted / 2, 4)).collect(),
             usual_wait: vec![(0, 0); terms.offerings.len()],
@@ -182,7 +164,6 @@
             mean_size: 1.0,
             allowance: 0.0,
             next_beat: now,
-            asked: false,
             ask_at,
             ask_wait: 500 * MS,
             todo: Todo::default(),
@@ -202,9 +183,7 @@
         let (usual, votes) = &mut self.usual_wait[task.offering];
         let common = (task.ttl - *usual).abs() <= *usual / 64;
         *votes = if common { (*votes + 1).min(64) } else { *votes - 1 };
-        if *votes < 0 {
-            (*usual, *votes) = (task.ttl, 1);
-        }
+        (*usual, *votes) = if *votes < 0 { (task.ttl, 1) } else { (*usual, *votes) };
         let repeat = task.repeat || !self.terms.repeats_marked && !common;
         let errand = Errand { task, group, arrived: now, quoted_by, repeat, ..Errand::default() };
         self.errands.insert(handle, errand);
@@ -218,10 +197,12 @@
 
     pub fn list(&mut self, now: Micros, full: bool, lines: Vec<Listed>) -> Todo {
         // The list held at the start is no answer to a call.
-        self.ask_at = if self.asked { Micros::MAX } else { self.ask_at };
+        self.ask_at = if self.members.is_empty() { self.ask_at } else { Micros::MAX };
         let listed = |member: &Member| lines.iter().any(|line| line.name == member.name);
-        for member in self.members.iter_mut().filter(|member| full && !listed(member)) {
-            member.standing = Standing::Gone;
+        for id in 0..self.members.len() {
+            if full && !listed(&self.members[id]) {
+                self.stand(now, id, Standing::Gone);
+            }
         }
         if self.members.is_empty() {
             self.mean_size = lines.iter().map(|line| line.size).sum::<f64>() / lines.len().max(1) as f64;
@@ -245,7 +226,7 @@
         let Some(member) = self.members.get_mut(id) else { return self.take_todo() };
         let (group, was_barred) = (member.group, member.probe_misses >= PROBE_MISSES);
         member.probe_out = false;
-        if matches!(verdict, Verdict::Honoured | Verdict::Full | Verdict::Spoilt) {
+        if matches!(verdict, Verdict::Honoured | Verdict::Full | Verdict::Spoilt | Verdict::Dropped) {
             // An answered probe lifts the detect bar.
             member.barred_until = if was_barred { now } else { member.barred_until };
             member.probe_misses = 0;
@@ -255,9 +236,8 @@
             member.probe_misses += 1;
             member.fell |= verdict == Verdict::Unconnected;
             member.lost_until = now + 2 * HOLD;
-            if member.probe_misses >= PROBE_MISSES {
-                member.barred_until = now + BAR;
-            }
+            let barred = member.probe_misses >= PROBE_MISSES;
+            member.barred_until = if barred { now + BAR } else { member.barred_until };
         }
         self.pump(now, group);
         self.take_todo()
@@ -340,9 +320,9 @@
         self.terms.drivers as f64 > 1.5 * START
     }
 
-    /// Until when a launch of the task would most likely pay, and until when an answer pays at all. Protects a
-    /// client from a long wait for nothing: what was never launched and pays little when late is not held beyond
-    /// half of its time. Should also cover groups that have lost all members. Harms what finds room just after.
+    /// Until when a launch of the task would most likely pay, and until when an answer pays at all. Protects
+    /// a client from a long wait for nothing: what was never launched and pays little when late is not held
+    /// beyond half of its time. Should also cover groups without members. Harms what finds room just after.
     fn useful_until(&self, now: Micros, errand: &Errand) -> (Micros, Micros) {
         let end = errand.arrived + errand.task.ttl;
         let late_share = self.terms.offerings[errand.task.offering].late_share;
@@ -408,7 +388,8 @@
             Need::Latest => errand.arrived,
             Need::OwnWrites => {
                 let told = errand.task.last_write.map(|ago| errand.arrived - ago);
-                let remembered = errand.task.session.as_ref().and_then(|s| self.sessions.get(s).copied());
+                let known = |session| self.sessions.get(session).copied().or(self.forgotten);
+                let remembered = errand.task.session.as_ref().and_then(known);
                 told.max(remembered).unwrap_or(Micros::MIN)
             }
             Need::Recent(bound) => now - bound + MS,
@@ -503,8 +484,7 @@
         member.out.retain(|&out| out != handle);
         let ran = (!verdict.never_ran()).then_some((sent, member.zone));
         errand.may_have_run = errand.may_have_run.or(ran);
-        let answers = [Verdict::Honoured, Verdict::Error, Verdict::Full, Verdict::Miss, Verdict::Spoilt];
-        if answers.contains(&verdict) {
+        if verdict.heard() {
             (member.answered, member.overtaken) = (now, member.overtaken.max(sent));
             member.hear(now, credit);
         } else if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
@@ -514,6 +494,7 @@
         // A driver among many hears of few answers of a member: each then counts for more.
         let step = 0.92f64.powf(if sparse { (drivers / 4.0).min(16.0) } else { 1.0 });
         let least = if sparse { STAY / drivers } else { (STAY / drivers).max(1.0) };
+        let shrunk = (member.window * step.min(0.7)).max(least.min(1.0));
         let crowded = verdict == Verdict::TimedOut && outcome.took < patience;
         if verdict == Verdict::Honoured || crowded || sparse && !verdict.never_ran() {
             member.took.add(outcome.took, KEEP / 4);
@@ -534,20 +515,17 @@
                 let write =
                     self.terms.remember_sessions && self.terms.offerings[offering].need == Need::Write;
                 if let (true, Some(session), Some(position)) = (write, &errand.task.session, told.position) {
-                    let newest = self.sessions.entry(session.clone()).or_insert(position);
-                    *newest = position.max(*newest);
+                    let newest = self.sessions.entry(session.clone());
+                    newest.and_modify(|at| *at = position.max(*at)).or_insert(position);
                 }
                 self.took[offering].add(outcome.took, KEEP * 4);
                 (member.honoured, member.spoilt) = (member.honoured + 0.1, 0);
             }
-            Verdict::Full => {
-                let window = (member.window * step.min(0.7)).max(least.min(1.0));
-                (member.window, member.credit, member.credited) = (window, 0.0, now);
-            }
+            Verdict::Full => (member.window, member.credit, member.credited) = (shrunk, 0.0, now),
             Verdict::Miss | Verdict::Moot => {}
-            // Protects a group whose members all spoil alike from the bar: only spoilt ones in a row are failures.
+            // Protects a group whose members all spoil alike from the bar: only those in a row are failures.
             // Should also cover links that break connections. Harms tasks at a member that spoils most.
-            Verdict::Spoilt if member.spoilt < FAILURES => member.spoilt += 1,
+            Verdict::Spoilt | Verdict::Dropped if member.spoilt < FAILURES => member.spoilt += 1,
             // A launch that outlasted its limit at a member that answers others met a crowd, not a fault.
             Verdict::TimedOut | Verdict::CalledOff if !mute => {}
             _ => {
@@ -625,15 +603,14 @@
             member.barred_until = member.barred_until.min(now);
             (member.since, member.credit, member.credited) = (line.since, credit, now);
         }
-        member.standing = line.standing;
+        self.stand(now, id, line.standing);
         if !known {
             // A probe for each member and one in reserve.
             self.allowance += 2.0;
             self.probe(now, id, PROBE_NEEDED);
         }
-        let hold = self.hold();
         let group = &mut self.groups[group];
-        if line.primary && group.listed != Some(id) {
+        if line.primary && line.standing == Standing::Ready && group.listed != Some(id) {
             let first = group.listed.replace(id).is_none();
             let trusted = match self.terms.listed_roles {
                 ListedRoles::Late => first || now - group.word > 1_000 * MS,
@@ -644,13 +621,33 @@
                 group.primary = Some(id);
             }
         }
-        if line.standing != Standing::Ready && group.primary == Some(id) {
-            group.primary = None;
+    }
+
+    fn stand(&mut self, now: Micros, id: MemberId, standing: Standing) {
+        self.members[id].standing = standing;
+        let hold = self.hold();
+        let group = &mut self.groups[self.members[id].group];
+        if standing != Standing::Ready && group.primary == Some(id) {
             // The list tells all drivers, but they are not to walk all at once.
-            group.walk_after = now + self.rng.random_range(0..hold);
+            (group.primary, group.walk_after) = (None, now + self.rng.random_range(0..hold));
         }
     }
 
+    /// Lets go of a member that is gone, once nothing of it is out and it was not heard for long: its index
+    /// may be given out anew, and one that comes back is another member.
+    pub fn forget(&mut self, now: Micros, id: MemberId) -> bool {
+        let member = &self.members[id];
+        let quiet = member.out.is_empty() && !member.probe_out && now - member.heard > FAILURE_WINDOW;
+        let forgotten = member.standing == Standing::Gone && quiet;
+        if forgotten {
+            let group = &mut self.groups[member.group];
+            group.members.retain(|&member| member != id);
+            group.listed = group.listed.filter(|&listed| listed != id);
+            self.members[id] = Member::default();
+        }
+        forgotten
+    }
+
     fn group(&mut self, name: u64) -> usize {
         *self.group_ids.entry(name).or_insert_with(|| {
             self.groups.push(Group { word: Micros::MIN / 2, walk_after: Micros::MIN, ..Group::default() });
@@ -802,8 +799,12 @@
                 self.probe(now, id, if wanted { gap } else { PROBE_EVERY });
             }
         }
+        if self.sessions.len() > SESSIONS {
+            self.forgotten = Some(now - FAILURE_WINDOW);
+            self.sessions.retain(|_, &mut at| Some(at) > self.forgotten);
+        }
         if self.terms.list_on_request && now >= self.ask_at {
-            (self.asked, self.todo.subscribe) = (true, true);
+            self.todo.subscribe = true;
             self.ask_at = now + 10_000 * MS;
         }
         self.pump_all(now);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -144,6 +144,8 @@
     Reset,
     /// What came back is of no use, or its connection alone broke: it may have run, and the member stands.
     Spoilt,
+    /// Its connection broke before it was written whole, though the member stands.
+    Dropped,
     CalledOff,
     Moot,
     Miss,
@@ -152,7 +154,14 @@
 impl Verdict {
     /// The launch is known never to have run.
     pub fn never_ran(self) -> bool {
-        matches!(self, Verdict::Full | Verdict::Unconnected | Verdict::Moot | Verdict::Miss)
+        use Verdict::*;
+        matches!(self, Full | Unconnected | Dropped | Moot | Miss)
+    }
+
+    /// The member's process was heard.
+    pub fn heard(self) -> bool {
+        use Verdict::*;
+        matches!(self, Honoured | Error | Full | Miss | Spoilt | Dropped)
     }
 }
 
--- a/crates/routing/tests/router/cases.rs
+++ b/crates/routing/tests/router/cases.rs
@@ -377,3 +377,73 @@
         assert!(met[2] > 15 && met[3] > 15, "{met:?}");
     }
 }
+
+#[test]
+fn a_member_gone_for_long_is_let_go_and_its_index_serves_another() {
+    let mut world = heard(terms());
+    let late = world.take(LOOSE, 60_000 * MS);
+    let id = target(&world, late).unwrap();
+    world.relist(id, Standing::Gone, None);
+    world.pass(11_000 * MS);
+    assert!(!world.router.forget(world.now, id), "its launch is out");
+    world.end(late, Verdict::Honoured);
+    assert!(!world.router.forget(world.now, id), "it was heard just now");
+    world.pass(11_000 * MS);
+    world.hear_all();
+    assert!(!world.router.forget(world.now, 0), "the primary is in service");
+    world.relist(id, Standing::Gone, None);
+    world.pass(11_000 * MS);
+    assert!(world.router.forget(world.now, id));
+    // Another one under the same index starts from nothing.
+    world.relist(id, Standing::Ready, None);
+    world.hear_all();
+    let met = (0..30).filter(|_| {
+        let read = world.take(LOOSE, 1_000 * MS);
+        let met = target(&world, read) == Some(id);
+        world.end(read, Verdict::Honoured);
+        met
+    });
+    assert!(met.count() > 3);
+}
+
+#[test]
+fn a_primary_missing_from_a_whole_list_is_looked_for_elsewhere() {
+    let mut world = heard(terms());
+    let others = (1..4).map(|id| crate::world::line(id, Standing::Ready, None)).collect();
+    drop(world.router.list(world.now, true, others));
+    world.primary = 2;
+    world.pass(600 * MS);
+    let write = world.take(WRITE, 4_000 * MS);
+    let mut met = 0;
+    while let Some(id) = target(&world, write) {
+        met += 1;
+        world.end(write, if id == 2 { Verdict::Honoured } else { Verdict::Miss });
+    }
+    assert!((1..=3).contains(&met), "{met}");
+}
+
+#[test]
+fn sessions_forgotten_leave_a_bound_on_what_they_may_have_written() {
+    let mut world = heard(Terms { members_check: true, ..terms() });
+    let writes = |world: &mut World, from: u32| {
+        for number in from..from + 10_100 {
+            let write = world.take_session(WRITE, 1_000 * MS, &number.to_string());
+            world.end(write, Verdict::Honoured);
+        }
+    };
+    writes(&mut world, 0);
+    let first = world.now;
+    world.pass(10_500 * MS);
+    world.hear_all();
+    // Positions from before those writes do not do for a session that may have been one of them.
+    world.positions.iter_mut().for_each(|position| *position = first - 50 * MS);
+    world.probes.clear();
+    let read = world.take_session(OWN, 1_000 * MS, "17");
+    for asked in 0.. {
+        if target(&world, read).is_some() {
+            break;
+        }
+        world.probe_answer(world.probes[asked], true);
+    }
+    assert_eq!(target(&world, read), Some(0));
+}
--- a/crates/routing/tests/router/rules.rs
+++ b/crates/routing/tests/router/rules.rs
@@ -5,7 +5,7 @@
 use proptest::collection::vec;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
-const VERDICTS: [Verdict; 10] = [
+const VERDICTS: [Verdict; 11] = [
     Verdict::Honoured,
     Verdict::Honoured,
     Verdict::Error,
@@ -14,6 +14,7 @@
     Verdict::Unconnected,
     Verdict::Reset,
     Verdict::Spoilt,
+    Verdict::Dropped,
     Verdict::Moot,
     Verdict::Miss,
 ];
--- a/crates/routing/tests/router/world.rs
+++ b/crates/routing/tests/router/world.rs
@@ -165,8 +165,16 @@
         self.take_try(offering, ttl, false)
     }
 
+    pub fn take_session(&mut self, offering: usize, ttl: Micros, session: &str) -> Handle {
+        self.take_whole(offering, ttl, false, session)
+    }
+
     pub fn take_try(&mut self, offering: usize, ttl: Micros, repeat: bool) -> Handle {
-        let session = Some("s".to_owned());
+        self.take_whole(offering, ttl, repeat, "s")
+    }
+
+    fn take_whole(&mut self, offering: usize, ttl: Micros, repeat: bool, session: &str) -> Handle {
+        let session = Some(session.to_owned());
         let task = Task { offering, group: 7, ttl, session, last_write: None, repeat };
         let (handle, todo) = self.router.take(self.now, task);
         let flight = Flight {
