Clients that use a connection once and keep it no longer hold all that clients have

Above a quarter of the descriptors in use by clients that had a task, a new connection closes the one idle longest (listener.rs); one that began a statement and never ends it gives way like a silent one (client.rs).

--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -123,6 +123,7 @@
                 continue;
             };
             let arrived = Instant::now();
+            self.seat.idle_since.set(None);
             begun = None;
             let (tag, length) = (message.tag, message.length);
             let statement = if tag == b'Q' { pg::query_text(message.body)?.to_vec() } else { Vec::new() };
@@ -210,25 +211,28 @@
         }
     }
 
-    /// Waits for more bytes. Between messages the connection may be given up here.
+    /// Waits for more bytes. With no task under way the connection may be given up here, a message that is not
+    /// whole notwithstanding: those who begin one and never end it are not to keep others out.
     async fn more(&mut self, begun: &mut Option<Instant>) -> Result<(), End> {
         let context = self.context.clone();
+        let limits = &context.limits;
         let mut stopping = context.stopping.clone();
-        if !self.buffer.is_empty() {
-            let limits = &context.limits;
-            let limit = if stopping.borrow().is_some() { limits.stop_message } else { limits.message };
-            let mut until = *begun.get_or_insert_with(Instant::now) + limit;
-            if !self.seat.served.get() {
-                until = until.min(self.connected + limits.first);
-            }
-            let read = self.stream.read_buf(self.buffer.tail());
-            let count = timeout_at(until, read).await.map_err(|_| End::Quiet)??;
-            return if count > 0 { Ok(()) } else { Err(End::Quiet) };
-        }
         let served = self.seat.served.get();
-        let limits = &context.limits;
-        let (since, limit) =
-            if served { (Instant::now(), limits.client_idle) } else { (self.connected, limits.first) };
+        let between = self.buffer.is_empty();
+        let (mut since, mut limit) = (Instant::now(), limits.client_idle);
+        if !between {
+            since = *begun.get_or_insert(since);
+            limit = if stopping.borrow().is_some() { limits.stop_message } else { limits.message };
+        }
+        let mut until = since + limit;
+        if !served {
+            until = if between {
+                self.connected + limits.first
+            } else {
+                until.min(self.connected + limits.first)
+            };
+            since = self.connected;
+        }
         self.seat.idle_since.set(Some(since));
         let stopped = async {
             let window = stopping.wait_for(Option::is_some).await.map_or(None, |window| *window);
@@ -245,11 +249,10 @@
                 mail = self.mailbox.recv() => if matches!(mail, Some(Mail::Yield) | None) {
                     return Err(End::Yielded);
                 },
-                () = &mut stopped => return Err(End::Yielded),
-                () = sleep_until(since + limit) => return Err(End::Yielded),
+                () = &mut stopped, if between => return Err(End::Yielded),
+                () = sleep_until(until) => return Err(End::Yielded),
             }
         };
-        self.seat.idle_since.set(None);
         if read? > 0 { Ok(()) } else { Err(End::Quiet) }
     }
 
--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -13,6 +13,9 @@
 pub struct Limits {
     /// Client connections served at once.
     pub clients: usize,
+    /// Those that had a task, beyond which the one idle longest is closed for each new one: clients, too, have
+    /// only so many, and some never use one twice.
+    pub regulars: usize,
     /// Idle ones over that number that are being closed for new ones.
     pub yielding: usize,
     /// Client connections over that number that are being told so.
@@ -96,6 +99,8 @@
         let members = (shared - clients).min(memory * 3 / 10 / answer).max(4);
         Limits {
             clients,
+            // Clients hold no more than a third of the descriptors for their tasks.
+            regulars: (sockets / 4).min(clients),
             yielding,
             turned_away,
             members,
--- a/crates/driver/src/listener.rs
+++ b/crates/driver/src/listener.rs
@@ -94,6 +94,10 @@
         let _ = stream.set_nodelay(true);
         // Ends connections whose other side is gone without a word.
         let _ = SockRef::from(&stream).set_tcp_keepalive(&self.keepalive);
+        let served = |guest: &&Guest| guest.seat.served.get();
+        if self.guests.values().filter(served).count() >= self.context.limits.regulars {
+            self.ask_to_yield(served);
+        }
         if self.guests.len() < self.context.limits.clients || self.makes_room() {
             self.admit(stream);
         } else if self.turned_away.len() < self.context.limits.turned_away {
@@ -101,8 +105,7 @@
         }
     }
 
-    /// At the clients' share, a connection without a task is closed: one that never had any first, else the one
-    /// that was idle longest.
+    /// At the clients' share, a connection without a task is closed for a new one.
     fn makes_room(&mut self) -> bool {
         let limits = &self.context.limits;
         if !std::mem::replace(&mut self.full, true) {
@@ -112,7 +115,12 @@
         if self.guests.len() >= limits.clients + limits.yielding {
             return false;
         }
-        let idle = self.guests.values().filter(|guest| guest.seat.idle_since.get().is_some());
+        self.ask_to_yield(|_| true)
+    }
+
+    /// Of these guests without a task, one that never had any is closed first, else the one idle longest.
+    fn ask_to_yield(&self, whom: impl Fn(&&Guest) -> bool) -> bool {
+        let idle = self.guests.values().filter(|guest| guest.seat.idle_since.get().is_some()).filter(whom);
         let rank = |guest: &&Guest| (guest.seat.served.get(), guest.seat.idle_since.get());
         let Some(guest) = idle.min_by_key(rank) else { return false };
         guest.seat.idle_since.set(None);
--- a/crates/driver/tests/sockets.rs
+++ b/crates/driver/tests/sockets.rs
@@ -819,16 +819,40 @@
     assert!(honoured(&usual.ask(&look(15000))));
     let start = Instant::now();
     let silent: Vec<Client> = (0..150).map(|_| Client::bare(driver.address)).collect();
-    let mut trickle = Client::connect(driver.address);
-    trickle.raw(b"Q\0\0\0");
+    // Some begin a statement and never end it.
+    let begin = || {
+        let mut client = Client::connect(driver.address);
+        client.raw(b"Q\0\0\0");
+        client
+    };
+    let half: Vec<Client> = (0..50).map(|_| begin()).collect();
     for _ in 0..5 {
         assert!(honoured(&Client::connect(driver.address).ask(&look(15000))), "there is room at once");
     }
     assert!(honoured(&usual.ask(&look(15000))), "who was served before is not the first to go");
-    assert!(silent.into_iter().all(|mut client| client.ended()) && trickle.ended());
+    assert!(silent.into_iter().chain(half).all(|mut client| client.ended()));
     assert!(start.elapsed() < Duration::from_secs(15), "{:?}", start.elapsed());
 }
 
+#[test]
+fn connections_used_once_and_kept_do_not_use_up_what_clients_have() {
+    let member = sound("writer");
+    let discovery = Discovery::default();
+    let driver = Driver::start(&discovery, 256, &list(1, true, &[("a", &member, "in_service")]));
+    let mut kept = Vec::new();
+    for number in 0..80 {
+        let mut client = Client::connect(driver.address);
+        assert!(honoured(&client.ask(&look(15000))), "{number}");
+        kept.push(client);
+        if number == 70 {
+            // Long before it would be closed for having stood idle.
+            kept[0].stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+            assert!(matches!(kept[0].stream.read(&mut [0]), Ok(0)));
+            assert!(honoured(&kept[69].ask(&look(15000))));
+        }
+    }
+}
+
 #[test]
 fn a_client_that_sends_without_end_gets_its_error_while_it_sends() {
     let member = sound("writer");
