Values beyond 64 KiB are passed on, with room reserved for large messages

A line for each showed 2383 'message too long': values of 145 and 339 KB, well formed, beyond the 64 KiB that the protocol names and that limits.rs held to; a read then failed at every member in turn, and members were barred for it.

limits.rs, member.rs, client.rs: an answer may take a thirty-second part of the memory, a statement a fourth of that or 132 KiB; what is over 8 KiB reserves its room (answers twice) in half of the memory until the client has it, so the members' share is no longer cut to the number of full-size answers that fit.

--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -112,6 +112,8 @@
         // Since when a message is under way that is not whole, and the room reserved where it is large.
         let mut begun = None;
         let mut large = None;
+        // And what the answer that is being sent takes.
+        let mut room = None;
         loop {
             let max = self.context.limits.statement;
             let Some(message) = pg::message(self.buffer.held(), max)? else {
@@ -140,7 +142,7 @@
                         Ok(comment) => {
                             let answer = self.ask(arrived, statement, comment).await?;
                             self.seat.served.set(true);
-                            encode(&mut out, answer);
+                            room = encode(&mut out, answer);
                         }
                         Err(bad) => pg::error(&mut out, false, "08P01", bad.0, None),
                     }
@@ -169,7 +171,7 @@
                 out.clear();
                 out.shrink_to(self.context.limits.small / 2);
             }
-            large = None;
+            drop((large.take(), room.take()));
         }
     }
 
@@ -281,9 +283,12 @@
     let _ = timeout(limit, until_end).await;
 }
 
-fn encode(out: &mut Vec<u8>, answer: Answer) {
+fn encode(out: &mut Vec<u8>, answer: Answer) -> Option<OwnedSemaphorePermit> {
     match answer {
-        Answer::Honoured(rows) => *out = rows,
+        Answer::Honoured(rows) => {
+            *out = rows.bytes;
+            return rows.room;
+        }
         Answer::Denied { cool_down } => {
             let millis = (cool_down + 999) / 1000;
             let detail = (millis > 0).then(|| millis.to_string());
@@ -294,6 +299,7 @@
         }
         Answer::Wrong(why) => pg::error(out, false, "08P01", why, None),
     }
+    None
 }
 
 /// Tells a client for which there is no room, and parts with it.
--- a/crates/driver/src/context.rs
+++ b/crates/driver/src/context.rs
@@ -21,7 +21,7 @@
     pub ready: watch::Receiver<bool>,
     /// Set once the driver is to stop: until when new connections are still taken.
     pub stopping: watch::Receiver<Option<Instant>>,
-    /// Room for clients' large messages, in KiB.
+    /// Room for large messages, in KiB.
     pub large_room: Arc<Semaphore>,
     /// The members' share of descriptors.
     pub member_room: Arc<Semaphore>,
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -11,7 +11,7 @@
 use aldermill_wire::pg;
 use aldermill_wire::statement::{Comment, quoted};
 use slog::{info, warn};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
@@ -52,7 +52,14 @@
     pub took: Micros,
     pub told: Told,
     /// Where it was honoured: the messages that carry the value.
-    pub rows: Vec<u8>,
+    pub rows: Rows,
+}
+
+/// The messages that carry a value, and the room reserved for them where they are large.
+#[derive(Default)]
+pub struct Rows {
+    pub bytes: Vec<u8>,
+    pub room: Option<OwnedSemaphorePermit>,
 }
 
 /// What the desk and the listener tell a client's actor.
@@ -63,7 +70,7 @@
 }
 
 pub enum Answer {
-    Honoured(Vec<u8>),
+    Honoured(Rows),
     Denied {
         cool_down: Micros,
     },
@@ -290,7 +297,7 @@
         if peer.is_none_or(|peer| peer.errands.try_send(Errand::Launch(launch)).is_err()) {
             warn!(self.context.log, "member's mailbox full, launch not sent"; "member" => member);
             let (verdict, told) = (Verdict::Moot, Told::default());
-            let ended = Ended { handle, verdict, took: 0, told, rows: Vec::new() };
+            let ended = Ended { handle, verdict, took: 0, told, rows: Rows::default() };
             self.pending.push_back(Call::Ended(ended));
         }
     }
--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -60,7 +60,7 @@
     /// From the attempt to connect to a member until it is ready for a statement.
     pub connect: Duration,
     pub probe: Duration,
-    /// From the first byte of a member's answer to its last.
+    /// How long a member's answer that has begun may stand still.
     pub answering: Duration,
     /// After so many spoilt answers in a row there is a line in the log.
     pub spoilt_told: usize,
@@ -85,18 +85,19 @@
 impl Limits {
     /// Shares out what the platform allows.
     pub fn new(sockets: usize, memory_mb: usize, decoded: &Decoded) -> Limits {
-        let statement = 2 * 64 * 1024 + 4 * 1024;
-        let answer = 2 * 64 * 1024 + 4 * 1024;
+        // Values are said to be of 64 KiB at most, and yet larger ones come.
+        let memory = memory_mb * 1024 * 1024;
+        let least = 2 * 64 * 1024 + 4 * 1024;
+        let (statement, answer) = (least.max(memory / 128), least.max(memory / 32));
         // Beside the shares: standard streams, signals, event queues, listener and discovery, and those
         // client connections that are about to be closed.
         let yielding = 12;
         let turned_away = (sockets / 32).clamp(4, 64);
         let shared = sockets.saturating_sub(turned_away + yielding + 20).max(8);
-        // Large statements share three tenths of the memory, and so do answers of full size on every member's
-        // connection; a connection with small messages takes less than its part of three tenths more.
-        let memory = memory_mb * 1024 * 1024;
-        let clients = (shared * 3 / 5).min(memory * 3 / 10 / (4 * SMALL)).max(4);
-        let members = (shared - clients).min(memory * 3 / 10 / answer).max(4);
+        // Large messages reserve what they need of half of the memory, however many connections there are; small
+        // ones fit into three tenths on all of them.
+        let clients = (shared * 3 / 5).min(memory * 2 / 10 / (4 * SMALL)).max(4);
+        let members = (shared - clients).min(memory / 10 / (2 * SMALL)).max(4);
         Limits {
             clients,
             // Clients hold no more than a third of the descriptors for their tasks.
@@ -121,9 +122,9 @@
             message: Duration::from_secs(10),
             client_idle: Duration::from_millis(2100),
             small: SMALL,
-            large_room: memory * 3 / 10 / 1024,
+            large_room: memory / 2 / 1024,
             scrap: 256 * 1024,
-            accepting: Duration::from_secs(2),
+            accepting: Duration::from_secs(5),
             parting: Duration::from_millis(300),
             connect: duration(decoded.connect_timeout),
             probe: duration(decoded.connect_timeout),
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
 
 use crate::context::Context;
-use crate::desk::{Call, Ended};
+use crate::desk::{Call, Ended, Rows};
 use crate::limits::Limits;
 
 /// What the desk asks of a member's actor.
@@ -69,6 +69,7 @@
 struct Done {
     verdict: Verdict,
     exchange: Exchange,
+    room: Option<OwnedSemaphorePermit>,
     /// Set where it may carry another query.
     connection: Option<Connection>,
     began: Instant,
@@ -133,7 +134,7 @@
                             error!(self.context.log, "a visit failed"; "member" => &self.name, "why" => %error);
                             let (verdict, exchange) = (Verdict::Reset, Exchange::default());
                             let (began, era) = (Instant::now(), self.era);
-                            (error.id(), Done { verdict, exchange, connection: None, began, era })
+                            (error.id(), Done { verdict, exchange, room: None, connection: None, began, era })
                         }
                     };
                     let Some(purpose) = self.purposes.remove(&visit) else { continue };
@@ -204,7 +205,7 @@
         let context = self.context.clone();
         let (id, address, open, era) = (self.id, self.address, self.open.clone(), self.era);
         let visit = self.under_way.spawn_local(async move {
-            let mut exchange = Exchange::default();
+            let (mut exchange, mut room) = (Exchange::default(), None);
             let opened = match settled(pooled, until, &context.limits).await {
                 Some(connection) => Ok(connection),
                 None => connect(&context, id, address, until).await,
@@ -213,21 +214,21 @@
                 // A drain that was told since the decision forbids it.
                 Ok(connection) if !*open.borrow() => (Verdict::Moot, Some(connection)),
                 Ok(mut connection) => {
-                    let limits = &context.limits;
-                    let verdict = converse(&mut connection, &query, until, limits, &mut exchange).await;
+                    let verdict =
+                        converse(&context, &mut connection, &query, until, &mut exchange, &mut room).await;
                     (verdict, exchange.is_ready().then_some(connection))
                 }
                 // For a task that connection never came up; a probe was not answered, and no more is known.
                 Err(Verdict::TimedOut) if for_task => (Verdict::Unconnected, None),
                 Err(verdict) => (verdict, None),
             };
-            Done { verdict, exchange, connection, began, era }
+            Done { verdict, exchange, room, connection, began, era }
         });
         self.purposes.insert(visit.id(), purpose);
     }
 
     async fn ended(&mut self, purpose: Purpose, done: Done) -> Result<(), mpsc::error::SendError<Call>> {
-        let Done { mut verdict, exchange, connection, began, era } = done;
+        let Done { mut verdict, exchange, room, connection, began, era } = done;
         if exchange.is_over() {
             self.heard = Instant::now();
         } else if verdict == Verdict::TimedOut && self.heard < began {
@@ -270,7 +271,8 @@
             Purpose::Task { handle, sent } => {
                 let told = self.told(&exchange, exchange.usage.as_deref());
                 let took = sent.elapsed().as_micros() as Micros;
-                let rows = if verdict == Verdict::Honoured { exchange.rows } else { Vec::new() };
+                let honoured = verdict == Verdict::Honoured;
+                let rows = if honoured { Rows { bytes: exchange.rows, room } } else { Rows::default() };
                 Call::Ended(Ended { handle, verdict, took, told, rows })
             }
             Purpose::Probe => {
@@ -408,12 +410,14 @@
 
 /// Sends the query and takes in the answer, as far as it comes before the time limit.
 async fn converse(
+    context: &Context,
     connection: &mut Connection,
     query: &[u8],
     until: Instant,
-    limits: &Limits,
     exchange: &mut Exchange,
+    room: &mut Option<OwnedSemaphorePermit>,
 ) -> Verdict {
+    let limits = &context.limits;
     let mut written = 0;
     while written < query.len() {
         match timeout_at(until, connection.stream.write(&query[written..])).await {
@@ -433,13 +437,20 @@
         if exchange.is_over() {
             break Verdict::Reset;
         }
+        let claimed = pg::claimed(connection.buffer.held());
+        if claimed > limits.small && room.is_none() {
+            // In the buffer, and once more among the rows.
+            let needed = context.large_room.clone().acquire_many_owned((2 * claimed / 1024) as u32);
+            let Ok(Ok(reserved)) = timeout_at(until, needed).await else { return Verdict::TimedOut };
+            *room = Some(reserved);
+        }
         let cut_short = exchange.is_served() || pg::ends_as_answer(connection.buffer.held());
         let wait = if cut_short { due.min(Instant::now() + limits.closing) } else { due };
         match timeout_at(wait, connection.stream.read_buf(connection.buffer.tail())).await {
             Err(_) if wait < until => break Verdict::Spoilt,
             Err(_) => break Verdict::TimedOut,
             Ok(Ok(count)) if count > 0 => {
-                due = if due == until { until.min(Instant::now() + limits.answering) } else { due };
+                due = until.min(Instant::now() + limits.answering);
             }
             _ => break Verdict::Reset,
         }
--- a/crates/driver/tests/sockets.rs
+++ b/crates/driver/tests/sockets.rs
@@ -648,6 +648,29 @@
     assert!(kilobytes < 64 * 1024, "{kilobytes}");
 }
 
+#[test]
+fn values_larger_than_they_are_said_to_be_are_passed_on_within_the_memory() {
+    let member = Member::start(|text, stream| {
+        let mut out = Vec::new();
+        pg::single_row(
+            &mut out,
+            "val",
+            &vec![7; if text.starts_with("/*") { 900_000 } else { 0 }],
+            "SELECT 1",
+        );
+        pg::parameter_status(&mut out, "server_role", "writer");
+        pg::ready(&mut out);
+        let _ = stream.write_all(&out);
+    });
+    let driver = Driver::before(&[("a", &member)]);
+    let mut clients: Vec<Client> = (0..60).map(|_| Client::connect(driver.address)).collect();
+    clients.iter_mut().for_each(|client| client.send(&look(15000)));
+    let whole =
+        |client: &mut Client| client.answer().unwrap().value.is_some_and(|value| value.len() == 900_000);
+    assert!(clients.iter_mut().all(whole));
+    assert!(!driver.logged("nothing that can be used"));
+}
+
 #[test]
 fn reads_go_past_a_member_that_fails_them() {
     let broken = Member::start(|_, stream| stream.shutdown(std::net::Shutdown::Both).unwrap());
