Statements sent ahead on one connection are under way together, answered in order

A line for each task showed 5250 of 6871 behind others of their own connection: clients send ahead, and client.rs took one statement after another. Ruled out: statements in pieces (9), the CPU share (wakes on time), windows (room left everywhere).

client.rs, desk.rs: up to 16 statements of a connection are at the desk at once; answers go out in order; a statement on the key of one under way waits for it.

--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -1,10 +1,11 @@
 //! The actor of one client connection: statements in, one answer each, in order.
 
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
-use aldermill_wire::statement::{Comment, is_empty};
+use aldermill_wire::statement::{Comment, is_empty, quoted};
 use aldermill_wire::{Buffer, Malformed, pg};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -53,6 +54,21 @@
     pub mailbox: mpsc::Receiver<Mail>,
     pub address: mpsc::Sender<Mail>,
     pub connected: Instant,
+    /// What is owed to the client, in the order of its statements.
+    pub owed: VecDeque<Owed>,
+    /// Tasks handed to the desk so far.
+    pub asked: u64,
+}
+
+/// The answer to one statement, once it is there.
+pub struct Owed {
+    task: ClientId,
+    /// Statements on the same key follow one another.
+    key: Option<String>,
+    answer: Option<Vec<u8>>,
+    /// Room reserved for a large statement, and for a large answer.
+    _statement: Option<OwnedSemaphorePermit>,
+    rows: Option<OwnedSemaphorePermit>,
 }
 
 impl Client {
@@ -62,6 +78,9 @@
             Ok(()) => self.serve().await,
             Err(end) => Err(end),
         };
+        for owed in self.owed.drain(..).filter(|owed| owed.answer.is_none()) {
+            let _ = self.context.desk.send(Call::Left(owed.task)).await;
+        }
         if let Err(End::Yielded) = end {
             return;
         }
@@ -105,74 +124,123 @@
         }
     }
 
+    /// Statements are taken as they come, so many at once, and answered in their order.
     async fn serve(&mut self) -> Result<(), End> {
-        let mut out = Vec::new();
         // After a message of the extended protocol, all up to the next Sync is passed over.
         let mut passing_over = false;
         // Since when a message is under way that is not whole, and the room reserved where it is large.
         let mut begun = None;
         let mut large = None;
-        // And what the answer that is being sent takes.
-        let mut room = None;
+        // How the conversation ends once all that is owed was sent.
+        let mut ending = None;
         loop {
-            let max = self.context.limits.statement;
-            let Some(message) = pg::message(self.buffer.held(), max)? else {
-                let claimed = pg::claimed(self.buffer.held());
-                if claimed > self.context.limits.small && large.is_none() {
-                    large = Some(self.reserve(claimed).await?);
-                }
-                self.more(&mut begun).await?;
-                continue;
-            };
-            let arrived = Instant::now();
-            self.seat.idle_since.set(None);
-            begun = None;
-            let (tag, length) = (message.tag, message.length);
-            let statement = if tag == b'Q' { pg::query_text(message.body)?.to_vec() } else { Vec::new() };
-            self.buffer.consume(length);
-            out.clear();
-            match tag {
-                b'Q' if is_empty(&statement) => {
-                    self.context.ready.clone().wait_for(|&ready| ready).await.map_err(|_| End::Quiet)?;
-                    pg::empty_query(&mut out);
-                    pg::ready(&mut out);
-                }
-                b'Q' => {
-                    match Comment::parse(&statement) {
-                        Ok(comment) => {
-                            let answer = self.ask(arrived, statement, comment).await?;
-                            self.seat.served.set(true);
-                            room = encode(&mut out, answer);
+            while let Some(Owed { answer: Some(_), .. }) = self.owed.front() {
+                let owed = self.owed.pop_front();
+                self.send(&owed.and_then(|owed| owed.answer).unwrap_or_default()).await?;
+            }
+            let limits = &self.context.limits;
+            if ending.is_none() && self.owed.len() < limits.pipelined {
+                match pg::message(self.buffer.held(), limits.statement) {
+                    Ok(Some(message)) => {
+                        let (tag, length) = (message.tag, message.length);
+                        let taken = match tag {
+                            b'Q' => pg::query_text(message.body).map(<[u8]>::to_vec),
+                            _ => Ok(Vec::new()),
+                        };
+                        match taken {
+                            Err(bad) => ending = Some(Err(bad.into())),
+                            Ok(_) if tag == b'X' => ending = Some(Ok(())),
+                            Ok(statement) if tag == b'Q' && self.must_wait(&statement) => {
+                                self.hear().await?;
+                                continue;
+                            }
+                            Ok(statement) => {
+                                self.buffer.consume(length);
+                                self.seat.idle_since.set(None);
+                                begun = None;
+                                let handled = self.handle(tag, statement, &mut passing_over, &mut large);
+                                match handled.await {
+                                    Err(End::Malformed(bad)) => ending = Some(Err(bad.into())),
+                                    handled => handled?,
+                                }
+                            }
                         }
-                        Err(bad) => pg::error(&mut out, false, "08P01", bad.0, None),
+                        continue;
                     }
-                    pg::ready(&mut out);
+                    Ok(None) => {}
+                    Err(bad) => ending = Some(Err(bad.into())),
                 }
-                b'X' => return Ok(()),
-                b'S' => {
-                    passing_over = false;
+            }
+            if !self.owed.is_empty() {
+                self.hear().await?;
+                continue;
+            }
+            if let Some(end) = ending {
+                return end;
+            }
+            let claimed = pg::claimed(self.buffer.held());
+            if claimed > self.context.limits.small && large.is_none() {
+                large = Some(self.reserve(claimed).await?);
+            }
+            self.more(&mut begun).await?;
+        }
+    }
+
+    /// Whether a statement is on the key of one that is under way.
+    fn must_wait(&self, statement: &[u8]) -> bool {
+        if self.owed.iter().all(|owed| owed.key.is_none()) {
+            return false;
+        }
+        let Ok(comment) = Comment::parse(statement) else { return false };
+        let key = quoted(&statement[comment.end..]);
+        key.is_some() && self.owed.iter().any(|owed| owed.answer.is_none() && owed.key == key)
+    }
+
+    /// One whole message: a task goes to the desk, anything else has its answer at once.
+    async fn handle(
+        &mut self,
+        tag: u8,
+        statement: Vec<u8>,
+        passing_over: &mut bool,
+        large: &mut Option<OwnedSemaphorePermit>,
+    ) -> Result<(), End> {
+        let mut out = Vec::new();
+        match tag {
+            b'Q' if is_empty(&statement) => {
+                self.context.ready.clone().wait_for(|&ready| ready).await.map_err(|_| End::Quiet)?;
+                pg::empty_query(&mut out);
+                pg::ready(&mut out);
+            }
+            b'Q' => match Comment::parse(&statement) {
+                Ok(comment) => return self.ask(statement, comment, large.take()).await,
+                Err(bad) => {
+                    pg::error(&mut out, false, "08P01", bad.0, None);
                     pg::ready(&mut out);
                 }
-                b'P' | b'B' | b'D' | b'E' | b'C' | b'H' => {
-                    if !std::mem::replace(&mut passing_over, true) {
-                        pg::error(&mut out, false, "0A000", "only simple queries are served", None);
-                    }
-                }
-                b'F' => {
+            },
+            b'S' => {
+                *passing_over = false;
+                pg::ready(&mut out);
+            }
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'H' => {
+                if !std::mem::replace(passing_over, true) {
                     pg::error(&mut out, false, "0A000", "only simple queries are served", None);
-                    pg::ready(&mut out);
                 }
-                // Left over from a copy that failed.
-                b'd' | b'c' | b'f' => {}
-                _ => return Err(Malformed("unknown message type").into()),
             }
-            if !out.is_empty() {
-                self.send(&out).await?;
-                out.clear();
-                out.shrink_to(self.context.limits.small / 2);
+            b'F' => {
+                pg::error(&mut out, false, "0A000", "only simple queries are served", None);
+                pg::ready(&mut out);
             }
-            drop((large.take(), room.take()));
+            // Left over from a copy that failed.
+            b'd' | b'c' | b'f' => {}
+            _ => return Err(Malformed("unknown message type").into()),
         }
+        *large = None;
+        if !out.is_empty() {
+            let (answer, key, rows) = (Some(out), None, None);
+            self.owed.push_back(Owed { task: ClientId::MAX, key, answer, _statement: None, rows });
+        }
+        Ok(())
     }
 
     /// Room for a large message, which the client is denied where others have taken it all.
@@ -189,27 +257,45 @@
         }
     }
 
-    /// Hands the task to the desk and waits for its answer, or for the client to leave.
-    async fn ask(&mut self, arrived: Instant, statement: Vec<u8>, comment: Comment) -> Result<Answer, End> {
-        let (client, mailbox) = (self.id, self.address.clone());
+    /// Hands the task to the desk.
+    async fn ask(
+        &mut self,
+        statement: Vec<u8>,
+        comment: Comment,
+        large: Option<OwnedSemaphorePermit>,
+    ) -> Result<(), End> {
+        self.asked += 1;
+        let client = (self.id << 24) + (self.asked & 0xff_ffff);
+        let key = quoted(&statement[comment.end..]);
+        self.owed.push_back(Owed { task: client, key, answer: None, _statement: large, rows: None });
+        let (mailbox, arrived) = (self.address.clone(), Instant::now());
         let order = Order { client, mailbox, arrived, statement, comment };
-        self.context.desk.send(Call::Take(order)).await.map_err(|_| End::Quiet)?;
-        loop {
-            let room = self.buffer.held().len() < self.context.limits.ahead;
-            tokio::select! {
-                biased;
-                mail = self.mailbox.recv() => match mail {
-                    Some(Mail::Answer(answer)) => return Ok(answer),
-                    Some(Mail::Yield) => {}
-                    None => return Err(End::Quiet),
-                },
-                read = self.stream.read_buf(self.buffer.tail()), if room => {
-                    if !matches!(read, Ok(count) if count > 0) {
-                        let _ = self.context.desk.send(Call::Left(self.id)).await;
-                        return Err(End::Quiet);
+        self.context.desk.send(Call::Take(order)).await.map_err(|_| End::Quiet)
+    }
+
+    /// Waits for an answer, for more bytes, or for the client to leave.
+    async fn hear(&mut self) -> Result<(), End> {
+        let room = self.buffer.held().len() < self.context.limits.ahead;
+        tokio::select! {
+            biased;
+            mail = self.mailbox.recv() => match mail {
+                Some(Mail::Answer(task, answer)) => {
+                    self.seat.served.set(true);
+                    if let Some(owed) = self.owed.iter_mut().find(|owed| owed.task == task) {
+                        let mut out = Vec::new();
+                        owed.rows = encode(&mut out, answer);
+                        pg::ready(&mut out);
+                        owed.answer = Some(out);
                     }
+                    Ok(())
                 }
-            }
+                Some(Mail::Yield) => Ok(()),
+                None => Err(End::Quiet),
+            },
+            read = self.stream.read_buf(self.buffer.tail()), if room => match read {
+                Ok(count) if count > 0 => Ok(()),
+                _ => Err(End::Quiet),
+            },
         }
     }
 
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -20,6 +20,7 @@
 use crate::context::Context;
 use crate::member::{Errand, Launch, Member};
 
+/// A statement of a client, new for each.
 pub type ClientId = u64;
 
 /// What clients and members tell the desk.
@@ -64,7 +65,7 @@
 
 /// What the desk and the listener tell a client's actor.
 pub enum Mail {
-    Answer(Answer),
+    Answer(ClientId, Answer),
     /// Close the connection if nothing is under way on it.
     Yield,
 }
@@ -196,7 +197,7 @@
     /// A client's task: from its statement to the router, and on its way.
     fn take(&mut self, order: Order) {
         let refuse = |answer| {
-            let _ = order.mailbox.try_send(Mail::Answer(answer));
+            let _ = order.mailbox.try_send(Mail::Answer(order.client, answer));
         };
         let Ok(offering) = self.decoded.offering(&order.comment.offering) else {
             return refuse(Answer::Wrong("unknown offering"));
@@ -253,8 +254,8 @@
             return;
         };
         self.by_client.remove(&client);
-        // Its mailbox always has room for the answer it waits for; it may be gone.
-        let _ = mailbox.try_send(Mail::Answer(answer));
+        // Its mailbox always has room for the answers it waits for; it may be gone.
+        let _ = mailbox.try_send(Mail::Answer(client, answer));
     }
 
     fn carry_out(&mut self, todo: Todo) {
--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -31,6 +31,8 @@
     /// The head of discovery's answer, and one line of the member list.
     pub list_head: usize,
     pub list_line: usize,
+    /// Statements of one connection that are under way at once.
+    pub pipelined: usize,
     /// What a client may send ahead while its task is on the way.
     pub ahead: usize,
     /// Calls that wait for the router, and errands that wait at a member.
@@ -110,6 +112,7 @@
             answer,
             list_head: 16 * 1024,
             list_line: 4 * 1024 * 1024,
+            pipelined: 16,
             ahead: 8 * 1024,
             calls: 2 * (clients + members),
             errands: clients + members,
--- a/crates/driver/src/listener.rs
+++ b/crates/driver/src/listener.rs
@@ -1,6 +1,6 @@
 //! The actor that accepts clients and keeps them within their share of descriptors.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -130,8 +130,8 @@
     fn admit(&mut self, stream: TcpStream) {
         let id = self.next_id;
         self.next_id += 1;
-        // Room for the one answer it may wait for and a request to yield.
-        let (address, mailbox) = mpsc::channel(4);
+        // Room for the answers it may wait for and a request to yield.
+        let (address, mailbox) = mpsc::channel(self.context.limits.pipelined + 4);
         let seat = Rc::new(Seat::default());
         let guest = Guest { seat: seat.clone(), address: address.clone() };
         let client = Client {
@@ -143,6 +143,8 @@
             mailbox,
             address,
             connected: Instant::now(),
+            owed: VecDeque::new(),
+            asked: 0,
         };
         let task = self.clients.spawn_local(client.run());
         self.guests.insert(task.id(), guest);
--- a/crates/driver/tests/sockets.rs
+++ b/crates/driver/tests/sockets.rs
@@ -460,6 +460,37 @@
     }
 }
 
+#[test]
+fn statements_sent_ahead_are_under_way_together_and_answered_in_order() {
+    let (busy, most) = (AtomicUsize::new(0), Arc::<AtomicUsize>::default());
+    let seen = most.clone();
+    let member = Member::start(move |text, stream| {
+        let mut out = Vec::new();
+        seen.fetch_max(busy.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
+        let key = text.split('\'').nth(1).unwrap_or_default();
+        if key.starts_with("slow") {
+            thread::sleep(Duration::from_millis(300));
+        }
+        busy.fetch_sub(1, Ordering::SeqCst);
+        pg::single_row(&mut out, "val", key.as_bytes(), "SELECT 1");
+        pg::parameter_status(&mut out, "server_role", "writer");
+        pg::ready(&mut out);
+        let _ = stream.write_all(&out);
+    });
+    let driver = Driver::before(&[("a", &member)]);
+    let mut client = Client::connect(driver.address);
+    let keys = ["slow1", "slow2", "slow3", "quick", "slow4"];
+    for key in keys {
+        client.send(&look(15000).replace("'k'", &format!("'{key}'")));
+    }
+    client.send("SELECT 1");
+    for key in keys {
+        assert_eq!(client.answer().unwrap().value.unwrap(), key.as_bytes());
+    }
+    assert_eq!(client.answer().unwrap().code, "08P01");
+    assert!(most.load(Ordering::SeqCst) >= 3, "one after another");
+}
+
 #[test]
 fn bad_input_gets_its_error_and_reaches_no_member() {
     let member = sound("writer");
