--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -63,7 +63,7 @@
 /// The answer to one statement, once it is there.
 pub struct Owed {
     task: ClientId,
-    /// Statements on the same key follow one another.
+    /// Of a statement that may write: what follows on the same key waits for it.
     key: Option<String>,
     answer: Option<Vec<u8>>,
     /// Room reserved for a large statement, and for a large answer.
@@ -186,7 +186,7 @@
         }
     }
 
-    /// Whether a statement is on the key of one that is under way.
+    /// Whether a statement is on the key of a write that is under way.
     fn must_wait(&self, statement: &[u8]) -> bool {
         if self.owed.iter().all(|owed| owed.key.is_none()) {
             return false;
@@ -266,7 +266,9 @@
     ) -> Result<(), End> {
         self.asked += 1;
         let client = (self.id << 24) + (self.asked & 0xff_ffff);
-        let key = quoted(&statement[comment.end..]);
+        let text = &statement[comment.end..];
+        let reads = text.trim_ascii_start().get(..6).is_some_and(|verb| verb.eq_ignore_ascii_case(b"SELECT"));
+        let key = if reads { None } else { quoted(text) };
         self.owed.push_back(Owed { task: client, key, answer: None, _statement: large, rows: None });
         let (mailbox, arrived) = (self.address.clone(), Instant::now());
         let order = Order { client, mailbox, arrived, statement, comment };
--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -112,7 +112,7 @@
             answer,
             list_head: 16 * 1024,
             list_line: 4 * 1024 * 1024,
-            pipelined: 16,
+            pipelined: 64,
             ahead: 8 * 1024,
             calls: 2 * (clients + members),
             errands: clients + members,
