Actors' words get a file of their own; stand-ins for tests become a package

Need: catalog, context, desk and member imported each other in a circle, and the stand-ins for members, clients and discovery could be used by one test file only. The parts to come need both undone.

Change: words.rs holds what actors say to each other and imports no actor; the list's form (catalog.rs) is apart from the actor that follows it (watch.rs). Members, clients, discovery and the program as a child process move from tests/sockets.rs to crates/stand-ins; the tests keep their cases and assertions.

--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::context::Context;
-use crate::desk::{Answer, Call, ClientId, Mail, Order};
+use crate::words::{Answer, Call, ClientId, Mail, Order};
 
 /// What the listener sees of a client: since when nothing is under way, and whether anything ever was.
 #[derive(Default)]
--- a/crates/driver/src/context.rs
+++ b/crates/driver/src/context.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 use crate::clock::Clock;
-use crate::desk::Call;
 use crate::limits::Limits;
+use crate::words::Call;
 
 /// What every actor of the driver needs.
 pub struct Context {
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -9,76 +9,17 @@
 };
 use aldermill_terms::Decoded;
 use aldermill_wire::pg;
-use aldermill_wire::statement::{Comment, quoted};
+use aldermill_wire::statement::quoted;
 use slog::{info, warn};
-use tokio::sync::{OwnedSemaphorePermit, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
-use crate::catalog::{Bulletin, Catalog, Entry};
+use crate::catalog::{Catalog, Entry};
 use crate::clock::{Clock, duration};
 use crate::context::Context;
-use crate::member::{Errand, Launch, Member};
-
-/// A statement of a client, new for each.
-pub type ClientId = u64;
-
-/// What clients and members tell the desk.
-pub enum Call {
-    Take(Order),
-    Left(ClientId),
-    Ended(Ended),
-    Probed {
-        member: MemberId,
-        verdict: Verdict,
-        told: Told,
-    },
-    /// This member found no descriptor free for a connection.
-    Crowded(MemberId),
-}
-
-/// A client's statement with its comment, when it was whole.
-pub struct Order {
-    pub client: ClientId,
-    pub mailbox: mpsc::Sender<Mail>,
-    pub arrived: Instant,
-    pub statement: Vec<u8>,
-    pub comment: Comment,
-}
-
-/// How a launch ended.
-pub struct Ended {
-    pub handle: Handle,
-    pub verdict: Verdict,
-    pub took: Micros,
-    pub told: Told,
-    /// Where it was honoured: the messages that carry the value.
-    pub rows: Rows,
-}
-
-/// The messages that carry a value, and the room reserved for them where they are large.
-#[derive(Default)]
-pub struct Rows {
-    pub bytes: Vec<u8>,
-    pub room: Option<OwnedSemaphorePermit>,
-}
-
-/// What the desk and the listener tell a client's actor.
-pub enum Mail {
-    Answer(ClientId, Answer),
-    /// Close the connection if nothing is under way on it.
-    Yield,
-}
-
-pub enum Answer {
-    Honoured(Rows),
-    Denied {
-        cool_down: Micros,
-    },
-    BrokenOff,
-    /// Not taken: the statement names what is not there.
-    Wrong(&'static str),
-}
+use crate::member::Member;
+use crate::words::{Answer, Bulletin, Call, ClientId, Ended, Errand, Launch, Mail, Order, Rows};
 
 /// A task under way and the client that waits for it.
 struct Open {
--- a/crates/driver/src/listener.rs
+++ b/crates/driver/src/listener.rs
@@ -14,7 +14,7 @@
 
 use crate::client::{Client, Seat, turn_away};
 use crate::context::Context;
-use crate::desk::{ClientId, Mail};
+use crate::words::{ClientId, Mail};
 
 /// A listening socket; a port that an earlier run left in TIME_WAIT is no obstacle.
 pub fn bind(address: SocketAddr, backlog: i32) -> std::io::Result<TcpListener> {
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -10,6 +10,8 @@
 mod member;
 mod reload;
 mod start;
+mod watch;
+mod words;
 
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -18,17 +20,18 @@
 use bpaf::Bpaf;
 use slog::{Drain, Logger, info, o};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch as notice};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::Instant;
 
-use crate::catalog::{Bulletin, Watch};
 use crate::clock::Clock;
 use crate::context::Context;
 use crate::desk::Desk;
 use crate::limits::Limits;
 use crate::reload::Reload;
 use crate::start::Start;
+use crate::watch::Watch;
+use crate::words::Bulletin;
 
 /// A proxy before groups of databases, each a primary and its replicas
 #[derive(Clone, Debug, Bpaf)]
@@ -114,15 +117,15 @@
     let stop_window = limits.stop_window;
     let (log, _guard) = logger(&limits);
     let [mut terminate, mut interrupt] = ends;
-    let (address, discovery) = watch::channel(discovery);
+    let (address, discovery) = notice::channel(discovery);
     spawn_local(Reload { config, fixed, discovery: address, log: log.clone() }.run(hangup));
     let listener =
         listener::bind(listen, limits.backlog).map_err(|error| format!("listen: {listen}: {error}"))?;
 
     let (desk, calls) = mpsc::channel(limits.calls);
     let (bulletin, bulletins) = mpsc::channel(limits.lists);
-    let (ready, seen_ready) = watch::channel(false);
-    let (stop, stopping) = watch::channel(None);
+    let (ready, seen_ready) = notice::channel(false);
+    let (stop, stopping) = notice::channel(None);
     let large_room = Arc::new(Semaphore::new(limits.large_room));
     let member_room = Arc::new(Semaphore::new(limits.members));
     let on_request = decoded.terms.list_on_request;
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -18,27 +18,8 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
 
 use crate::context::Context;
-use crate::desk::{Call, Ended, Rows};
 use crate::limits::Limits;
-
-/// What the desk asks of a member's actor.
-pub enum Errand {
-    Launch(Launch),
-    Probe {
-        until: Instant,
-    },
-    /// The member's process is another one, or reached elsewhere: old connections are of no use.
-    Renew(SocketAddr),
-    /// Others need descriptors: close an idle connection.
-    Shed,
-}
-
-pub struct Launch {
-    pub handle: Handle,
-    pub query: Vec<u8>,
-    pub sent: Instant,
-    pub until: Instant,
-}
+use crate::words::{Call, Ended, Errand, Launch, Rows};
 
 struct Connection {
     stream: TcpStream,
--- /dev/null
+++ b/crates/stand-ins/src/client.rs
@@ -0,0 +1,90 @@
+//! A client that speaks as much of the protocol as tests need.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use aldermill_wire::{Buffer, pg};
+
+use crate::{LONG, MAX};
+
+/// How the driver answered one query.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Said {
+    pub value: Option<Vec<u8>>,
+    pub code: String,
+    pub detail: String,
+    pub empty: bool,
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    pub buffer: Buffer,
+}
+
+impl Client {
+    pub fn bare(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Client { stream, buffer: Buffer::default() }
+    }
+
+    pub fn connect(address: SocketAddr) -> Client {
+        let mut client = Client::bare(address);
+        let mut hello = Vec::new();
+        pg::startup(&mut hello, "client", "core");
+        client.raw(&hello);
+        assert_eq!(client.answer(), Some(Said::default()));
+        client
+    }
+
+    pub fn raw(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    pub fn send(&mut self, statement: &str) {
+        let mut out = Vec::new();
+        pg::query(&mut out, &[statement.as_bytes()]);
+        self.raw(&out);
+    }
+
+    /// All up to the next ReadyForQuery, or to the end if that came with an error; `None` is a bare end.
+    pub fn answer(&mut self) -> Option<Said> {
+        let mut said = Said::default();
+        let mut piece = [0; 4096];
+        loop {
+            while let Some(message) = pg::message(self.buffer.held(), MAX).unwrap() {
+                match message.tag {
+                    b'D' => said.value = pg::single_value(message.body).unwrap().map(<[u8]>::to_vec),
+                    b'E' => {
+                        let refusal = pg::refusal(message.body).unwrap();
+                        (said.code, said.detail) = (refusal.code.to_owned(), refusal.detail.to_owned());
+                    }
+                    b'I' => said.empty = true,
+                    _ => {}
+                }
+                let (tag, length) = (message.tag, message.length);
+                self.buffer.consume(length);
+                if tag == b'Z' {
+                    return Some(said);
+                }
+            }
+            match self.stream.read(&mut piece) {
+                Ok(0) | Err(_) => return (!said.code.is_empty()).then_some(said),
+                Ok(count) => self.buffer.tail().extend_from_slice(&piece[..count]),
+            }
+        }
+    }
+
+    pub fn ask(&mut self, statement: &str) -> Said {
+        self.send(statement);
+        self.answer().expect("an answer before the end")
+    }
+
+    pub fn ended(&mut self) -> bool {
+        !matches!(self.stream.read(&mut [0; 64]), Ok(1..))
+    }
+}
+
+pub fn honoured(said: &Said) -> bool {
+    said.value.as_deref() == Some(b"the value") && said.code.is_empty()
+}
--- /dev/null
+++ b/crates/stand-ins/src/lib.rs
@@ -0,0 +1,33 @@
+//! Stand-ins for what stands around the program: members, clients and discovery, and the program itself as a child.
+//! Only tests and measurements use them; all of them listen and connect on loopback addresses.
+
+mod client;
+mod discovery;
+mod member;
+mod program;
+mod statement;
+
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub use client::{Client, Said, honoured};
+pub use discovery::{Discovery, list};
+pub use member::{Act, Member, honour, honour_with, refuse, sound, whole};
+pub use program::{Driver, TERMS, aldermill, config, file, program};
+pub use statement::{look, named, new_id, order};
+
+/// Long enough for any step on a busy machine.
+pub const LONG: Duration = Duration::from_secs(30);
+pub const MAX: usize = 1 << 20;
+
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LONG, "{what} never came");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+pub fn unix_millis() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
+}
--- /dev/null
+++ b/crates/stand-ins/src/program.rs
@@ -0,0 +1,116 @@
+//! The program under test, as a child process.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use crate::{Discovery, Member, list, until};
+
+pub const TERMS: &str = r#"{"azs":["here"],"myZone":"here","balancers":1,"registryMode":"automatic","weights":"off",
+ "categories":[
+  {"name":"look","effect":"pure","dedupScope":"all","windowMs":0,"targetMs":1000,"deadlineMs":20000,"worth":1,"lateWorth":0.5},
+  {"name":"order","effect":"side_effect","dedupScope":"all","windowMs":0,"targetMs":1000,"deadlineMs":20000,"worth":3,"lateWorth":0.5}],
+ "clients":{"marksRetry":true},"deductions":{"crossZone":0},
+ "familyInfo":{"behind":"off","maxAgeMs":[0,0],"needsByClass":["loose","update"],"positionZeroMs":0,"roleListed":"off","tokens":"client"},
+ "limits":{"maxAttempts":4,"maxRetryAfterMs":500,"retryAfter":true,"probes":true,"connIdleMs":30000,"connectTimeoutMs":2000,"maxOpen":1000},
+ "rules":{"coldFrom":0.2,"warmWithinMs":1000,"overloadFactor":2,"fallMs":1000}}"#;
+
+/// The program under test; killed when dropped.
+pub struct Driver {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub log: Arc<Mutex<Vec<String>>>,
+    pub config: PathBuf,
+}
+
+/// The program: named by ALDERMILL, else the one built beside what runs now.
+pub fn program() -> PathBuf {
+    let built = || {
+        let own = std::env::current_exe().expect("the path of what runs now");
+        own.parent().and_then(|folder| folder.parent()).expect("in a folder of the build").join("aldermill")
+    };
+    std::env::var_os("ALDERMILL").map_or_else(built, PathBuf::from)
+}
+
+/// A file of this process for the program to read.
+pub fn file(kind: &str, text: &str) -> PathBuf {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("{kind}-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::SeqCst));
+    let path = std::env::temp_dir().join(format!("aldermill-{name}"));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+pub fn aldermill(arguments: &[&str], config: &str) -> (Command, PathBuf) {
+    let path = file("config", config);
+    let mut command = Command::new(program());
+    command.args(arguments).env_clear().env("GW_CONFIG", &path);
+    (command, path)
+}
+
+pub fn config(discovery: SocketAddr, sockets: usize, known: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:1","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{TERMS}}}"#
+    )
+}
+
+impl Driver {
+    pub fn start(discovery: &Discovery, sockets: usize, known: &str) -> Driver {
+        Driver::of(&config(discovery.start(), sockets, known))
+    }
+
+    pub fn of(config: &str) -> Driver {
+        Driver::at("127.0.0.1:0".parse().unwrap(), config)
+    }
+
+    pub fn at(listen: SocketAddr, config: &str) -> Driver {
+        let (mut command, path) = aldermill(&["serve"], config);
+        command.env("GW_LISTEN", listen.to_string()).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let log = Arc::<Mutex<Vec<String>>>::default();
+        let (lines, stderr) = (log.clone(), BufReader::new(child.stderr.take().unwrap()));
+        thread::spawn(move || {
+            for line in stderr.lines().map_while(Result::ok) {
+                lines.lock().unwrap().push(line);
+            }
+        });
+        let mut address = None;
+        until("the line that it serves", || {
+            let log = log.lock().unwrap();
+            let serving = log.iter().find_map(|line| line.split_once("listen: ").map(|(_, rest)| rest));
+            address = serving.map(|rest| rest.split(',').next().unwrap().trim().parse().unwrap());
+            address.is_some()
+        });
+        Driver { child, address: address.unwrap(), log, config: path }
+    }
+
+    /// With these members in service, as known at the start and as discovery says.
+    pub fn before(members: &[(&str, &Member)]) -> Driver {
+        let members: Vec<_> = members.iter().map(|&(id, member)| (id, member, "in_service")).collect();
+        let discovery = Discovery::default();
+        discovery.say(list(1, true, &members));
+        Driver::start(&discovery, 256, &list(1, true, &members))
+    }
+
+    pub fn logged(&self, text: &str) -> bool {
+        self.log.lock().unwrap().iter().any(|line| line.contains(text))
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
