--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -5,14 +5,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use aldermill_pace::Way;
 use aldermill_wire::statement::{Comment, is_empty, quoted};
 use aldermill_wire::{Buffer, Malformed, pg};
+use slog::debug;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::context::Context;
+use crate::gate::{Presence, Room};
 use crate::words::{Answer, Call, ClientId, Mail, Order};
 
 /// What the listener sees of a client: since when nothing is under way, and whether anything ever was.
@@ -29,6 +33,9 @@
     /// Its place is needed, or it stood idle for long. It is closed at once: what crosses that stays unread, and
     /// the client, seeing so, asks anew elsewhere.
     Yielded,
+    /// It was too slow while others wanted what it held, or for too long. It is reset: what the system still holds
+    /// for it is let go of at once.
+    Cut,
     /// It sent what the protocol does not allow.
     Malformed(Malformed),
 }
@@ -49,6 +56,7 @@
     pub context: Rc<Context>,
     pub id: ClientId,
     pub stream: TcpStream,
+    pub presence: Presence,
     pub buffer: Buffer,
     pub seat: Rc<Seat>,
     pub mailbox: mpsc::Receiver<Mail>,
@@ -58,6 +66,12 @@
     pub owed: VecDeque<Owed>,
     /// Tasks handed to the desk so far.
     pub asked: u64,
+    /// Bytes sent since the client last asked: they may be unread.
+    pub unread: usize,
+    /// The room of the last large answer, as far as the system may hold it still.
+    pub left: Option<Room>,
+    /// The rest of a message is waited for.
+    pub sending: bool,
 }
 
 /// The answer to one statement, once it is there.
@@ -65,10 +79,10 @@
     task: ClientId,
     /// Of a statement that may write: what follows on the same key waits for it.
     key: Option<String>,
-    answer: Option<Vec<u8>>,
-    /// Room reserved for a large statement, and for a large answer.
-    _statement: Option<OwnedSemaphorePermit>,
-    rows: Option<OwnedSemaphorePermit>,
+    answer: Option<Vec<Vec<u8>>>,
+    /// Room held for a large statement, and for a large answer.
+    statement: Option<Room>,
+    rows: Option<Room>,
 }
 
 impl Client {
@@ -81,19 +95,39 @@
         for owed in self.owed.drain(..).filter(|owed| owed.answer.is_none()) {
             let _ = self.context.desk.send(Call::Left(owed.task)).await;
         }
+        if matches!(end, Err(End::Cut)) || !self.may_leave_unread() {
+            // With nothing left to be handed over the system forgets the connection at once.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+            return;
+        }
         if let Err(End::Yielded) = end {
             return;
         }
         self.buffer = Buffer::default();
         if let Err(End::Malformed(bad)) = end {
-            slog::debug!(self.context.log, "client's bytes end its connection"; "why" => bad.0);
+            debug!(self.context.log, "client's bytes end its connection"; "why" => bad.0);
             let mut out = Vec::new();
             pg::error(&mut out, true, "08P01", bad.0, None);
-            let _ = self.send(&out).await;
+            let _ = self.send(vec![out], None).await;
         }
         part(self.stream, self.context.limits.parting, self.context.limits.scrap).await;
     }
 
+    /// Closed is not gone: what the client may not have read stays with the system for a bounded time, and counts
+    /// as room meanwhile. Says whether there is room for that.
+    fn may_leave_unread(&mut self) -> bool {
+        let unread = self.unread.min(2 * self.context.limits.buffer);
+        if unread < self.context.limits.unread {
+            return true;
+        }
+        let _ = SockRef::from(&self.stream).set_tcp_user_timeout(Some(self.presence.lingering()));
+        match self.left.take() {
+            Some(room) => room.linger(),
+            None => return self.presence.may_leave(unread),
+        }
+        true
+    }
+
     /// The startup, and requests for encryption before it.
     async fn greet(&mut self) -> Result<(), End> {
         let until = self.connected + self.context.limits.startup;
@@ -112,13 +146,13 @@
                 Some((pg::Opening::Cancel, _)) => return Err(End::Quiet),
                 Some((pg::Opening::Encryption, length)) => {
                     self.buffer.consume(length);
-                    self.send(b"N").await?;
+                    self.send(vec![b"N".to_vec()], None).await?;
                 }
                 Some((pg::Opening::Startup, length)) => {
                     self.buffer.consume(length);
                     let mut out = Vec::new();
                     pg::welcome(&mut out, self.id as u32);
-                    return self.send(&out).await;
+                    return self.send(vec![out], None).await;
                 }
             }
         }
@@ -135,27 +169,35 @@
         let mut ending = None;
         loop {
             while let Some(Owed { answer: Some(_), .. }) = self.owed.front() {
-                let owed = self.owed.pop_front();
-                self.send(&owed.and_then(|owed| owed.answer).unwrap_or_default()).await?;
+                let Some(Owed { answer, rows, statement, .. }) = self.owed.pop_front() else { break };
+                drop(statement);
+                self.send(answer.unwrap_or_default(), rows).await?;
             }
             let limits = &self.context.limits;
             if ending.is_none() && self.owed.len() < limits.pipelined {
                 match pg::message(self.buffer.held(), limits.statement) {
                     Ok(Some(message)) => {
                         let (tag, length) = (message.tag, message.length);
-                        let taken = match tag {
-                            b'Q' => pg::query_text(message.body).map(<[u8]>::to_vec),
-                            _ => Ok(Vec::new()),
+                        let text = match tag {
+                            b'Q' => pg::query_text(message.body),
+                            _ => Ok(&[][..]),
                         };
-                        match taken {
+                        match text {
                             Err(bad) => ending = Some(Err(bad.into())),
                             Ok(_) if tag == b'X' => ending = Some(Ok(())),
-                            Ok(statement) if tag == b'Q' && self.must_wait(&statement) => {
+                            Ok(statement) if tag == b'Q' && self.must_wait(statement) => {
                                 self.hear().await?;
                                 continue;
                             }
-                            Ok(statement) => {
-                                self.buffer.consume(length);
+                            Ok(_) => {
+                                let statement = self.statement(tag, length);
+                                if self.owed.is_empty() {
+                                    self.unread = 0;
+                                    self.left = None;
+                                }
+                                if std::mem::take(&mut self.sending) {
+                                    self.presence.rests();
+                                }
                                 self.seat.idle_since.set(None);
                                 begun = None;
                                 let handled = self.handle(tag, statement, &mut passing_over, &mut large);
@@ -186,6 +228,24 @@
         }
     }
 
+    /// Takes a whole message of such a length from the buffer, and its text where it is a query.
+    fn statement(&mut self, tag: u8, length: usize) -> Vec<u8> {
+        if tag != b'Q' {
+            self.buffer.consume(length);
+            return Vec::new();
+        }
+        if length > self.context.limits.small {
+            // Held once: what was the buffer becomes the statement.
+            let mut message = self.buffer.take(length);
+            message.pop();
+            message.drain(..pg::BEFORE_BODY);
+            return message;
+        }
+        let statement = self.buffer.held()[pg::BEFORE_BODY..length - 1].to_vec();
+        self.buffer.consume(length);
+        statement
+    }
+
     /// Whether a statement is on the key of a write that is under way.
     fn must_wait(&self, statement: &[u8]) -> bool {
         if self.owed.iter().all(|owed| owed.key.is_none()) {
@@ -202,7 +262,7 @@
         tag: u8,
         statement: Vec<u8>,
         passing_over: &mut bool,
-        large: &mut Option<OwnedSemaphorePermit>,
+        large: &mut Option<Room>,
     ) -> Result<(), End> {
         let mut out = Vec::new();
         match tag {
@@ -237,41 +297,42 @@
         }
         *large = None;
         if !out.is_empty() {
-            let (answer, key, rows) = (Some(out), None, None);
-            self.owed.push_back(Owed { task: ClientId::MAX, key, answer, _statement: None, rows });
+            let (answer, key, rows) = (Some(vec![out]), None, None);
+            self.owed.push_back(Owed { task: ClientId::MAX, key, answer, statement: None, rows });
         }
         Ok(())
     }
 
-    /// Room for a large message, which the client is denied where others have taken it all.
-    async fn reserve(&mut self, size: usize) -> Result<OwnedSemaphorePermit, End> {
-        let room = self.context.large_room.clone();
-        match room.try_acquire_many_owned(size.div_ceil(1024) as u32) {
-            Ok(permit) => Ok(permit),
-            Err(_) => {
-                let mut out = Vec::new();
-                pg::error(&mut out, true, "53300", "no room for a statement of this size", None);
-                self.send(&out).await?;
-                Err(End::Quiet)
-            }
+    /// Room for a large message, which the client is denied where others have taken it all and nobody who is too
+    /// slow can give it up.
+    async fn reserve(&mut self, size: usize) -> Result<Room, End> {
+        let limits = &self.context.limits;
+        let text = self.buffer.held().get(pg::BEFORE_BODY..).and_then(|text| Comment::parse(text).ok());
+        let best = text.is_some_and(|comment| self.context.best_paid.contains(&comment.offering));
+        let until = Instant::now() + limits.room_wait;
+        if let Some(room) = self.presence.room(size, best, until).await {
+            self.buffer.expect(size + 1);
+            return Ok(room);
+        }
+        if self.presence.is_cut() {
+            return Err(End::Cut);
         }
+        let mut out = Vec::new();
+        pg::error(&mut out, true, "53300", "no room for a statement of this size", None);
+        self.send(vec![out], None).await?;
+        Err(End::Quiet)
     }
 
     /// Hands the task to the desk.
-    async fn ask(
-        &mut self,
-        statement: Vec<u8>,
-        comment: Comment,
-        large: Option<OwnedSemaphorePermit>,
-    ) -> Result<(), End> {
+    async fn ask(&mut self, statement: Vec<u8>, comment: Comment, large: Option<Room>) -> Result<(), End> {
         self.asked += 1;
         let client = (self.id << 24) + (self.asked & 0xff_ffff);
         let text = &statement[comment.end..];
         let reads = text.trim_ascii_start().get(..6).is_some_and(|verb| verb.eq_ignore_ascii_case(b"SELECT"));
         let key = if reads { None } else { quoted(text) };
-        self.owed.push_back(Owed { task: client, key, answer: None, _statement: large, rows: None });
+        self.owed.push_back(Owed { task: client, key, answer: None, statement: large, rows: None });
         let (mailbox, arrived) = (self.address.clone(), Instant::now());
-        let order = Order { client, mailbox, arrived, statement, comment };
+        let order = Order { client, holder: self.presence.peer, mailbox, arrived, statement, comment };
         self.context.desk.send(Call::Take(order)).await.map_err(|_| End::Quiet)
     }
 
@@ -284,10 +345,13 @@
                 Some(Mail::Answer(task, answer)) => {
                     self.seat.served.set(true);
                     if let Some(owed) = self.owed.iter_mut().find(|owed| owed.task == task) {
-                        let mut out = Vec::new();
-                        owed.rows = encode(&mut out, answer);
-                        pg::ready(&mut out);
-                        owed.answer = Some(out);
+                        let (mut pieces, rows) = encode(answer);
+                        owed.rows = rows;
+                        match pieces.last_mut() {
+                            Some(last) => pg::ready(last),
+                            None => pieces.push(Vec::new()),
+                        }
+                        owed.answer = Some(pieces);
                     }
                     Ok(())
                 }
@@ -324,6 +388,10 @@
             since = self.connected;
         }
         self.seat.idle_since.set(Some(since));
+        if !between {
+            self.sending = true;
+            self.presence.owes(Way::Sending);
+        }
         let stopped = async {
             let window = stopping.wait_for(Option::is_some).await.map_or(None, |window| *window);
             if let Some(closes) = window.filter(|_| !served) {
@@ -339,16 +407,56 @@
                 mail = self.mailbox.recv() => if matches!(mail, Some(Mail::Yield) | None) {
                     return Err(End::Yielded);
                 },
+                () = self.presence.cut(), if !between => return Err(End::Cut),
                 () = &mut stopped, if between => return Err(End::Yielded),
                 () = sleep_until(until) => return Err(End::Yielded),
             }
         };
-        if read? > 0 { Ok(()) } else { Err(End::Quiet) }
+        let count = read?;
+        if self.sending {
+            self.presence.moved(count);
+        }
+        if count > 0 { Ok(()) } else { Err(End::Quiet) }
     }
 
-    async fn send(&mut self, out: &[u8]) -> Result<(), End> {
-        let limit = self.context.limits.accepting;
-        Ok(timeout(limit, self.stream.write_all(out)).await.map_err(|_| End::Quiet)??)
+    /// Sends all of it, however slowly the client takes it, unless that is too slow. Its room is given back by then,
+    /// but for what the system may still hold of it.
+    async fn send(&mut self, pieces: Vec<Vec<u8>>, room: Option<Room>) -> Result<(), End> {
+        let mut owing = false;
+        for piece in &pieces {
+            let mut left = &piece[..];
+            while !left.is_empty() {
+                match self.stream.try_write(left) {
+                    Ok(count) if count > 0 => {
+                        left = &left[count..];
+                        self.unread = self.unread.saturating_add(count);
+                        if owing {
+                            // So much of what was written before has been taken.
+                            self.presence.moved(count);
+                        }
+                    }
+                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                        if !std::mem::replace(&mut owing, true) {
+                            self.presence.owes(Way::Reading);
+                        }
+                        tokio::select! {
+                            biased;
+                            () = self.presence.cut() => return Err(End::Cut),
+                            ready = self.stream.writable() => ready?,
+                        }
+                    }
+                    _ => return Err(End::Quiet),
+                }
+            }
+        }
+        if owing {
+            self.presence.rests();
+        }
+        if let Some(room) = room {
+            room.shrink(self.unread.min(2 * self.context.limits.buffer));
+            self.left = Some(room);
+        }
+        Ok(())
     }
 }
 
@@ -371,23 +479,22 @@
     let _ = timeout(limit, until_end).await;
 }
 
-fn encode(out: &mut Vec<u8>, answer: Answer) -> Option<OwnedSemaphorePermit> {
+/// The bytes of an answer, and the room that they hold.
+fn encode(answer: Answer) -> (Vec<Vec<u8>>, Option<Room>) {
+    let mut out = Vec::new();
     match answer {
-        Answer::Honoured(rows) => {
-            *out = rows.bytes;
-            return rows.room;
-        }
+        Answer::Honoured(rows) => return (rows.pieces, rows.room),
         Answer::Denied { cool_down } => {
             let millis = (cool_down + 999) / 1000;
             let detail = (millis > 0).then(|| millis.to_string());
-            pg::error(out, false, "53300", "denied, trying again is harmless", detail.as_deref());
+            pg::error(&mut out, false, "53300", "denied, trying again is harmless", detail.as_deref());
         }
         Answer::BrokenOff => {
-            pg::error(out, false, "40003", "broken off, it is not known whether it took effect", None);
+            pg::error(&mut out, false, "40003", "broken off, it is not known whether it took effect", None);
         }
-        Answer::Wrong(why) => pg::error(out, false, "08P01", why, None),
+        Answer::Wrong(why) => pg::error(&mut out, false, "08P01", why, None),
     }
-    None
+    (vec![out], None)
 }
 
 /// Tells a client for which there is no room, and parts with it.
--- a/crates/driver/src/context.rs
+++ b/crates/driver/src/context.rs
@@ -1,4 +1,6 @@
+use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use slog::Logger;
@@ -6,6 +8,7 @@
 use tokio::time::Instant;
 
 use crate::clock::Clock;
+use crate::gate::Gate;
 use crate::limits::Limits;
 use crate::words::Call;
 
@@ -21,8 +24,10 @@
     pub ready: watch::Receiver<bool>,
     /// Set once the driver is to stop: until when new connections are still taken.
     pub stopping: watch::Receiver<Option<Instant>>,
-    /// Room for large messages, in KiB.
-    pub large_room: Arc<Semaphore>,
+    /// Room for what waits, and who is too slow.
+    pub gate: Rc<Gate>,
+    /// The names of the best paid offerings.
+    pub best_paid: HashSet<String>,
     /// The members' share of descriptors.
     pub member_room: Arc<Semaphore>,
 }
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -8,7 +8,6 @@
     Handle, Listed, MemberId, Micros, Need, Outcome, Router, Standing, Step, Task, Todo, Told, Verdict,
 };
 use aldermill_terms::Decoded;
-use aldermill_wire::pg;
 use aldermill_wire::statement::quoted;
 use slog::{info, warn};
 use tokio::sync::{mpsc, watch};
@@ -19,10 +18,12 @@
 use crate::clock::{Clock, duration};
 use crate::context::Context;
 use crate::member::Member;
-use crate::words::{Answer, Bulletin, Call, ClientId, Ended, Errand, Launch, Mail, Order, Rows};
+use crate::words::{Answer, Bulletin, Call, ClientId, Ended, Errand, Launch, Mail, Order, Query, Rows};
 
 /// A task under way and the client that waits for it.
 struct Open {
+    /// Of the best paid offering.
+    best: bool,
     client: Option<(ClientId, mpsc::Sender<Mail>)>,
     order: Rc<Order>,
 }
@@ -173,7 +174,8 @@
         self.by_client.insert(order.client, handle);
         self.open_ids.insert(order.comment.id.clone());
         let client = Some((order.client, order.mailbox.clone()));
-        self.open.insert(handle, Open { client, order: Rc::new(order) });
+        let best = self.context.best_paid.contains(&order.comment.offering);
+        self.open.insert(handle, Open { best, client, order: Rc::new(order) });
         self.carry_out(todo);
     }
 
@@ -229,12 +231,10 @@
     fn launch(&mut self, handle: Handle, member: MemberId, limit: Micros) {
         let Some(open) = self.open.get(&handle) else { return };
         let sent = Instant::now();
-        let Order { statement, comment, .. } = &*open.order;
         let wait = ((limit.max(0) + 999) / 1000).to_string();
-        let mut query = Vec::with_capacity(statement.len() + 16);
-        let (before, after) = (&statement[..comment.wait_at.start], &statement[comment.wait_at.end..]);
-        pg::query(&mut query, &[before, wait.as_bytes(), after]);
-        let launch = Launch { handle, query, sent, until: sent + duration(limit) };
+        let query = Query::of(&open.order, &wait);
+        let holder = (open.order.holder, open.best);
+        let launch = Launch { handle, query, holder, sent, until: sent + duration(limit) };
         let peer = self.peers[member].as_ref();
         if peer.is_none_or(|peer| peer.errands.try_send(Errand::Launch(launch)).is_err()) {
             warn!(self.context.log, "member's mailbox full, launch not sent"; "member" => member);
--- /dev/null
+++ b/crates/driver/src/gate.rs
@@ -0,0 +1,270 @@
+//! The books on room and pace as the actors share them: asked here, and what they return carried out at once.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use aldermill_pace::{Ask, Bounds, Claim, Pace, Peer, Todo, TooMany, Way, Why};
+use slog::{Logger, info, warn};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep_until};
+
+use crate::clock::{Clock, duration};
+
+/// Those who were cut off are told in the log by so much time together.
+const TALLY: Duration = Duration::from_secs(1);
+
+/// That one peer is to be closed without another byte.
+#[derive(Default)]
+struct Cut {
+    why: Cell<Option<Why>>,
+    told: Notify,
+}
+
+struct Books {
+    pace: Pace,
+    /// Claims that wait: a sender dropped is a claim refused.
+    waiting: HashMap<Claim, oneshot::Sender<()>>,
+    peers: HashMap<Peer, (Rc<Cut>, IpAddr)>,
+    wake_at: Option<Instant>,
+    /// Cut off since the last line on it: how many for what, and the last one's address.
+    tally: BTreeMap<Why, usize>,
+    last_cut: Option<IpAddr>,
+    told_at: Option<Instant>,
+}
+
+pub struct Gate {
+    clock: Clock,
+    log: Logger,
+    books: RefCell<Books>,
+    changed: Notify,
+}
+
+impl Gate {
+    pub fn new(clock: Clock, log: Logger, bounds: Bounds) -> Rc<Gate> {
+        let books = Books {
+            pace: Pace::start(bounds),
+            waiting: HashMap::new(),
+            peers: HashMap::new(),
+            wake_at: None,
+            tally: BTreeMap::new(),
+            last_cut: None,
+            told_at: None,
+        };
+        Rc::new(Gate { clock, log, books: RefCell::new(books), changed: Notify::new() })
+    }
+
+    /// Wakes the books when they ask for it, and tells the log whom they cut off.
+    pub async fn run(self: Rc<Gate>) {
+        loop {
+            let wake_at = self.books.borrow().wake_at;
+            let tell_at = self.tell_at();
+            let at = wake_at.into_iter().chain(tell_at).min();
+            tokio::select! {
+                () = self.changed.notified() => {}
+                () = sleep_until(at.unwrap_or_else(Instant::now)), if at.is_some() => {
+                    let now = Instant::now();
+                    if wake_at.is_some_and(|at| now >= at) {
+                        self.with(|pace, now| ((), pace.wake(now)));
+                    }
+                    if tell_at.is_some_and(|at| now >= at) {
+                        self.tell(now);
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn bounds(&self) -> Bounds {
+        *self.books.borrow().pace.bounds()
+    }
+
+    pub fn rebound(&self, bounds: Bounds) {
+        self.with(|pace, now| ((), pace.rebound(now, bounds)));
+    }
+
+    pub fn stop(&self) {
+        self.with(|pace, now| ((), pace.stop(now)));
+    }
+
+    /// Somebody's place is wanted; whether one was found who is to give it up.
+    pub fn frees_a_place(&self) -> bool {
+        self.with(|pace, now| {
+            let todo = pace.slot_wanted(now);
+            (todo.cut.iter().any(|(_, why)| *why == Why::Slot), todo)
+        })
+    }
+
+    pub fn meet(self: &Rc<Gate>, from: IpAddr) -> Result<Presence, TooMany> {
+        let now = self.clock.now();
+        let mut books = self.books.borrow_mut();
+        let peer = books.pace.meet(now, from)?;
+        let cut = Rc::<Cut>::default();
+        books.peers.insert(peer, (cut.clone(), from));
+        Ok(Presence { gate: self.clone(), peer, cut })
+    }
+
+    /// Room on behalf of a peer, once it is there; `None` where it is refused.
+    pub async fn room(self: &Rc<Gate>, peer: Peer, bytes: usize, best: bool, until: Instant) -> Option<Room> {
+        let until = self.clock.at(until);
+        let (claim, granted, waits) = self.with(|pace, now| {
+            let (claim, todo) = peer.asks(pace, now, Ask { bytes: bytes as u64, best, until });
+            let (granted, refused) = (todo.granted.contains(&claim), todo.refused.contains(&claim));
+            ((claim, granted, !granted && !refused), todo)
+        });
+        let room = Room { gate: self.clone(), claim: Some(claim) };
+        if waits {
+            let (sender, answer) = oneshot::channel();
+            self.books.borrow_mut().waiting.insert(claim, sender);
+            return answer.await.is_ok().then_some(room);
+        }
+        granted.then_some(room)
+    }
+
+    /// Asks the books and carries out what they return.
+    fn with<T>(&self, ask: impl FnOnce(&mut Pace, i64) -> (T, Todo)) -> T {
+        let mut books = self.books.borrow_mut();
+        let (told, todo) = ask(&mut books.pace, self.clock.now());
+        let Todo { granted, refused, cut, pressure, wake_at } = todo;
+        for claim in granted {
+            if let Some(waiter) = books.waiting.remove(&claim) {
+                let _ = waiter.send(());
+            }
+        }
+        for claim in refused {
+            books.waiting.remove(&claim);
+        }
+        for (peer, why) in cut {
+            *books.tally.entry(why).or_default() += 1;
+            let Some((cut, from)) = books.peers.get(&peer).cloned() else { continue };
+            books.last_cut = Some(from);
+            cut.why.set(Some(why));
+            cut.told.notify_one();
+        }
+        if let Some(pressure) = pressure {
+            let kib = pressure.used / 1024;
+            if pressure.short {
+                warn!(self.log, "room for what waits is short, slow clients give way";
+                    "used_kib" => kib, "waiting" => pressure.waiting);
+            } else {
+                info!(self.log, "room for what waits again"; "used_kib" => kib);
+            }
+        }
+        let wake_at = wake_at.map(|at| self.clock.instant(at));
+        if wake_at != std::mem::replace(&mut books.wake_at, wake_at) || !books.tally.is_empty() {
+            self.changed.notify_one();
+        }
+        told
+    }
+
+    fn tell_at(&self) -> Option<Instant> {
+        let books = self.books.borrow();
+        let due = books.told_at.map_or_else(Instant::now, |at| at + TALLY);
+        (!books.tally.is_empty()).then_some(due)
+    }
+
+    fn tell(&self, now: Instant) {
+        let mut books = self.books.borrow_mut();
+        books.told_at = Some(now);
+        let tally = std::mem::take(&mut books.tally);
+        let of = |why| tally.get(&why).copied().unwrap_or(0);
+        let last = books.last_cut.map(|from| from.to_string());
+        warn!(self.log, "slow clients cut off"; "clients" => tally.values().sum::<usize>(),
+            "room_wanted" => of(Why::Room), "place_wanted" => of(Why::Slot), "overdue" => of(Why::Overdue),
+            "stopping" => of(Why::Stopping), "last" => last);
+    }
+}
+
+/// A client's connection in the books; out of them when dropped.
+pub struct Presence {
+    gate: Rc<Gate>,
+    pub peer: Peer,
+    cut: Rc<Cut>,
+}
+
+impl Presence {
+    pub fn owes(&self, way: Way) {
+        self.gate.with(|pace, now| ((), self.peer.owes(pace, now, way)));
+    }
+
+    pub fn moved(&self, bytes: usize) {
+        self.peer.moved(&mut self.gate.books.borrow_mut().pace, self.gate.clock.now(), bytes as u64);
+    }
+
+    pub fn rests(&self) {
+        self.peer.rests(&mut self.gate.books.borrow_mut().pace, self.gate.clock.now());
+    }
+
+    /// Resolves once the peer is to be cut off.
+    pub async fn cut(&self) {
+        while self.cut.why.get().is_none() {
+            self.cut.told.notified().await;
+        }
+    }
+
+    pub fn is_cut(&self) -> bool {
+        self.cut.why.get().is_some()
+    }
+
+    pub async fn room(&self, bytes: usize, best: bool, until: Instant) -> Option<Room> {
+        self.gate.room(self.peer, bytes, best, until).await
+    }
+
+    /// Whether so much may be left with the system once the connection is closed; it then counts for a while.
+    pub fn may_leave(&self, bytes: usize) -> bool {
+        self.gate.with(|pace, now| {
+            let ask = Ask { bytes: bytes as u64, best: false, until: now };
+            let (claim, todo) = self.peer.asks(pace, now, ask);
+            let granted = todo.granted.contains(&claim);
+            if granted {
+                claim.lingers(pace, now);
+            }
+            (granted, todo)
+        })
+    }
+
+    /// How long the system may keep trying to hand over what is left.
+    pub fn lingering(&self) -> Duration {
+        duration(self.gate.bounds().lingering)
+    }
+}
+
+impl Drop for Presence {
+    fn drop(&mut self) {
+        self.gate.books.borrow_mut().peers.remove(&self.peer);
+        self.gate.with(|pace, now| ((), self.peer.left(pace, now)));
+    }
+}
+
+/// Room that is held; given back when dropped.
+pub struct Room {
+    gate: Rc<Gate>,
+    claim: Option<Claim>,
+}
+
+impl Room {
+    /// No more than so much of it is needed from now on.
+    pub fn shrink(&self, bytes: usize) {
+        if let Some(claim) = self.claim {
+            self.gate.with(|pace, now| ((), claim.shrinks(pace, now, bytes as u64)));
+        }
+    }
+
+    /// Its connection is being closed, and the system may keep that much for a while.
+    pub fn linger(mut self) {
+        if let Some(claim) = self.claim.take() {
+            self.gate.with(|pace, now| ((), claim.lingers(pace, now)));
+        }
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        if let Some(claim) = self.claim.take() {
+            self.gate.books.borrow_mut().waiting.remove(&claim);
+            self.gate.with(|pace, now| ((), claim.given_back(pace, now)));
+        }
+    }
+}
--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -7,6 +7,8 @@
 
 /// A message of this size is nothing to be careful about.
 const SMALL: usize = 8 * 1024;
+/// What the system may hold of a connection, twice that each way.
+const BUFFER: usize = 16 * 1024;
 
 /// All sizes, counts and times that bound the driver, filled once at its start.
 #[derive(Clone, Debug)]
@@ -46,24 +48,27 @@
     /// From a client's connection to its whole startup message, and to its first whole statement.
     pub startup: Duration,
     pub first: Duration,
-    /// From the first byte of a client's message to its last.
+    /// From the first byte of a client's message to its last, however steadily it comes.
     pub message: Duration,
     /// How long a client's connection may stand without a task.
     pub client_idle: Duration,
-    /// What a message beyond this size needs is reserved, in KiB of so many.
+    /// Room is asked for a message beyond this size.
     pub small: usize,
-    pub large_room: usize,
+    /// How long a statement waits for room that slow peers are giving up.
+    pub room_wait: Duration,
+    /// The system's send and receive buffer of a client's connection; it may hold twice that each.
+    pub buffer: usize,
+    /// From what on an answer that may be unread counts once its connection is closed.
+    pub unread: usize,
     /// What is still read of a client that is parted with, so that the error reaches it.
     pub scrap: usize,
-    /// How long a client may take to accept an answer.
+    /// How long a client may take to accept an error that ends its connection.
     pub accepting: Duration,
     /// How long the other side's end is waited for once this side has ended.
     pub parting: Duration,
     /// From the attempt to connect to a member until it is ready for a statement.
     pub connect: Duration,
     pub probe: Duration,
-    /// How long a member's answer that has begun may stand still.
-    pub answering: Duration,
     /// After so many spoilt answers in a row there is a line in the log.
     pub spoilt_told: usize,
     /// From the last byte of a value to the end of its answer.
@@ -86,7 +91,7 @@
 
 impl Limits {
     /// Shares out what the platform allows.
-    pub fn new(sockets: usize, memory_mb: usize, decoded: &Decoded) -> Limits {
+    pub fn new(sockets: usize, memory_mb: usize, decoded: &Decoded, buffer_kib: Option<u32>) -> Limits {
         // Values are said to be of 64 KiB at most, and yet larger ones come.
         let memory = memory_mb * 1024 * 1024;
         let least = 2 * 64 * 1024 + 4 * 1024;
@@ -122,16 +127,17 @@
             keepalive: Duration::from_secs(30),
             startup: Duration::from_secs(2),
             first: Duration::from_millis(2500),
-            message: Duration::from_secs(10),
+            message: Duration::from_secs(60),
             client_idle: Duration::from_millis(2100),
             small: SMALL,
-            large_room: memory / 2 / 1024,
+            room_wait: Duration::from_millis(100),
+            buffer: buffer_kib.map_or(BUFFER, |kib| kib as usize * 1024),
+            unread: 1024,
             scrap: 256 * 1024,
             accepting: Duration::from_secs(5),
             parting: Duration::from_millis(300),
             connect: duration(decoded.connect_timeout),
             probe: duration(decoded.connect_timeout),
-            answering: Duration::from_millis(300),
             spoilt_told: 3,
             closing: Duration::from_millis(5),
             rest: Duration::from_millis(100),
--- a/crates/driver/src/listener.rs
+++ b/crates/driver/src/listener.rs
@@ -1,7 +1,7 @@
 //! The actor that accepts clients and keeps them within their share of descriptors.
 
 use std::collections::{HashMap, VecDeque};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
 use aldermill_wire::Buffer;
@@ -14,13 +14,17 @@
 
 use crate::client::{Client, Seat, turn_away};
 use crate::context::Context;
+use crate::gate::Presence;
 use crate::words::{ClientId, Mail};
 
-/// A listening socket; a port that an earlier run left in TIME_WAIT is no obstacle.
-pub fn bind(address: SocketAddr, backlog: i32) -> std::io::Result<TcpListener> {
+/// A listening socket; a port that an earlier run left in TIME_WAIT is no obstacle. Its connections have buffers of
+/// a stated size, so that what was written and not taken is known to within a buffer.
+pub fn bind(address: SocketAddr, backlog: i32, buffer: usize) -> std::io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
+    socket.set_send_buffer_size(buffer)?;
+    socket.set_recv_buffer_size(buffer)?;
     socket.bind(&address.into())?;
     socket.listen(backlog)?;
     TcpListener::from_std(socket.into())
@@ -47,8 +51,8 @@
             }
             () = sleep_until(closes_at.unwrap_or_else(Instant::now)), if closes_at.is_some() => break,
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    hall.receive(stream);
+                Ok((stream, from)) => {
+                    hall.receive(stream, from.ip());
                     // However many come at once, those already here are served in between.
                     task::yield_now().await;
                 }
@@ -90,7 +94,7 @@
         }
     }
 
-    fn receive(&mut self, stream: TcpStream) {
+    fn receive(&mut self, stream: TcpStream, from: IpAddr) {
         let _ = stream.set_nodelay(true);
         // Ends connections whose other side is gone without a word.
         let _ = SockRef::from(&stream).set_tcp_keepalive(&self.keepalive);
@@ -98,14 +102,15 @@
         if self.guests.values().filter(served).count() >= self.context.limits.regulars {
             self.ask_to_yield(served);
         }
-        if self.guests.len() < self.context.limits.clients || self.makes_room() {
-            self.admit(stream);
+        let place = self.guests.len() < self.context.limits.clients || self.makes_room();
+        if let Some(presence) = place.then(|| self.context.gate.meet(from).ok()).flatten() {
+            self.admit(stream, presence);
         } else if self.turned_away.len() < self.context.limits.turned_away {
             self.turned_away.spawn_local(turn_away(self.context.clone(), stream));
         }
     }
 
-    /// At the clients' share, a connection without a task is closed for a new one.
+    /// At the clients' share, a connection without a task is closed for a new one, else one that is too slow.
     fn makes_room(&mut self) -> bool {
         let limits = &self.context.limits;
         if !std::mem::replace(&mut self.full, true) {
@@ -115,7 +120,7 @@
         if self.guests.len() >= limits.clients + limits.yielding {
             return false;
         }
-        self.ask_to_yield(|_| true)
+        self.ask_to_yield(|_| true) || self.context.gate.frees_a_place()
     }
 
     /// Of these guests without a task, one that never had any is closed first, else the one idle longest.
@@ -127,7 +132,7 @@
         guest.address.try_send(Mail::Yield).is_ok()
     }
 
-    fn admit(&mut self, stream: TcpStream) {
+    fn admit(&mut self, stream: TcpStream, presence: Presence) {
         let id = self.next_id;
         self.next_id += 1;
         // Room for the answers it may wait for and a request to yield.
@@ -138,6 +143,10 @@
             context: self.context.clone(),
             id,
             stream,
+            presence,
+            unread: 0,
+            left: None,
+            sending: false,
             buffer: Buffer::default(),
             seat,
             mailbox,
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod context;
 mod desk;
+mod gate;
 mod limits;
 mod listener;
 mod member;
@@ -17,6 +18,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use aldermill_operator::Operator;
 use bpaf::Bpaf;
 use slog::{Drain, Logger, info, o};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -27,9 +29,10 @@
 use crate::clock::Clock;
 use crate::context::Context;
 use crate::desk::Desk;
+use crate::gate::Gate;
 use crate::limits::Limits;
 use crate::reload::Reload;
-use crate::start::Start;
+use crate::start::{Files, Start};
 use crate::watch::Watch;
 use crate::words::Bulletin;
 
@@ -43,6 +46,9 @@
         /// The configuration
         #[bpaf(long, argument("FILE"), env("GW_CONFIG"))]
         config: String,
+        /// The operator's own file
+        #[bpaf(long, argument("FILE"), env("ALDERMILL_OPERATOR"))]
+        operator: Option<String>,
     },
     /// Read a configuration and say what was understood, or what is wrong
     #[bpaf(command)]
@@ -50,7 +56,13 @@
         /// The configuration
         #[bpaf(long, argument("FILE"), env("GW_CONFIG"))]
         config: String,
+        /// The operator's own file
+        #[bpaf(long, argument("FILE"), env("ALDERMILL_OPERATOR"))]
+        operator: Option<String>,
     },
+    /// Print the JSON schema of the operator's own file
+    #[bpaf(command)]
+    Schema,
     /// Print the version
     #[bpaf(command)]
     Version,
@@ -58,8 +70,14 @@
 
 fn main() -> ExitCode {
     let done = match command().run() {
-        Command::Serve { config } => serve(config),
-        Command::Check { config } => read(&config).map(|start| describe(&start)),
+        Command::Serve { config, operator } => serve(Files { config, operator }),
+        Command::Check { config, operator } => {
+            read(&Files { config, operator }).map(|start| describe(&start))
+        }
+        Command::Schema => {
+            print!("{}", Operator::schema());
+            Ok(())
+        }
         Command::Version => {
             println!("aldermill {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -74,8 +92,8 @@
     }
 }
 
-fn read(config: &str) -> Result<Start, String> {
-    Start::read(config, |name| std::env::var(name).ok().filter(|value| !value.is_empty()))
+fn read(files: &Files) -> Result<Start, String> {
+    Start::read(files, |name| std::env::var(name).ok().filter(|value| !value.is_empty()))
 }
 
 fn describe(start: &Start) {
@@ -84,6 +102,8 @@
     let known = start.known.as_ref().map_or(0, |known| known.members.len());
     println!("{known} members known, {} offerings", start.decoded.terms.offerings.len());
     println!("connections: {} from clients, {} to members", limits.clients, limits.members);
+    let (room, connection) = (start.bounds.room / 1024, start.bounds.connection / 1024);
+    println!("room for what waits: {room} KiB, {connection} KiB for one connection");
 }
 
 fn logger(limits: &Limits) -> (Logger, slog_async::AsyncGuard) {
@@ -97,7 +117,7 @@
     (Logger::root(drain.fuse(), o!()), guard)
 }
 
-fn serve(config: String) -> Result<(), String> {
+fn serve(files: Files) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -107,38 +127,43 @@
         let heard = |kind| signal(kind).map_err(|error| format!("signals: {error}"));
         let ends = [heard(SignalKind::terminate())?, heard(SignalKind::interrupt())?];
         let hangup = heard(SignalKind::hangup())?;
-        run(read(&config)?, config, ends, hangup).await
+        run(read(&files)?, files, ends, hangup).await
     }))
 }
 
 /// Starts the actors and stays until the listener has served its last client.
-async fn run(start: Start, config: String, ends: [Signal; 2], hangup: Signal) -> Result<(), String> {
-    let Start { name, listen, discovery, seed, limits, known, decoded, fixed } = start;
+async fn run(start: Start, files: Files, ends: [Signal; 2], hangup: Signal) -> Result<(), String> {
+    let Start { name, listen, discovery, seed, limits, bounds, known, decoded, fixed } = start;
     let stop_window = limits.stop_window;
     let (log, _guard) = logger(&limits);
     let [mut terminate, mut interrupt] = ends;
     let (address, discovery) = notice::channel(discovery);
-    spawn_local(Reload { config, fixed, discovery: address, log: log.clone() }.run(hangup));
-    let listener =
-        listener::bind(listen, limits.backlog).map_err(|error| format!("listen: {listen}: {error}"))?;
+    let clock = Clock::start();
+    let gate = Gate::new(clock, log.clone(), bounds);
+    spawn_local(gate.clone().run());
+    spawn_local(
+        Reload { files, fixed, discovery: address, gate: gate.clone(), log: log.clone() }.run(hangup),
+    );
+    let listener = listener::bind(listen, limits.backlog, limits.buffer)
+        .map_err(|error| format!("listen: {listen}: {error}"))?;
 
     let (desk, calls) = mpsc::channel(limits.calls);
     let (bulletin, bulletins) = mpsc::channel(limits.lists);
     let (ready, seen_ready) = notice::channel(false);
     let (stop, stopping) = notice::channel(None);
-    let large_room = Arc::new(Semaphore::new(limits.large_room));
     let member_room = Arc::new(Semaphore::new(limits.members));
     let on_request = decoded.terms.list_on_request;
     let (request, requests) = mpsc::channel(1);
     let context = Rc::new(Context {
-        clock: Clock::start(),
+        clock,
         limits,
         log: log.clone(),
         discovery,
         desk,
         ready: seen_ready,
         stopping,
-        large_room,
+        gate: gate.clone(),
+        best_paid: decoded.best_paid().into_iter().collect(),
         member_room,
     });
     let address = listener.local_addr().unwrap_or(listen);
@@ -161,6 +186,7 @@
         ended = deciding => return Err(format!("the router's actor ended: {ended:?}")),
     }
     stop.send_replace(Some(Instant::now() + stop_window));
+    gate.stop();
     serving.await.map_err(|error| format!("listener: {error}"))?;
     info!(log, "stopped");
     Ok(())
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use aldermill_pace::{Meter, Peer};
 use aldermill_routing::{Handle, MemberId, Micros, Role, Told, Verdict};
 use aldermill_terms::Decoded;
 use aldermill_wire::{Buffer, Exchange, pg};
@@ -18,8 +19,9 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
 
 use crate::context::Context;
+use crate::gate::Room;
 use crate::limits::Limits;
-use crate::words::{Call, Ended, Errand, Launch, Rows};
+use crate::words::{Call, Ended, Errand, Launch, Query, Rows};
 
 struct Connection {
     stream: TcpStream,
@@ -50,7 +52,7 @@
 struct Done {
     verdict: Verdict,
     exchange: Exchange,
-    room: Option<OwnedSemaphorePermit>,
+    room: Option<Room>,
     /// Set where it may carry another query.
     connection: Option<Connection>,
     began: Instant,
@@ -124,13 +126,13 @@
                     }
                 }
                 errand = errands.recv() => match errand {
-                    Some(Errand::Launch(Launch { handle, query, sent, until })) => {
-                        self.visit(Purpose::Task { handle, sent }, query, until);
+                    Some(Errand::Launch(Launch { handle, query, holder, sent, until })) => {
+                        self.visit(Purpose::Task { handle, sent }, query, Some(holder), until);
                     }
                     Some(Errand::Probe { until }) => {
                         let mut query = Vec::new();
                         pg::query(&mut query, &[b"SHOW usage"]);
-                        self.visit(Purpose::Probe, query, until);
+                        self.visit(Purpose::Probe, Query::Whole(query), None, until);
                     }
                     Some(Errand::Renew(address)) => {
                         self.address = address;
@@ -180,7 +182,7 @@
     }
 
     /// Starts one query on a connection of its own, to its end or its time limit.
-    fn visit(&mut self, purpose: Purpose, query: Vec<u8>, until: Instant) {
+    fn visit(&mut self, purpose: Purpose, query: Query, holder: Option<(Peer, bool)>, until: Instant) {
         let for_task = matches!(purpose, Purpose::Task { .. });
         let (began, pooled) = (Instant::now(), self.pooled());
         let context = self.context.clone();
@@ -195,8 +197,9 @@
                 // A drain that was told since the decision forbids it.
                 Ok(connection) if !*open.borrow() => (Verdict::Moot, Some(connection)),
                 Ok(mut connection) => {
-                    let verdict =
-                        converse(&context, &mut connection, &query, until, &mut exchange, &mut room).await;
+                    let mut visit = Visit { context: &context, holder, until, exchange, room };
+                    let verdict = visit.converse(&mut connection, &query).await;
+                    (exchange, room) = (visit.exchange, visit.room);
                     (verdict, exchange.is_ready().then_some(connection))
                 }
                 // For a task that connection never came up; a probe was not answered, and no more is known.
@@ -253,7 +256,7 @@
                 let told = self.told(&exchange, exchange.usage.as_deref());
                 let took = sent.elapsed().as_micros() as Micros;
                 let honoured = verdict == Verdict::Honoured;
-                let rows = if honoured { Rows { bytes: exchange.rows, room } } else { Rows::default() };
+                let rows = if honoured { Rows { pieces: exchange.rows, room } } else { Rows::default() };
                 Call::Ended(Ended { handle, verdict, took, told, rows })
             }
             Purpose::Probe => {
@@ -389,58 +392,97 @@
     }
 }
 
-/// Sends the query and takes in the answer, as far as it comes before the time limit.
-async fn converse(
-    context: &Context,
-    connection: &mut Connection,
-    query: &[u8],
+/// One query on one connection.
+struct Visit<'a> {
+    context: &'a Context,
+    /// For whom room is asked for a large answer; a probe has none.
+    holder: Option<(Peer, bool)>,
     until: Instant,
-    exchange: &mut Exchange,
-    room: &mut Option<OwnedSemaphorePermit>,
-) -> Verdict {
-    let limits = &context.limits;
-    let mut written = 0;
-    while written < query.len() {
-        match timeout_at(until, connection.stream.write(&query[written..])).await {
-            Ok(Ok(count)) if count > 0 => written += count,
-            // The member never had all of it, so it cannot have begun.
-            Ok(_) => return Verdict::Dropped,
-            Err(_) => return Verdict::Unconnected,
+    exchange: Exchange,
+    room: Option<Room>,
+}
+
+impl Visit<'_> {
+    /// Sends the query and takes in the answer, as far as it comes before the time limit.
+    async fn converse(&mut self, connection: &mut Connection, query: &Query) -> Verdict {
+        if let Err(verdict) = self.send(connection, query).await {
+            return verdict;
         }
-    }
-    // An answer comes in one piece, or nearly: what has begun and does not go on is spoilt, and at once where its
-    // last bytes are those of a whole answer. One that is whole but for its end waits no longer for that.
-    let mut due = until;
-    let ended_by = loop {
-        if exchange.absorb(&mut connection.buffer, limits.answer).is_err() {
-            break Verdict::Spoilt;
+        let ended_by = self.take_in(connection).await;
+        match self.exchange.error.as_deref() {
+            _ if self.exchange.is_served() => Verdict::Honoured,
+            Some("25006" | "72000") => Verdict::Miss,
+            Some("53300") => Verdict::Full,
+            Some(_) => Verdict::Error,
+            None => ended_by,
         }
-        if exchange.is_over() {
-            break Verdict::Reset;
-        }
-        let claimed = pg::claimed(connection.buffer.held());
-        if claimed > limits.small && room.is_none() {
-            // In the buffer, and once more among the rows.
-            let needed = context.large_room.clone().acquire_many_owned((2 * claimed / 1024) as u32);
-            let Ok(Ok(reserved)) = timeout_at(until, needed).await else { return Verdict::TimedOut };
-            *room = Some(reserved);
+    }
+
+    /// A member that does not have all of it cannot have begun.
+    async fn send(&mut self, connection: &mut Connection, query: &Query) -> Result<(), Verdict> {
+        let clock = self.context.clock;
+        let mut taking: Option<Meter> = None;
+        for mut piece in query.pieces() {
+            while !piece.is_empty() {
+                let now = clock.now();
+                let taking =
+                    taking.get_or_insert_with(|| Meter::start(self.context.gate.bounds().taking, now));
+                taking.owes(now);
+                let due = taking.due().map_or(self.until, |due| clock.instant(due).min(self.until));
+                match timeout_at(due, connection.stream.write(piece)).await {
+                    Ok(Ok(count)) if count > 0 => {
+                        taking.moved(clock.now(), count as u64);
+                        piece = &piece[count..];
+                    }
+                    Err(_) if due >= self.until => return Err(Verdict::Unconnected),
+                    _ => return Err(Verdict::Dropped),
+                }
+            }
         }
-        let cut_short = exchange.is_served() || pg::ends_as_answer(connection.buffer.held());
-        let wait = if cut_short { due.min(Instant::now() + limits.closing) } else { due };
-        match timeout_at(wait, connection.stream.read_buf(connection.buffer.tail())).await {
-            Err(_) if wait < until => break Verdict::Spoilt,
-            Err(_) => break Verdict::TimedOut,
-            Ok(Ok(count)) if count > 0 => {
-                due = until.min(Instant::now() + limits.answering);
+        Ok(())
+    }
+
+    /// An answer comes in one piece, or nearly: what has begun and goes on under the least rate is spoilt, and at
+    /// once where its last bytes are those of a whole answer. One that is whole but for its end waits no longer for
+    /// that.
+    async fn take_in(&mut self, connection: &mut Connection) -> Verdict {
+        let Visit { context, holder, until, exchange, room } = self;
+        let (limits, clock, until) = (&context.limits, context.clock, *until);
+        let mut answering: Option<Meter> = None;
+        loop {
+            if exchange.absorb(&mut connection.buffer, limits.answer).is_err() {
+                return Verdict::Spoilt;
+            }
+            if exchange.is_over() {
+                return Verdict::Reset;
+            }
+            let claimed = pg::claimed(connection.buffer.held());
+            if claimed > limits.small && room.is_none() {
+                // While there is no room nothing is read: the member's own buffers fill up, and its slot with them.
+                let Some((peer, best)) = *holder else { return Verdict::Spoilt };
+                answering.iter_mut().for_each(|meter| meter.rests(clock.now()));
+                *room = context.gate.room(peer, claimed, best, until).await;
+                if room.is_none() {
+                    return Verdict::TimedOut;
+                }
+                connection.buffer.expect(claimed + 1);
+            }
+            let now = clock.now();
+            answering.iter_mut().for_each(|meter| meter.owes(now));
+            let due = answering.as_ref().and_then(Meter::due);
+            let due = due.map_or(until, |due| clock.instant(due).min(until));
+            let cut_short = exchange.is_served() || pg::ends_as_answer(connection.buffer.held());
+            let wait = if cut_short { due.min(Instant::now() + limits.closing) } else { due };
+            match timeout_at(wait, connection.stream.read_buf(connection.buffer.tail())).await {
+                Err(_) if wait < until => return Verdict::Spoilt,
+                Err(_) => return Verdict::TimedOut,
+                Ok(Ok(count)) if count > 0 => {
+                    let now = clock.now();
+                    let start = || Meter::start(context.gate.bounds().answering, now);
+                    answering.get_or_insert_with(start).moved(now, count as u64);
+                }
+                _ => return Verdict::Reset,
             }
-            _ => break Verdict::Reset,
         }
-    };
-    match exchange.error.as_deref() {
-        _ if exchange.is_served() => Verdict::Honoured,
-        Some("25006" | "72000") => Verdict::Miss,
-        Some("53300") => Verdict::Full,
-        Some(_) => Verdict::Error,
-        None => ended_by,
     }
 }
--- a/crates/driver/src/reload.rs
+++ b/crates/driver/src/reload.rs
@@ -1,17 +1,20 @@
 //! The actor that reads the configuration anew on SIGHUP.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use slog::{Logger, info, warn};
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
-use crate::start::{Fixed, Start};
+use crate::gate::Gate;
+use crate::start::{Files, Fixed, Start};
 
 pub struct Reload {
-    pub config: String,
+    pub files: Files,
     pub fixed: Fixed,
     pub discovery: watch::Sender<SocketAddr>,
+    pub gate: Rc<Gate>,
     pub log: Logger,
 }
 
@@ -21,7 +24,7 @@
         while hangup.recv().await.is_some() {
             // The environment told where discovery was at the start.
             let told = |name: &str| std::env::var(name).ok().filter(|_| name != "GW_DISCOVERY");
-            let start = match Start::read(&self.config, told) {
+            let start = match Start::read(&self.files, told) {
                 Ok(start) => start,
                 Err(why) => {
                     warn!(self.log, "configuration not read, the old one goes on"; "why" => why);
@@ -33,6 +36,7 @@
                 warn!(self.log, "configuration field cannot change while running"; "field" => field);
             }
             self.fixed = start.fixed;
+            self.gate.rebound(start.bounds);
             let moved = self
                 .discovery
                 .send_if_modified(|address| std::mem::replace(address, start.discovery) != start.discovery);
--- a/crates/driver/src/start.rs
+++ b/crates/driver/src/start.rs
@@ -1,5 +1,7 @@
 use std::net::SocketAddr;
 
+use aldermill_operator::{Operator, Rate, SlowPeers};
+use aldermill_pace::{Bounds, Least, PerAddress};
 use aldermill_terms::Decoded;
 use serde::Deserialize;
 use serde_json::Value;
@@ -26,7 +28,13 @@
 }
 
 /// What the file says of that which cannot change while the program runs.
-pub type Fixed = [(&'static str, Value); 4];
+pub type Fixed = [(&'static str, Value); 5];
+
+/// Where the configuration is, and the operator's own file if there is one.
+pub struct Files {
+    pub config: String,
+    pub operator: Option<String>,
+}
 
 /// All that a driver is told at its start.
 pub struct Start {
@@ -35,6 +43,7 @@
     pub discovery: SocketAddr,
     pub seed: u64,
     pub limits: Limits,
+    pub bounds: Bounds,
     pub known: Option<Catalog>,
     pub decoded: Decoded,
     pub fixed: Fixed,
@@ -46,12 +55,33 @@
 
 impl Start {
     /// Reads the configuration; GW_NAME, GW_LISTEN and GW_DISCOVERY come before what it says.
-    pub fn read(path: &str, env: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
-        let text = std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
-        Start::parse(&text, env).map_err(|why| format!("{path}: {why}"))
+    pub fn read(files: &Files, env: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+        fn within<T>(path: &str, of: impl FnOnce(&str) -> Result<T, String>) -> Result<T, String> {
+            let text = std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
+            of(&text).map_err(|why| format!("{path}: {why}"))
+        }
+        let operator = match &files.operator {
+            Some(path) => within(path, Operator::parse)?,
+            None => Operator::default(),
+        };
+        let mut start = within(&files.config, |text| Start::parse(text, env, &operator))?;
+        // What the operator wants must hold one statement and one answer of full size.
+        let sizes = (start.limits.statement as u64, start.limits.answer as u64);
+        start.bounds = bounded(start.bounds, &operator.slow_peers);
+        start.bounds.check(sizes.0, sizes.1).map_err(|(field, least)| {
+            let path = files.operator.as_ref().unwrap_or(&files.config);
+            let field = match field {
+                "per_address.connections" => return format!("{path}: slow_peers.{field}: at least {least}"),
+                "per_address.room" => "per_address.room_kib",
+                "connection" => "connection_kib",
+                _ => "room_kib",
+            };
+            format!("{path}: slow_peers.{field}: too little, {} are needed", least.div_ceil(1024))
+        })?;
+        Ok(start)
     }
 
-    fn parse(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+    fn parse(text: &str, env: impl Fn(&str) -> Option<String>, operator: &Operator) -> Result<Start, String> {
         let form: Form = serde_json::from_str(text).map_err(|error| error.to_string())?;
         let told = |variable: &str, field: String| env(variable).unwrap_or(field);
         let seed = u64::from_str_radix(&form.seed, 16);
@@ -71,6 +101,7 @@
             ("listen", form.listen.clone().into()),
             ("limits", value(&form.limits)),
             ("settings", value(&form.settings)),
+            ("slow_peers.buffer_kib", operator.slow_peers.buffer_kib.into()),
         ];
         Ok(Start {
             fixed,
@@ -78,9 +109,44 @@
             listen: address("listen", &told("GW_LISTEN", form.listen))?,
             discovery: address("discovery", &told("GW_DISCOVERY", form.discovery))?,
             seed: seed.map_err(|_| format!("seed: {:?} is no hexadecimal number", form.seed))?,
-            limits: Limits::new(sockets, memory_mb, &decoded),
+            limits: Limits::new(sockets, memory_mb, &decoded, operator.slow_peers.buffer_kib),
+            bounds: Bounds::usual(memory_mb as u64 * 1024 * 1024),
             known: form.known,
             decoded,
         })
     }
 }
+
+/// The usual limits, but for what the operator's file says otherwise.
+fn bounded(usual: Bounds, wanted: &SlowPeers) -> Bounds {
+    const KIB: u64 = 1024;
+    let micros = |millis: u32| i64::from(millis) * 1000;
+    let least = |usual: Least, wanted: Rate| Least {
+        rate: wanted.bytes_a_second.map_or(usual.rate, |rate| rate.max(1)),
+        start: wanted.start_ms.map_or(usual.start, micros),
+        window: wanted.window_ms.map_or(usual.window, micros),
+    };
+    let room = wanted.room_kib.map_or(usual.room, |kib| kib.saturating_mul(KIB));
+    // Parts that the file does not name keep their proportion.
+    let scaled = |part: u64| (part as f64 / usual.room as f64 * room as f64) as u64;
+    let share = |share: f64| (share.clamp(0.0, 1.0) * room as f64) as u64;
+    Bounds {
+        room,
+        connection: wanted.connection_kib.map_or(scaled(usual.connection), |kib| kib.saturating_mul(KIB)),
+        address: wanted.per_address.map(|most| PerAddress {
+            connections: most.connections as usize,
+            room: most.room_kib.saturating_mul(KIB),
+        }),
+        reserve: wanted.best_paid_share.map_or(scaled(usual.reserve), share),
+        short: wanted.short.map_or((scaled(usual.short.0), scaled(usual.short.1)), |short| {
+            (share(short.enter), share(short.leave))
+        }),
+        reading: least(usual.reading, wanted.reading),
+        sending: least(usual.sending, wanted.sending),
+        answering: least(usual.answering, wanted.answering),
+        taking: least(usual.taking, wanted.taking),
+        overdue: wanted.overdue_ms.map_or(usual.overdue, micros),
+        lingering: wanted.lingering_ms.map_or(usual.lingering, micros),
+        stopping: wanted.stopping_ms.map_or(usual.stopping, micros),
+    }
+}
--- a/crates/driver/src/words.rs
+++ b/crates/driver/src/words.rs
@@ -1,13 +1,17 @@
 //! What actors say to each other; no actor is named here.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
+use aldermill_pace::Peer;
 use aldermill_routing::{Handle, MemberId, Micros, Told, Verdict};
+use aldermill_wire::pg;
 use aldermill_wire::statement::Comment;
-use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::catalog::Catalog;
+use crate::gate::Room;
 
 /// A statement of a client, new for each.
 pub type ClientId = u64;
@@ -29,6 +33,8 @@
 /// A client's statement with its comment, when it was whole.
 pub struct Order {
     pub client: ClientId,
+    /// For whom room is asked for what comes back.
+    pub holder: Peer,
     pub mailbox: mpsc::Sender<Mail>,
     pub arrived: Instant,
     pub statement: Vec<u8>,
@@ -48,8 +54,8 @@
 /// The messages that carry a value, and the room reserved for them where they are large.
 #[derive(Default)]
 pub struct Rows {
-    pub bytes: Vec<u8>,
-    pub room: Option<OwnedSemaphorePermit>,
+    pub pieces: Vec<Vec<u8>>,
+    pub room: Option<Room>,
 }
 
 /// What the desk and the listener tell a client's actor.
@@ -83,7 +89,9 @@
 
 pub struct Launch {
     pub handle: Handle,
-    pub query: Vec<u8>,
+    pub query: Query,
+    /// For whom room is asked for the answer, and whether the task is of the best paid.
+    pub holder: (Peer, bool),
     pub sent: Instant,
     pub until: Instant,
 }
@@ -93,3 +101,40 @@
     List(Catalog),
     Unavailable,
 }
+
+/// Statements up to this size go out in one piece.
+const SMALL: usize = 8 * 1024;
+
+/// A statement as it goes to a member. A large one is held once, by its order.
+pub enum Query {
+    Whole(Vec<u8>),
+    Split {
+        /// All up to where the order's own bytes go on.
+        front: Vec<u8>,
+        order: Rc<Order>,
+    },
+}
+
+impl Query {
+    /// The client's statement with another wait.
+    pub fn of(order: &Rc<Order>, wait: &str) -> Query {
+        let Order { statement, comment, .. } = &**order;
+        let (before, after) = (&statement[..comment.wait_at.start], &statement[comment.wait_at.end..]);
+        if statement.len() <= SMALL {
+            let mut query = Vec::with_capacity(statement.len() + 16);
+            pg::query(&mut query, &[before, wait.as_bytes(), after]);
+            return Query::Whole(query);
+        }
+        let mut front = Vec::with_capacity(before.len() + 16);
+        pg::query_front(&mut front, &[before, wait.as_bytes()].concat(), after.len() + 1);
+        Query::Split { front, order: order.clone() }
+    }
+
+    /// Its bytes, in their order; the closing zero of a large one stands by itself.
+    pub fn pieces(&self) -> [&[u8]; 3] {
+        match self {
+            Query::Whole(query) => [query, &[], &[]],
+            Query::Split { front, order } => [front, &order.statement[order.comment.wait_at.end..], &[0]],
+        }
+    }
+}
--- a/crates/pace/src/bounds.rs
+++ b/crates/pace/src/bounds.rs
@@ -45,7 +45,30 @@
     pub stopping: Micros,
 }
 
+const MS: Micros = 1_000;
+
 impl Bounds {
+    /// Limits that are right from 32 MB on, for a program that may use so much memory.
+    pub fn usual(memory: u64) -> Bounds {
+        let room = memory / 2;
+        let member = Least { rate: 32 * 1024, start: 300 * MS, window: 300 * MS };
+        Bounds {
+            room,
+            connection: room / 4,
+            address: None,
+            reserve: room / 8,
+            short: (room / 4 * 3, room / 2),
+            // Buffers on the way empty in steps of some 10 KiB, which a reader at this rate takes in 1.3 s.
+            reading: Least { rate: 8 * 1024, start: 2_000 * MS, window: 4_000 * MS },
+            sending: Least { rate: 1024, start: 2_500 * MS, window: 4_000 * MS },
+            answering: member,
+            taking: Least { start: 1_000 * MS, window: 1_000 * MS, ..member },
+            overdue: 6_000 * MS,
+            lingering: 5_000 * MS,
+            stopping: 5_000 * MS,
+        }
+    }
+
     /// The least room with which a statement and an answer of full size fit beside the reserved part.
     pub fn least_room(&self, statement: u64, answer: u64) -> u64 {
         statement + answer + self.reserve
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -202,6 +202,14 @@
         self.offerings.get(name).copied().map_or_else(|| bad("service", name), Ok)
     }
 
+    /// The names of those offerings that pay most.
+    pub fn best_paid(&self) -> Vec<String> {
+        let payoff = |index: usize| self.terms.offerings[index].payoff;
+        let most = (0..self.terms.offerings.len()).map(payoff).fold(f64::NEG_INFINITY, f64::max);
+        let best = self.offerings.iter().filter(|&(_, &index)| payoff(index) >= most);
+        best.map(|(name, _)| name.clone()).collect()
+    }
+
     /// A member's size, where the list's numbers are sizes at all.
     pub fn size(&self, hint: f64) -> f64 {
         if self.sizes_listed && hint > 0.0 { hint } else { 1.0 }
--- a/crates/wire/src/buffer.rs
+++ b/crates/wire/src/buffer.rs
@@ -38,6 +38,19 @@
         }
     }
 
+    /// A message of so many bytes is under way: room for exactly that, however it comes in.
+    pub fn expect(&mut self, length: usize) {
+        self.compact();
+        self.data.reserve_exact(length.saturating_sub(self.data.len()));
+    }
+
+    /// The first `count` bytes, handed out without another copy of them where they are most of what is held.
+    pub fn take(&mut self, count: usize) -> Vec<u8> {
+        self.compact();
+        let rest = self.data.split_off(count.min(self.data.len()));
+        std::mem::replace(&mut self.data, rest)
+    }
+
     fn compact(&mut self) {
         if self.start > 0 {
             self.data.copy_within(self.start.., 0);
--- a/crates/wire/src/exchange.rs
+++ b/crates/wire/src/exchange.rs
@@ -2,13 +2,16 @@
 
 use crate::{Buffer, Malformed, pg};
 
+/// A message beyond this size is kept as it came, in a piece of its own.
+const LARGE: usize = 8 * 1024;
+
 /// One answer as it comes in; whole when `is_over`.
 #[derive(Debug, Default)]
 pub struct Exchange {
-    /// Row description, row and completion, as the member sent them.
-    pub rows: Vec<u8>,
-    /// Where the row's value stands in `rows`.
-    value: Option<std::ops::Range<usize>>,
+    /// Row description, row and completion, as the member sent them: in one piece, or a large row in one of its own.
+    pub rows: Vec<Vec<u8>>,
+    /// Where the row's value stands in `rows`: in which piece, and where in that.
+    value: Option<(usize, std::ops::Range<usize>)>,
     completed: bool,
     /// The SQLSTATE of an error, which takes the place of a completion.
     pub error: Option<String>,
@@ -28,15 +31,24 @@
             let (body, length) = (message.body, message.length);
             match message.tag {
                 b'T' if self.rows.is_empty() && self.error.is_none() => {
-                    self.rows.extend_from_slice(&buffer.held()[..length])
+                    self.rows.push(buffer.held()[..length].to_vec())
                 }
                 b'D' if !self.rows.is_empty() && self.value.is_none() && !self.completed => {
                     let value = pg::single_value(body)?.map_or(0, <[u8]>::len);
-                    self.rows.extend_from_slice(&buffer.held()[..length]);
-                    self.value = Some(self.rows.len() - value..self.rows.len());
+                    if length > LARGE {
+                        // Held once: the buffer itself becomes the piece, and what comes behind goes to the next.
+                        self.value = Some((self.rows.len(), length - value..length));
+                        self.rows.push(buffer.take(length));
+                        self.rows.push(Vec::new());
+                        continue;
+                    }
+                    let piece = self.piece();
+                    piece.extend_from_slice(&buffer.held()[..length]);
+                    let end = piece.len();
+                    self.value = Some((self.rows.len() - 1, end - value..end));
                 }
                 b'C' if self.value.is_some() && !self.completed && self.error.is_none() => {
-                    self.rows.extend_from_slice(&buffer.held()[..length]);
+                    self.piece().extend_from_slice(&buffer.held()[..length]);
                     self.completed = true;
                 }
                 b'E' if !self.completed && self.error.is_none() => {
@@ -82,6 +94,16 @@
     }
 
     pub fn value(&self) -> &[u8] {
-        self.value.clone().and_then(|range| self.rows.get(range)).unwrap_or_default()
+        let value = self.value.clone();
+        value.and_then(|(piece, range)| self.rows.get(piece)?.get(range)).unwrap_or_default()
+    }
+
+    /// The piece that the next small message goes to.
+    fn piece(&mut self) -> &mut Vec<u8> {
+        if self.rows.is_empty() {
+            self.rows.push(Vec::new());
+        }
+        let last = self.rows.len() - 1;
+        &mut self.rows[last]
     }
 }
--- a/crates/wire/src/pg.rs
+++ b/crates/wire/src/pg.rs
@@ -38,6 +38,9 @@
     Ok((bytes.len() >= length).then_some((opening, length)))
 }
 
+/// What stands before a message's body: its type and its length.
+pub const BEFORE_BODY: usize = 5;
+
 /// One message: its type, its body, and its length with type and length word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Message<'a> {
@@ -250,6 +253,13 @@
     });
 }
 
+/// The front of a simple query of which so many bytes, its closing zero among them, come behind `piece`.
+pub fn query_front(out: &mut Vec<u8>, piece: &[u8], behind: usize) {
+    out.push(b'Q');
+    out.extend_from_slice(&((4 + piece.len() + behind) as u32).to_be_bytes());
+    out.extend_from_slice(piece);
+}
+
 pub fn error(out: &mut Vec<u8>, fatal: bool, code: &str, text: &str, detail: Option<&str>) {
     let severity = if fatal { "FATAL" } else { "ERROR" };
     append(out, b'E', |out| {
--- a/crates/wire/tests/parsers.rs
+++ b/crates/wire/tests/parsers.rs
@@ -81,7 +81,7 @@
         let (result, exchange, left) = absorb(&bytes, &cuts);
         prop_assert!(result.is_ok() && exchange.is_served() && exchange.is_ready());
         prop_assert_eq!(exchange.value(), &value[..]);
-        prop_assert_eq!(&exchange.rows[..], &bytes[..rows]);
+        prop_assert_eq!(&exchange.rows.concat()[..], &bytes[..rows]);
         prop_assert_eq!(exchange.role.as_deref(), Some(&role[..]));
         prop_assert_eq!(exchange.position, Some(position.to_string()));
         prop_assert_eq!(exchange.usage.as_deref(), Some("inflight=7,util=0.61"));
