Slow peers: loopback tests, a measurement, and usual clients between two tasks keep their place

Need: hundreds of slow readers that come again and again closed usual clients' connections between two tasks, which then found no place: the test's share of honoured tasks failed.

Change: who asked less than 0.25 s ago is not closed for a newcomer, and who is too slow goes before who is idle. Connections to members have buffers of a stated size, so that a statement taken byte by byte is seen. Twelve loopback cases for slow readers, senders and members; crates/stand-ins/examples/slow_peers.rs measures.

--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -18,6 +18,8 @@
     /// Those that had a task, beyond which the one idle longest is closed for each new one: clients, too, have
     /// only so many, and some never use one twice.
     pub regulars: usize,
+    /// Who asked so short a time ago is between two tasks, and not closed for a new connection.
+    pub between: Duration,
     /// Idle ones over that number that are being closed for new ones.
     pub yielding: usize,
     /// Client connections over that number that are being told so.
@@ -58,6 +60,8 @@
     pub room_wait: Duration,
     /// The system's send and receive buffer of a client's connection; it may hold twice that each.
     pub buffer: usize,
+    /// The system's receive buffer of a member's connection: a value of the usual full size.
+    pub member_buffer: usize,
     /// From what on an answer that may be unread counts once its connection is closed.
     pub unread: usize,
     /// What is still read of a client that is parted with, so that the error reaches it.
@@ -109,6 +113,7 @@
             clients,
             // Clients hold no more than a third of the descriptors for their tasks.
             regulars: (sockets / 4).min(clients),
+            between: Duration::from_millis(250),
             yielding,
             turned_away,
             members,
@@ -132,6 +137,7 @@
             small: SMALL,
             room_wait: Duration::from_millis(100),
             buffer: buffer_kib.map_or(BUFFER, |kib| kib as usize * 1024),
+            member_buffer: 64 * 1024,
             unread: 1024,
             scrap: 256 * 1024,
             accepting: Duration::from_secs(5),
--- a/crates/driver/src/listener.rs
+++ b/crates/driver/src/listener.rs
@@ -110,7 +110,7 @@
         }
     }
 
-    /// At the clients' share, a connection without a task is closed for a new one, else one that is too slow.
+    /// At the clients' share, one that is too slow is closed for a new one, else one without a task.
     fn makes_room(&mut self) -> bool {
         let limits = &self.context.limits;
         if !std::mem::replace(&mut self.full, true) {
@@ -120,12 +120,17 @@
         if self.guests.len() >= limits.clients + limits.yielding {
             return false;
         }
-        self.ask_to_yield(|_| true) || self.context.gate.frees_a_place()
+        self.context.gate.frees_a_place() || self.ask_to_yield(|_| true)
     }
 
-    /// Of these guests without a task, one that never had any is closed first, else the one idle longest.
+    /// Of these guests without a task, one that never had any is closed first, else the one idle longest. Protects
+    /// those who are between two tasks from a flood of newcomers. Harms one newcomer where all are between two.
     fn ask_to_yield(&self, whom: impl Fn(&&Guest) -> bool) -> bool {
-        let idle = self.guests.values().filter(|guest| guest.seat.idle_since.get().is_some()).filter(whom);
+        let between = self.context.limits.between;
+        let idle = self.guests.values().filter(whom).filter(|guest| {
+            let since = guest.seat.idle_since.get();
+            since.is_some_and(|since| !guest.seat.served.get() || since.elapsed() >= between)
+        });
         let rank = |guest: &&Guest| (guest.seat.served.get(), guest.seat.idle_since.get());
         let Some(guest) = idle.min_by_key(rank) else { return false };
         guest.seat.idle_since.set(None);
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -13,7 +13,7 @@
 use slog::{error, info, warn};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, mpsc, watch};
 use tokio::task::{self, JoinSet};
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
@@ -351,7 +351,11 @@
         }
     };
     let opening = async {
-        let mut stream = match TcpStream::connect(address).await {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }.ok()?;
+        // A statement of full size is more than the system takes at once: how quickly the member takes it is seen.
+        socket.set_send_buffer_size(context.limits.buffer as u32).ok()?;
+        socket.set_recv_buffer_size(context.limits.member_buffer as u32).ok()?;
+        let mut stream = match socket.connect(address).await {
             Err(error) if error.kind() != ErrorKind::ConnectionReset => {
                 return Some(Err(Verdict::Unconnected));
             }
--- /dev/null
+++ b/crates/driver/tests/slow_peers.rs
@@ -0,0 +1,358 @@
+//! Slow clients and members beside usual ones, with the built program over loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use aldermill_stand_ins::{
+    Client, Discovery, Driver, Member, aldermill, config, drip, file, honour, honour_with, honoured, list,
+    look, order, sound, until, whole,
+};
+use aldermill_wire::pg;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+/// Limits under which slow peers are noticed within a test's time.
+const QUICK: &str = r#"{"slow_peers":{"reading":{"bytes_a_second":100000,"start_ms":500,"window_ms":1500},
+ "sending":{"bytes_a_second":1000,"start_ms":500,"window_ms":500},"overdue_ms":500,"lingering_ms":500,"stopping_ms":1000}}"#;
+
+fn driver(members: &[(&str, &Member)], memory: usize, sockets: usize, operator: &str) -> (Driver, String) {
+    let members: Vec<_> = members.iter().map(|&(id, member)| (id, member, "in_service")).collect();
+    let discovery = Discovery::default();
+    discovery.say(list(1, true, &members));
+    let whole = config(discovery.start(), sockets, &list(1, true, &members));
+    let whole = whole.replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory}"));
+    (Driver::with("127.0.0.1:0".parse().unwrap(), &whole, Some(operator)), whole)
+}
+
+/// A primary whose values are as long as the task's key says: `k` for a short one, `v1000` for a thousand bytes.
+fn with_values() -> Member {
+    Member::start(|text, stream| {
+        let length = text.split_once("'v").and_then(|(_, rest)| rest.split('\'').next()?.parse().ok());
+        match length {
+            Some(length) => honour_with(&vec![7; length], text, "writer", stream),
+            None => honour(text, "writer", stream),
+        }
+    })
+}
+
+fn value(length: usize) -> String {
+    look(15000).replace("'k'", &format!("'v{length}'"))
+}
+
+/// Usual clients, one task after another; each comes again where its connection was closed between two.
+struct Usual {
+    stop: Arc<AtomicBool>,
+    asked: Arc<AtomicUsize>,
+    honoured: Arc<AtomicUsize>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Usual {
+    fn start(address: SocketAddr, clients: usize) -> Usual {
+        let (stop, asked, good) = (Arc::default(), Arc::default(), Arc::default());
+        let mut usual = Usual { stop, asked, honoured: good, threads: Vec::new() };
+        for _ in 0..clients {
+            let (stop, asked) = (usual.stop.clone(), usual.asked.clone());
+            let good = usual.honoured.clone();
+            usual.threads.push(thread::spawn(move || {
+                let mut client = Some(Client::connect(address));
+                while !stop.load(Ordering::SeqCst) {
+                    let said = client
+                        .as_mut()
+                        .and_then(|client| client.offer(&look(5000)).then(|| client.answer()).flatten());
+                    asked.fetch_add(1, Ordering::SeqCst);
+                    good.fetch_add(usize::from(said.as_ref().is_some_and(honoured)), Ordering::SeqCst);
+                    if said.is_none() {
+                        client = Client::bare(address).greeted();
+                    }
+                    thread::sleep(MS(5));
+                }
+            }));
+        }
+        until("the usual load", || usual.asked.load(Ordering::SeqCst) > 3 * clients);
+        usual
+    }
+
+    fn end(self) -> (usize, usize) {
+        self.stop.store(true, Ordering::SeqCst);
+        self.threads.into_iter().for_each(|thread| thread.join().unwrap());
+        (self.asked.load(Ordering::SeqCst), self.honoured.load(Ordering::SeqCst))
+    }
+}
+
+#[test]
+fn hundreds_of_slow_readers_cost_usual_clients_nothing() {
+    let member = with_values();
+    let (driver, _) = driver(&[("a", &member)], 48, 256, QUICK);
+    let usual = Usual::start(driver.address, 60);
+    let stop = Arc::<AtomicBool>::default();
+    let readers: Vec<_> = (0..240)
+        .map(|number| {
+            let (address, stop) = (driver.address, stop.clone());
+            thread::spawn(move || {
+                // The same come again as soon as they are cut.
+                while !stop.load(Ordering::SeqCst) {
+                    if let Some(mut client) = Client::narrow(address) {
+                        client.send(&value([20, 60_000, 1_000_000][number % 3]));
+                        client.sip(5, MS(200), MS(4000));
+                    }
+                    thread::sleep(MS(20));
+                }
+            })
+        })
+        .collect();
+    thread::sleep(MS(4000));
+    stop.store(true, Ordering::SeqCst);
+    let (asked, good) = usual.end();
+    assert!(asked > 500 && good * 100 >= asked * 99, "{good} of {asked}");
+    assert!(driver.logged("slow clients cut off"));
+    let peak = driver.memory("VmHWM");
+    assert!(peak < 40 * 1024, "{peak} KiB");
+    drop(driver);
+    readers.into_iter().for_each(|reader| reader.join().unwrap());
+}
+
+#[test]
+fn a_quick_reader_may_pause_and_the_least_rate_is_enough() {
+    let member = with_values();
+    let (driver, _) = driver(&[("a", &member)], 48, 128, QUICK);
+    let mut client = Client::narrow(driver.address).unwrap();
+    client.send(&value(900_000));
+    let (came, _) = client.sip(16 * 1024, MS(0), MS(300));
+    assert!(came > 100_000, "{came}");
+    thread::sleep(MS(1000));
+    let mut rest = 0;
+    while rest + came < 900_000 {
+        let (more, ended) = client.sip(16 * 1024, MS(0), MS(200));
+        assert!(more > 0 && !ended, "{came} and {rest}");
+        rest += more;
+    }
+    // About twice the least rate, in sips, for far longer than who is behind may stay.
+    let mut client = Client::narrow(driver.address).unwrap();
+    client.send(&value(400_000));
+    let mut came = 0;
+    while came < 400_000 {
+        let (more, ended) = client.sip(2048, MS(10), MS(1000));
+        came += more;
+        assert!(!ended || came >= 400_000, "{came}");
+    }
+    assert!(!driver.logged("slow clients cut off"));
+}
+
+#[test]
+fn who_takes_the_head_and_never_the_rest_is_cut_and_the_books_are_closed() {
+    let member = with_values();
+    let (driver, _) = driver(&[("a", &member)], 48, 128, QUICK);
+    let mut slow: Vec<Client> = (0..20).map(|_| Client::narrow(driver.address).unwrap()).collect();
+    for client in &mut slow {
+        // An effectful one: it is honoured once, whether or not anybody reads of it.
+        client.send(&order(15000).replace("'k'", "'v900000'"));
+    }
+    until("each is cut", || driver.logged("overdue: ") || driver.logged("room_wanted: "));
+    slow.iter_mut().for_each(|client| while !client.sip(4096, MS(0), MS(50)).1 {});
+    let orders = member.tasks();
+    assert!(orders.len() <= 20, "{}", orders.len());
+    // What they held is free again: as many quick ones as ever fit.
+    let mut quick: Vec<Client> = (0..20).map(|_| Client::connect(driver.address)).collect();
+    quick.iter_mut().for_each(|client| client.send(&value(900_000)));
+    assert!(quick.iter_mut().all(|client| client.answer().unwrap().value.is_some()));
+}
+
+#[test]
+fn a_member_that_trickles_costs_a_launch_and_one_that_is_slow_but_sound_none() {
+    for (piece, pause) in [(1, 1000), (1, 250), (20, 250)] {
+        let trickles = Member::start(move |text, stream| {
+            drip(&whole(&[7; 4000], text, "reader"), piece, MS(pause), stream);
+        });
+        let primary = sound("writer");
+        let (driver, _) = driver(&[("a", &trickles), ("b", &primary)], 48, 128, "{}");
+        let mut client = Client::connect(driver.address);
+        let start = Instant::now();
+        assert!((0..8).all(|_| honoured(&client.ask(&look(15000)))));
+        assert!(start.elapsed() < MS(8000), "{:?} for {piece} bytes a time", start.elapsed());
+    }
+    // An effectful task ends as one that may have run, long before its time is up, and is sent once.
+    let trickles = Member::start(|text, stream| {
+        let out = whole(b"x", text, "writer");
+        if text.starts_with("/*") { drip(&out, 1, MS(250), stream) } else { drip(&out, 4096, MS(0), stream) }
+    });
+    let (driver, _) = driver(&[("a", &trickles)], 48, 128, "{}");
+    let start = Instant::now();
+    assert_eq!(Client::connect(driver.address).ask(&order(15000)).code, "40003");
+    assert!(start.elapsed() < MS(5000));
+    assert_eq!(trickles.tasks().len(), 1);
+}
+
+#[test]
+fn sixty_kilobytes_at_twice_the_least_rate_are_sound() {
+    let steady = Member::start(|text, stream| {
+        let value = vec![7; if text.starts_with("/*") { 60_000 } else { 0 }];
+        drip(&whole(&value, text, "writer"), 6_500, MS(100), stream);
+    });
+    let (driver, _) = driver(&[("a", &steady)], 48, 128, "{}");
+    let mut client = Client::connect(driver.address);
+    assert!((0..4).all(|_| client.ask(&look(15000)).value.is_some_and(|value| value.len() == 60_000)));
+    assert!(!driver.logged("nothing that can be used"));
+    assert_eq!(steady.tasks().len(), 4);
+}
+
+#[test]
+fn a_member_that_takes_a_statement_byte_by_byte_never_ran_it() {
+    let listener = {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(2048).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(64).unwrap();
+        std::net::TcpListener::from(socket)
+    };
+    let bears = |bytes: &[u8], welcomed: bool| {
+        if welcomed && bytes.len() > 500 {
+            thread::sleep(MS(500));
+        }
+        true
+    };
+    let taker = Member::at(listener, bears, |text, stream| honour(text, "writer", stream));
+    let primary = sound("writer");
+    let (driver, _) = driver(&[("a", &taker), ("b", &primary)], 192, 128, "{}");
+    let mut client = Client::connect(driver.address);
+    let start = Instant::now();
+    for _ in 0..4 {
+        let large = order(15000).replace("9f", &"9f".repeat(60_000));
+        assert!(honoured(&client.ask(&large)));
+    }
+    assert!(start.elapsed() < MS(12_000), "{:?}", start.elapsed());
+    assert_eq!(taker.tasks().len() + primary.tasks().len(), 4);
+}
+
+#[test]
+fn a_group_whose_members_all_trickle_for_a_while_is_not_stripped() {
+    let ill = Arc::new(AtomicBool::new(true));
+    let either = |role: &'static str| {
+        let ill = ill.clone();
+        Member::start(move |text, stream| {
+            let out = whole(b"the value", text, role);
+            let slow = ill.load(Ordering::SeqCst);
+            drip(&out, if slow { 1 } else { 4096 }, MS(if slow { 250 } else { 0 }), stream);
+        })
+    };
+    let (first, second) = (either("writer"), either("reader"));
+    let (driver, _) = driver(&[("a", &first), ("b", &second)], 48, 128, "{}");
+    let mut clients: Vec<Client> = (0..10).map(|_| Client::connect(driver.address)).collect();
+    clients.iter_mut().for_each(|client| client.send(&look(1500)));
+    clients.iter_mut().for_each(|client| drop(client.answer().unwrap()));
+    ill.store(false, Ordering::SeqCst);
+    until("a task is honoured again", || honoured(&clients[0].ask(&look(3000))));
+    let good = (0..50).filter(|_| honoured(&clients[1].ask(&look(3000)))).count();
+    assert!(good >= 45, "{good}");
+}
+
+#[test]
+fn half_statements_at_a_byte_a_second_keep_nobody_out() {
+    let member = sound("writer");
+    let (driver, _) = driver(&[("a", &member)], 48, 128, QUICK);
+    let usual = Usual::start(driver.address, 20);
+    let mut statement = Vec::new();
+    pg::query(&mut statement, &[look(15000).replace("'k'", &format!("'{}'", "k".repeat(40_000))).as_bytes()]);
+    let senders: Vec<_> = (0..200)
+        .map(|number| {
+            let (address, statement) = (driver.address, statement.clone());
+            thread::spawn(move || {
+                // Half of them have had an answer before.
+                let Some(mut client) = Client::narrow(address) else { return };
+                if number % 2 == 0 && client.offer(&look(5000)) {
+                    client.answer();
+                }
+                let half = [&statement[..200], &statement[200..210]];
+                if std::io::Write::write_all(&mut client.stream, half[0]).is_ok() {
+                    drip(half[1], 1, MS(400), &mut client.stream);
+                }
+            })
+        })
+        .collect();
+    thread::sleep(MS(2500));
+    let (asked, good) = usual.end();
+    assert!(asked > 300 && good * 100 >= asked * 99, "{good} of {asked}");
+    drop(driver);
+    senders.into_iter().for_each(|sender| sender.join().unwrap());
+}
+
+#[test]
+fn told_to_stop_it_does_not_wait_for_slow_readers() {
+    let member = with_values();
+    let (mut driver, _) = driver(&[("a", &member)], 48, 128, QUICK);
+    let mut slow: Vec<Client> = (0..10).map(|_| Client::narrow(driver.address).unwrap()).collect();
+    slow.iter_mut().for_each(|client| client.send(&value(900_000)));
+    until("all have been asked", || member.tasks().len() == 10);
+    let start = Instant::now();
+    driver.signal("-TERM");
+    assert!(driver.child.wait().unwrap().success());
+    assert!(start.elapsed() < MS(10_000), "{:?}", start.elapsed());
+}
+
+#[test]
+fn lowered_limits_hold_from_sighup_on_and_a_wrong_file_changes_nothing() {
+    let member = with_values();
+    let patient = QUICK.replace("\"overdue_ms\":500", "\"overdue_ms\":60000");
+    let (driver, _) = driver(&[("a", &member)], 48, 128, &patient);
+    let mut slow: Vec<Client> = (0..6).map(|_| Client::narrow(driver.address).unwrap()).collect();
+    slow.iter_mut().for_each(|client| client.send(&value(900_000)));
+    until("all have been asked", || member.tasks().len() == 6);
+    thread::sleep(MS(800));
+    assert!(!driver.logged("slow clients cut off"));
+    let operator = driver.operator.clone().unwrap();
+    std::fs::write(&operator, patient.replace("{\"reading", "{\"room_kib\":100,\"reading")).unwrap();
+    driver.signal("-HUP");
+    until("the file is refused", || driver.logged("slow_peers.room_kib: too little"));
+    assert!(!driver.logged("slow clients cut off"));
+    let lowered = patient.replace("{\"reading", "{\"room_kib\":3000,\"connection_kib\":2600,\"reading");
+    std::fs::write(&operator, lowered).unwrap();
+    driver.signal("-HUP");
+    until("those who are behind give way", || driver.logged("room_wanted: "));
+    assert!(Client::connect(driver.address).ask(&value(900_000)).value.is_some());
+}
+
+#[test]
+fn an_address_may_have_so_many_connections_where_the_operator_says_so() {
+    let member = sound("writer");
+    let few = r#"{"slow_peers":{"per_address":{"connections":3,"room_kib":4000}}}"#;
+    let (driver, _) = driver(&[("a", &member)], 48, 128, few);
+    let mut clients: Vec<Client> = (0..3).map(|_| Client::connect(driver.address)).collect();
+    let mut hello = Vec::new();
+    pg::startup(&mut hello, "client", "core");
+    let mut fourth = Client::bare(driver.address);
+    fourth.raw(&hello);
+    assert!(fourth.answer().is_none_or(|said| said.code == "53300"));
+    assert!(clients.iter_mut().all(|client| honoured(&client.ask(&look(5000)))));
+    drop(clients.pop());
+    until("its place is free", || Client::narrow(driver.address).is_some());
+}
+
+#[test]
+fn what_is_wrong_with_the_operators_file_is_said_with_its_path() {
+    let good = config("127.0.0.1:8500".parse().unwrap(), 256, "null");
+    let check = |operator: &str| {
+        let (mut command, path) = aldermill(&["check"], &good);
+        let operator = file("operator", operator);
+        let output = command.env("ALDERMILL_OPERATOR", &operator).output().unwrap();
+        std::fs::remove_file(path).unwrap();
+        std::fs::remove_file(operator).unwrap();
+        (output.status.success(), String::from_utf8(output.stderr).unwrap())
+    };
+    for (wrong, path) in [
+        (r#"{"slow_peers":{"reading":{"bytes_a_second":"fast"}}}"#, "slow_peers.reading.bytes_a_second"),
+        (r#"{"slow_peers":{"pace":1}}"#, "pace"),
+        (r#"{"slow_peers":{"room_kib":1000}}"#, "slow_peers.room_kib: too little"),
+        (r#"{"slow_peers":{"connection_kib":1}}"#, "slow_peers.connection_kib: too little"),
+        (r#"{"slow_peers":{"per_address":{"connections":0,"room_kib":90000}}}"#, "per_address.connections"),
+    ] {
+        let (well, said) = check(wrong);
+        assert!(!well && said.trim_end().lines().count() == 1 && said.contains(path), "{said}");
+    }
+    assert!(check("{}").0);
+    let (mut command, path) = aldermill(&["schema"], "{}");
+    let schema = String::from_utf8(command.output().unwrap().stdout).unwrap();
+    std::fs::remove_file(path).unwrap();
+    assert!(schema.contains("slow_peers") && schema.contains("bytes_a_second"));
+}
--- /dev/null
+++ b/crates/stand-ins/examples/slow_peers.rs
@@ -0,0 +1,208 @@
+//! Measures what slow peers cost usual clients: `cargo run --release -p aldermill-stand-ins --example slow_peers`.
+//! ALDERMILL names another build of the program to measure. Takes about two minutes; wants the machine to itself.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use aldermill_stand_ins::{
+    Client, Discovery, Driver, Member, config, drip, honour, honour_with, list, look, order, refuse, whole,
+};
+
+const CLIENTS: usize = 40;
+const EVERY: Duration = Duration::from_millis(100);
+const QUOTED: Duration = Duration::from_millis(1000);
+const LONG: Duration = Duration::from_secs(15);
+
+/// What the usual clients saw.
+#[derive(Default)]
+struct Seen {
+    asked: usize,
+    in_time: usize,
+    late: usize,
+    took: Vec<Duration>,
+}
+
+impl Seen {
+    fn quantile(&mut self, share: f64) -> f64 {
+        self.took.sort();
+        let at = ((self.took.len() as f64 * share) as usize).min(self.took.len().saturating_sub(1));
+        self.took.get(at).map_or(f64::NAN, |took| took.as_secs_f64() * 1000.0)
+    }
+}
+
+/// Ten tasks a second from each client, a quarter of them effectful, counted from when they were due.
+fn usual(address: SocketAddr, long: Duration) -> Seen {
+    let seen = Arc::<Mutex<Seen>>::default();
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let seen = seen.clone();
+            thread::spawn(move || {
+                let mut client = None;
+                let start = Instant::now() + EVERY / CLIENTS as u32 * number as u32;
+                for turn in 0..(long.as_millis() / EVERY.as_millis()) as u32 {
+                    let due = start + EVERY * turn;
+                    thread::sleep(due.saturating_duration_since(Instant::now()));
+                    let statement = if turn % 4 == 3 { order(2000) } else { look(2000) };
+                    let mut said = None;
+                    for _ in 0..2 {
+                        client = client.or_else(|| Client::bare(address).greeted());
+                        said = client
+                            .as_mut()
+                            .and_then(|client| client.offer(&statement).then(|| client.answer()).flatten());
+                        if said.is_some() {
+                            break;
+                        }
+                        client = None;
+                    }
+                    let mut seen = seen.lock().unwrap();
+                    seen.asked += 1;
+                    if said.is_some_and(|said| said.value.is_some()) {
+                        seen.took.push(due.elapsed());
+                        if due.elapsed() <= QUOTED { seen.in_time += 1 } else { seen.late += 1 }
+                    }
+                }
+            })
+        })
+        .collect();
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    std::mem::take(&mut seen.lock().unwrap())
+}
+
+/// What the system's TCP holds in all, in KiB, and how many connections that no program has any more.
+fn kernel() -> (u64, u64) {
+    let stat = std::fs::read_to_string("/proc/net/sockstat").unwrap_or_default();
+    let words: Vec<&str> =
+        stat.lines().find(|line| line.starts_with("TCP:")).unwrap_or("").split(' ').collect();
+    let after = |name| {
+        let at = words.iter().position(|&word| word == name)?;
+        words.get(at + 1)?.parse::<u64>().ok()
+    };
+    (after("mem").unwrap_or(0) * 4, after("orphan").unwrap_or(0))
+}
+
+/// CPU seconds that the program has used.
+fn cpu(driver: &Driver) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", driver.child.id())).unwrap_or_default();
+    let behind = stat.rsplit(')').next().unwrap_or("");
+    let field = |at: usize| behind.split_whitespace().nth(at).and_then(|word| word.parse::<f64>().ok());
+    (field(11).unwrap_or(0.0) + field(12).unwrap_or(0.0)) / 100.0
+}
+
+fn start(members: &[(&str, &Member)], memory: usize, sockets: usize) -> Driver {
+    let members: Vec<_> = members.iter().map(|&(id, member)| (id, member, "in_service")).collect();
+    let discovery = Discovery::default();
+    discovery.say(list(1, true, &members));
+    let whole = config(discovery.start(), sockets, &list(1, true, &members));
+    Driver::of(&whole.replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory}")))
+}
+
+fn row(what: &str, seen: &mut Seen, cpu: f64, resident: u64, kernel: u64, orphans: u64) {
+    let (half, most) = (seen.quantile(0.5), seen.quantile(0.99));
+    println!(
+        "{what:<34} {:>6} asked  {:.4} in time  {:.4} late  {:.4} nothing  p50 {half:.2} ms  p99 {most:.2} ms  {:.0} us CPU a task  \
+         resident {resident} KiB  kernel {kernel} KiB  orphans {orphans}",
+        seen.asked,
+        seen.in_time as f64 / seen.asked as f64,
+        seen.late as f64 / seen.asked as f64,
+        1.0 - (seen.in_time + seen.late) as f64 / seen.asked as f64,
+        cpu * 1e6 / seen.asked as f64,
+    );
+}
+
+/// Runs the usual clients and watches the memory meanwhile.
+fn watched(driver: &Driver, what: &str, base: u64) -> f64 {
+    let done = Arc::<AtomicBool>::default();
+    let pid = driver.child.id();
+    let watching = {
+        let done = done.clone();
+        thread::spawn(move || {
+            let (mut resident, mut held, mut orphans) = (0, 0, 0);
+            while !done.load(Ordering::SeqCst) {
+                let (mem, without) = kernel();
+                (held, orphans) = (held.max(mem), orphans.max(without));
+                let status = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
+                let pages = status.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok()).unwrap_or(0);
+                resident = resident.max(pages * 4);
+                thread::sleep(Duration::from_millis(100));
+            }
+            (resident, held, orphans)
+        })
+    };
+    let before = cpu(driver);
+    let mut seen = usual(driver.address, LONG);
+    let used = cpu(driver) - before;
+    done.store(true, Ordering::SeqCst);
+    let (resident, held, orphans) = watching.join().unwrap();
+    row(what, &mut seen, used, resident, held.saturating_sub(base), orphans);
+    seen.in_time as f64 / seen.asked as f64
+}
+
+fn readers() {
+    let value = Arc::new(vec![7; 1_400_000]);
+    let member = {
+        let value = value.clone();
+        Member::start(move |text, stream| match text.contains("'large'") {
+            true => honour_with(&value, text, "writer", stream),
+            false => honour(text, "writer", stream),
+        })
+    };
+    let base = kernel().0;
+    let driver = start(&[("a", &member)], 48, 384);
+    watched(&driver, "no slow readers", base);
+    let stop = Arc::<AtomicBool>::default();
+    let slow: Vec<_> = (0..300)
+        .map(|_| {
+            let (address, stop) = (driver.address, stop.clone());
+            thread::spawn(move || {
+                while !stop.load(Ordering::SeqCst) {
+                    if let Some(mut client) = Client::narrow(address) {
+                        client.offer(&look(15_000).replace("'k'", "'large'"));
+                        while !stop.load(Ordering::SeqCst) && !client.sip(5, Duration::from_secs(1), EVERY).1
+                        {
+                        }
+                    }
+                    thread::sleep(Duration::from_millis(50));
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(1));
+    watched(&driver, "300 readers of 1.4 MB at 5 B/s", base);
+    stop.store(true, Ordering::SeqCst);
+    thread::sleep(Duration::from_secs(8));
+    let (mem, orphans) = kernel();
+    println!("8 s after they stopped: kernel {} KiB, orphans {orphans}", mem.saturating_sub(base));
+    drop(driver);
+    slow.into_iter().for_each(|reader| reader.join().unwrap());
+}
+
+fn trickling() {
+    let mut of = [0.0; 2];
+    for (turn, what) in ["four sound members", "one of four a byte every 0.25 s"].into_iter().enumerate() {
+        let member = |role: &'static str, ill: bool| {
+            Member::start(move |text, stream| match role {
+                "reader" if text.contains("INSERT") => refuse("25006", role, stream),
+                _ if ill => drip(&whole(b"the value", text, role), 1, Duration::from_millis(250), stream),
+                _ => honour(text, role, stream),
+            })
+        };
+        let members = [
+            member("writer", false),
+            member("reader", false),
+            member("reader", false),
+            member("reader", turn == 1),
+        ];
+        let named: Vec<(&str, &Member)> = ["a", "b", "c", "d"].into_iter().zip(&members).collect();
+        let driver = start(&named, 48, 384);
+        of[turn] = watched(&driver, what, kernel().0);
+    }
+    println!("service kept with the trickling member: {:.4}", of[1] / of[0]);
+}
+
+fn main() {
+    readers();
+    trickling();
+}
--- a/crates/stand-ins/src/client.rs
+++ b/crates/stand-ins/src/client.rs
@@ -29,12 +29,15 @@
     }
 
     pub fn connect(address: SocketAddr) -> Client {
-        let mut client = Client::bare(address);
+        Client::bare(address).greeted().expect("a greeting")
+    }
+
+    /// Once it was welcomed; `None` where it was not.
+    pub fn greeted(mut self) -> Option<Client> {
         let mut hello = Vec::new();
         pg::startup(&mut hello, "client", "core");
-        client.raw(&hello);
-        assert_eq!(client.answer(), Some(Said::default()));
-        client
+        self.stream.write_all(&hello).ok()?;
+        (self.answer() == Some(Said::default())).then_some(self)
     }
 
     pub fn raw(&mut self, bytes: &[u8]) {
@@ -47,6 +50,13 @@
         self.raw(&out);
     }
 
+    /// Sends a statement; whether the other side was there for it.
+    pub fn offer(&mut self, statement: &str) -> bool {
+        let mut out = Vec::new();
+        pg::query(&mut out, &[statement.as_bytes()]);
+        self.stream.write_all(&out).is_ok()
+    }
+
     /// All up to the next ReadyForQuery, or to the end if that came with an error; `None` is a bare end.
     pub fn answer(&mut self) -> Option<Said> {
         let mut said = Said::default();
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -5,6 +5,7 @@
 mod discovery;
 mod member;
 mod program;
+mod slow;
 mod statement;
 
 use std::thread;
@@ -14,6 +15,7 @@
 pub use discovery::{Discovery, list};
 pub use member::{Act, Member, honour, honour_with, refuse, sound, whole};
 pub use program::{Driver, TERMS, aldermill, config, file, program};
+pub use slow::drip;
 pub use statement::{look, named, new_id, order};
 
 /// Long enough for any step on a busy machine.
--- a/crates/stand-ins/src/program.rs
+++ b/crates/stand-ins/src/program.rs
@@ -25,6 +25,7 @@
     pub address: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
     pub config: PathBuf,
+    pub operator: Option<PathBuf>,
 }
 
 /// The program: named by ALDERMILL, else the one built beside what runs now.
@@ -69,8 +70,17 @@
     }
 
     pub fn at(listen: SocketAddr, config: &str) -> Driver {
+        Driver::with(listen, config, None)
+    }
+
+    /// With an operator's own file.
+    pub fn with(listen: SocketAddr, config: &str, operator: Option<&str>) -> Driver {
         let (mut command, path) = aldermill(&["serve"], config);
         command.env("GW_LISTEN", listen.to_string()).stderr(Stdio::piped());
+        let operator = operator.map(|text| file("operator", text));
+        if let Some(operator) = &operator {
+            command.env("ALDERMILL_OPERATOR", operator);
+        }
         let mut child = command.spawn().unwrap();
         let log = Arc::<Mutex<Vec<String>>>::default();
         let (lines, stderr) = (log.clone(), BufReader::new(child.stderr.take().unwrap()));
@@ -86,7 +96,7 @@
             address = serving.map(|rest| rest.split(',').next().unwrap().trim().parse().unwrap());
             address.is_some()
         });
-        Driver { child, address: address.unwrap(), log, config: path }
+        Driver { child, address: address.unwrap(), log, config: path, operator }
     }
 
     /// With these members in service, as known at the start and as discovery says.
@@ -101,6 +111,13 @@
         self.log.lock().unwrap().iter().any(|line| line.contains(text))
     }
 
+    /// A figure of its memory, in KiB, by its name in the system's status file.
+    pub fn memory(&self, name: &str) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
+        line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
@@ -112,5 +129,8 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        if let Some(operator) = &self.operator {
+            let _ = std::fs::remove_file(operator);
+        }
     }
 }
