Slow peers: an answer that finds no room is told at once, and holds no place at a member

Change: room is waited for 0.25 s at most, and not at all where it does not come free quickly enough (turnover.rs measures it under pressure). The client hears a denial with when to return for a pure task, a break-off else; the module hears that the member answered, since it did. Slow readers no longer count among the regular clients, and only at the full share are clients between two tasks kept.

--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -24,6 +24,8 @@
 pub struct Seat {
     pub idle_since: Cell<Option<Instant>>,
     pub served: Cell<bool>,
+    /// It is slow to read its answer.
+    pub stuck: Cell<bool>,
 }
 
 /// Why a conversation ends.
@@ -437,6 +439,7 @@
                     }
                     Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
                         if !std::mem::replace(&mut owing, true) {
+                            self.seat.stuck.set(true);
                             self.presence.owes(Way::Reading);
                         }
                         tokio::select! {
@@ -450,6 +453,7 @@
             }
         }
         if owing {
+            self.seat.stuck.set(false);
             self.presence.rests();
         }
         if let Some(room) = room {
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 
 use aldermill_routing::{
-    Handle, Listed, MemberId, Micros, Need, Outcome, Router, Standing, Step, Task, Todo, Told, Verdict,
+    Effect, Handle, Listed, MemberId, Micros, Need, Outcome, Router, Standing, Step, Task, Todo, Told,
+    Verdict,
 };
 use aldermill_terms::Decoded;
 use aldermill_wire::statement::quoted;
@@ -18,7 +19,7 @@
 use crate::clock::{Clock, duration};
 use crate::context::Context;
 use crate::member::Member;
-use crate::words::{Answer, Bulletin, Call, ClientId, Ended, Errand, Launch, Mail, Order, Query, Rows};
+use crate::words::{Answer, Bulletin, Call, ClientId, Ended, Errand, Gave, Launch, Mail, Order, Query};
 
 /// A task under way and the client that waits for it.
 struct Open {
@@ -180,9 +181,11 @@
     }
 
     fn ended(&mut self, ended: Ended) {
-        let Ended { handle, verdict, took, told, rows } = ended;
-        if verdict == Verdict::Honoured {
-            self.answer(handle, Answer::Honoured(rows));
+        let Ended { handle, verdict, took, told, gave } = ended;
+        match gave {
+            Gave::Rows(rows) => self.answer(handle, Answer::Honoured(rows)),
+            Gave::MoreThanFits => self.deny_for_room(handle),
+            Gave::Nothing => {}
         }
         let closed = self.open.get(&handle).is_none_or(|open| open.client.is_none());
         let outcome = Outcome { verdict, took, told, closed };
@@ -191,6 +194,20 @@
         self.release(handle);
     }
 
+    /// Its member answered, but there is no room for that: what is pure may be denied, anything else did run.
+    fn deny_for_room(&mut self, handle: Handle) {
+        let Some(open) = self.open.get(&handle) else { return };
+        let Ok(offering) = self.decoded.offering(&open.order.comment.offering) else { return };
+        let terms = &self.decoded.terms;
+        let answer = match terms.offerings[offering].effect {
+            Effect::Pure => {
+                Answer::Denied { cool_down: self.context.gate.come_back().min(terms.max_cool_down) }
+            }
+            _ => Answer::BrokenOff,
+        };
+        self.answer(handle, answer);
+    }
+
     /// Gives a task its one answer.
     fn answer(&mut self, handle: Handle, answer: Answer) {
         let Some((client, mailbox)) = self.open.get_mut(&handle).and_then(|open| open.client.take()) else {
@@ -239,7 +256,7 @@
         if peer.is_none_or(|peer| peer.errands.try_send(Errand::Launch(launch)).is_err()) {
             warn!(self.context.log, "member's mailbox full, launch not sent"; "member" => member);
             let (verdict, told) = (Verdict::Moot, Told::default());
-            let ended = Ended { handle, verdict, took: 0, told, rows: Rows::default() };
+            let ended = Ended { handle, verdict, took: 0, told, gave: Gave::Nothing };
             self.pending.push_back(Call::Ended(ended));
         }
     }
--- a/crates/driver/src/gate.rs
+++ b/crates/driver/src/gate.rs
@@ -81,6 +81,10 @@
         *self.books.borrow().pace.bounds()
     }
 
+    pub fn come_back(&self) -> i64 {
+        self.books.borrow().pace.come_back()
+    }
+
     pub fn rebound(&self, bounds: Bounds) {
         self.with(|pace, now| ((), pace.rebound(now, bounds)));
     }
--- a/crates/driver/src/listener.rs
+++ b/crates/driver/src/listener.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::time::Duration;
 
 use aldermill_wire::Buffer;
 use slog::{error, info, warn};
@@ -99,8 +100,10 @@
         // Ends connections whose other side is gone without a word.
         let _ = SockRef::from(&stream).set_tcp_keepalive(&self.keepalive);
         let served = |guest: &&Guest| guest.seat.served.get();
-        if self.guests.values().filter(served).count() >= self.context.limits.regulars {
-            self.ask_to_yield(served);
+        // Those who are slow to read take no place of the others': they give way by themselves.
+        let regular = |guest: &&Guest| served(guest) && !guest.seat.stuck.get();
+        if self.guests.values().filter(regular).count() >= self.context.limits.regulars {
+            self.ask_to_yield(Duration::ZERO, served);
         }
         let place = self.guests.len() < self.context.limits.clients || self.makes_room();
         if let Some(presence) = place.then(|| self.context.gate.meet(from).ok()).flatten() {
@@ -120,13 +123,12 @@
         if self.guests.len() >= limits.clients + limits.yielding {
             return false;
         }
-        self.context.gate.frees_a_place() || self.ask_to_yield(|_| true)
+        self.context.gate.frees_a_place() || self.ask_to_yield(self.context.limits.between, |_| true)
     }
 
     /// Of these guests without a task, one that never had any is closed first, else the one idle longest. Protects
     /// those who are between two tasks from a flood of newcomers. Harms one newcomer where all are between two.
-    fn ask_to_yield(&self, whom: impl Fn(&&Guest) -> bool) -> bool {
-        let between = self.context.limits.between;
+    fn ask_to_yield(&self, between: Duration, whom: impl Fn(&&Guest) -> bool) -> bool {
         let idle = self.guests.values().filter(whom).filter(|guest| {
             let since = guest.seat.idle_since.get();
             since.is_some_and(|since| !guest.seat.served.get() || since.elapsed() >= between)
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -21,7 +21,7 @@
 use crate::context::Context;
 use crate::gate::Room;
 use crate::limits::Limits;
-use crate::words::{Call, Ended, Errand, Launch, Query, Rows};
+use crate::words::{Call, Ended, Errand, Gave, Launch, Query, Rows};
 
 struct Connection {
     stream: TcpStream,
@@ -53,6 +53,8 @@
     verdict: Verdict,
     exchange: Exchange,
     room: Option<Room>,
+    /// The member answered, and there is no room for that.
+    crowded_out: bool,
     /// Set where it may carry another query.
     connection: Option<Connection>,
     began: Instant,
@@ -117,7 +119,7 @@
                             error!(self.context.log, "a visit failed"; "member" => &self.name, "why" => %error);
                             let (verdict, exchange) = (Verdict::Reset, Exchange::default());
                             let (began, era) = (Instant::now(), self.era);
-                            (error.id(), Done { verdict, exchange, room: None, connection: None, began, era })
+                            (error.id(), Done { verdict, exchange, room: None, crowded_out: false, connection: None, began, era })
                         }
                     };
                     let Some(purpose) = self.purposes.remove(&visit) else { continue };
@@ -188,7 +190,7 @@
         let context = self.context.clone();
         let (id, address, open, era) = (self.id, self.address, self.open.clone(), self.era);
         let visit = self.under_way.spawn_local(async move {
-            let (mut exchange, mut room) = (Exchange::default(), None);
+            let (mut exchange, mut room, mut crowded_out) = (Exchange::default(), None, false);
             let opened = match settled(pooled, until, &context.limits).await {
                 Some(connection) => Ok(connection),
                 None => connect(&context, id, address, until).await,
@@ -197,23 +199,23 @@
                 // A drain that was told since the decision forbids it.
                 Ok(connection) if !*open.borrow() => (Verdict::Moot, Some(connection)),
                 Ok(mut connection) => {
-                    let mut visit = Visit { context: &context, holder, until, exchange, room };
+                    let mut visit = Visit { context: &context, holder, until, exchange, room, crowded_out };
                     let verdict = visit.converse(&mut connection, &query).await;
-                    (exchange, room) = (visit.exchange, visit.room);
+                    (exchange, room, crowded_out) = (visit.exchange, visit.room, visit.crowded_out);
                     (verdict, exchange.is_ready().then_some(connection))
                 }
                 // For a task that connection never came up; a probe was not answered, and no more is known.
                 Err(Verdict::TimedOut) if for_task => (Verdict::Unconnected, None),
                 Err(verdict) => (verdict, None),
             };
-            Done { verdict, exchange, room, connection, began, era }
+            Done { verdict, exchange, room, crowded_out, connection, began, era }
         });
         self.purposes.insert(visit.id(), purpose);
     }
 
     async fn ended(&mut self, purpose: Purpose, done: Done) -> Result<(), mpsc::error::SendError<Call>> {
-        let Done { mut verdict, exchange, room, connection, began, era } = done;
-        if exchange.is_over() {
+        let Done { mut verdict, exchange, room, crowded_out, connection, began, era } = done;
+        if exchange.is_over() || crowded_out {
             self.heard = Instant::now();
         } else if verdict == Verdict::TimedOut && self.heard < began {
             // Not a word since it began: connections from before may lead nowhere, and stay silent for ever
@@ -255,9 +257,12 @@
             Purpose::Task { handle, sent } => {
                 let told = self.told(&exchange, exchange.usage.as_deref());
                 let took = sent.elapsed().as_micros() as Micros;
-                let honoured = verdict == Verdict::Honoured;
-                let rows = if honoured { Rows { pieces: exchange.rows, room } } else { Rows::default() };
-                Call::Ended(Ended { handle, verdict, took, told, rows })
+                let gave = match verdict {
+                    Verdict::Honoured if crowded_out => Gave::MoreThanFits,
+                    Verdict::Honoured => Gave::Rows(Rows { pieces: exchange.rows, room }),
+                    _ => Gave::Nothing,
+                };
+                Call::Ended(Ended { handle, verdict, took, told, gave })
             }
             Purpose::Probe => {
                 if exchange.error.as_deref() == Some("57P03") {
@@ -404,6 +409,7 @@
     until: Instant,
     exchange: Exchange,
     room: Option<Room>,
+    crowded_out: bool,
 }
 
 impl Visit<'_> {
@@ -450,7 +456,7 @@
     /// once where its last bytes are those of a whole answer. One that is whole but for its end waits no longer for
     /// that.
     async fn take_in(&mut self, connection: &mut Connection) -> Verdict {
-        let Visit { context, holder, until, exchange, room } = self;
+        let Visit { context, holder, until, exchange, room, crowded_out } = self;
         let (limits, clock, until) = (&context.limits, context.clock, *until);
         let mut answering: Option<Meter> = None;
         loop {
@@ -462,12 +468,14 @@
             }
             let claimed = pg::claimed(connection.buffer.held());
             if claimed > limits.small && room.is_none() {
-                // While there is no room nothing is read: the member's own buffers fill up, and its slot with them.
+                // While there is no room nothing is read: what the member sends stays with it, and holds its place.
                 let Some((peer, best)) = *holder else { return Verdict::Spoilt };
                 answering.iter_mut().for_each(|meter| meter.rests(clock.now()));
                 *room = context.gate.room(peer, claimed, best, until).await;
                 if room.is_none() {
-                    return Verdict::TimedOut;
+                    // It did its part, and its place is wanted for others: the rest is not taken in.
+                    *crowded_out = true;
+                    return Verdict::Honoured;
                 }
                 connection.buffer.expect(claimed + 1);
             }
--- a/crates/driver/src/start.rs
+++ b/crates/driver/src/start.rs
@@ -145,6 +145,7 @@
         sending: least(usual.sending, wanted.sending),
         answering: least(usual.answering, wanted.answering),
         taking: least(usual.taking, wanted.taking),
+        patience: wanted.patience_ms.map_or(usual.patience, micros),
         overdue: wanted.overdue_ms.map_or(usual.overdue, micros),
         lingering: wanted.lingering_ms.map_or(usual.lingering, micros),
         stopping: wanted.stopping_ms.map_or(usual.stopping, micros),
--- a/crates/driver/src/words.rs
+++ b/crates/driver/src/words.rs
@@ -47,8 +47,17 @@
     pub verdict: Verdict,
     pub took: Micros,
     pub told: Told,
+    /// What the member gave.
+    pub gave: Gave,
+}
+
+/// What a launch brought.
+pub enum Gave {
+    Nothing,
     /// Where it was honoured: the messages that carry the value.
-    pub rows: Rows,
+    Rows(Rows),
+    /// It began an answer that nobody has room for, on the client's side: no fault of the member's.
+    MoreThanFits,
 }
 
 /// The messages that carry a value, and the room reserved for them where they are large.
--- a/crates/pace/src/bounds.rs
+++ b/crates/pace/src/bounds.rs
@@ -37,6 +37,8 @@
     /// For members that have begun an answer, and for those that are to take a statement.
     pub answering: Least,
     pub taking: Least,
+    /// No longer than this is room waited for: who waits holds a place at a member.
+    pub patience: Micros,
     /// Who is under the least rate for so long is cut off in any case.
     pub overdue: Micros,
     /// How long the system keeps what a closed connection has not taken.
@@ -63,6 +65,7 @@
             sending: Least { rate: 1024, start: 2_500 * MS, window: 4_000 * MS },
             answering: member,
             taking: Least { start: 1_000 * MS, window: 1_000 * MS, ..member },
+            patience: 250 * MS,
             overdue: 6_000 * MS,
             lingering: 5_000 * MS,
             stopping: 5_000 * MS,
--- a/crates/pace/src/lib.rs
+++ b/crates/pace/src/lib.rs
@@ -12,6 +12,7 @@
 mod meter;
 mod pace;
 mod room;
+mod turnover;
 
 pub use bounds::{Bounds, Least, PerAddress};
 pub use meter::Meter;
--- a/crates/pace/src/pace.rs
+++ b/crates/pace/src/pace.rs
@@ -5,6 +5,7 @@
 
 use crate::addresses::Addresses;
 use crate::room::{Entry, Room};
+use crate::turnover::Turnover;
 use crate::{Ask, Bounds, Meter, Micros, Pressure, Todo, TooMany, Way, Why};
 
 /// One connection in the books.
@@ -19,6 +20,7 @@
     /// Asks for room; the answer comes in this or a later `Todo`, by the time that the ask names.
     pub fn asks(self, pace: &mut Pace, now: Micros, ask: Ask) -> (Claim, Todo) {
         let address = pace.peers.get(&self).and_then(|account| account.address);
+        let ask = Ask { until: ask.until.min(now + pace.bounds.patience), ..ask };
         let claim = pace.room.wait(now, self, address, ask, pace.bounds.reading.rate);
         (claim, pace.settle(now))
     }
@@ -64,6 +66,7 @@
     pub fn shrinks(self, pace: &mut Pace, now: Micros, bytes: u64) -> Todo {
         let entry = pace.room.entry(self).copied();
         let less = pace.room.shrink(self, bytes);
+        pace.turnover.freed(now, less);
         if let Some(entry) = entry {
             pace.return_to(now, &entry, less);
         }
@@ -73,6 +76,7 @@
     /// Nothing of it is needed any more, granted or not.
     pub fn given_back(self, pace: &mut Pace, now: Micros) -> Todo {
         if let Some((entry, true)) = pace.room.remove(self) {
+            pace.turnover.freed(now, entry.ask.bytes);
             pace.return_to(now, &entry, entry.ask.bytes);
         }
         pace.settle(now)
@@ -108,6 +112,7 @@
     addresses: Addresses,
     next: u64,
     short: bool,
+    turnover: Turnover,
     /// Once the program is to end: until when answers may still be read.
     stopping: Option<Micros>,
 }
@@ -121,6 +126,7 @@
             addresses: Addresses::default(),
             next: 0,
             short: false,
+            turnover: Turnover::start(bounds.room, 0),
             stopping: None,
         }
     }
@@ -221,22 +227,24 @@
         let used = self.room.used();
         let lacking_plain = if wanted_plain > 0 { used + wanted_plain } else { 0 };
         let lacking = (used + wanted).saturating_sub(self.bounds.room);
-        self.make_room(now, lacking.max(lacking_plain.saturating_sub(self.open_to(false))), &mut todo);
+        let lacking = lacking.max(lacking_plain.saturating_sub(self.open_to(false)));
+        let lacking = self.make_room(now, lacking, &mut todo);
+        self.refuse_hopeless(now, lacking, &mut todo);
         self.cut_overdue(now, &mut todo);
-        self.judge_pressure(&mut todo);
+        self.judge_pressure(now, &mut todo);
         todo.wake_at = self.due(now);
         todo
     }
 
     /// Those who are behind give way for what is lacking, also where changed limits are exceeded: who holds most
-    /// first.
-    fn make_room(&mut self, now: Micros, lacking: u64, todo: &mut Todo) {
+    /// first. Says how much is lacking even so.
+    fn make_room(&mut self, now: Micros, lacking: u64, todo: &mut Todo) -> u64 {
         // What those who were cut hold is on its way back.
         let returning: u64 =
             self.peers.values().filter(|account| account.cut.is_some()).map(|account| account.held).sum();
         let mut lacking = lacking.saturating_sub(returning);
         if lacking == 0 {
-            return;
+            return 0;
         }
         for (held, peer) in self.behind(now) {
             if lacking == 0 || held == 0 {
@@ -245,6 +253,26 @@
             self.cut(now, peer, Why::Room, todo);
             lacking = lacking.saturating_sub(held);
         }
+        lacking
+    }
+
+    /// Protects members from launches that wait for room which nobody gives back: each holds a place that others'
+    /// tasks need. Last come are told at once, as far as room does not come free quickly enough. Should also cover
+    /// floods of large answers. Harms a large answer just before a pause of many readers ends.
+    fn refuse_hopeless(&mut self, now: Micros, lacking: u64, todo: &mut Todo) {
+        let mut lacking = lacking;
+        while lacking > 0 && self.turnover.time_for(now, lacking) > self.bounds.patience {
+            let last = self.room.waiting().filter(|(_, entry)| self.fits_its_peer(entry)).last();
+            let Some((claim, entry)) = last.map(|(claim, entry)| (claim, *entry)) else { return };
+            self.room.remove(claim);
+            todo.refused.push(claim);
+            lacking = lacking.saturating_sub(entry.ask.bytes);
+        }
+    }
+
+    /// When it is worth while to come again for room that was refused: those who hold it are behind by then, or done.
+    pub fn come_back(&self) -> Micros {
+        self.bounds.reading.start
     }
 
     /// What may be granted in all: the best paid have a part to themselves.
@@ -334,13 +362,16 @@
     }
 
     /// Room is short from a level to enter to a lower one to leave, or while anybody waits for it.
-    fn judge_pressure(&mut self, todo: &mut Todo) {
+    fn judge_pressure(&mut self, now: Micros, todo: &mut Todo) {
         let (enter, leave) = self.bounds.short;
         let used = self.room.used();
         let short = match self.short {
             true => used >= leave || self.room.is_waited_for(),
             false => used > enter,
         };
+        if !short {
+            self.turnover = Turnover::start(self.bounds.room, now);
+        }
         if std::mem::replace(&mut self.short, short) != short {
             todo.pressure = Some(Pressure { short, used, waiting: self.room.waiting().count() });
         }
--- a/crates/pace/tests/books.rs
+++ b/crates/pace/tests/books.rs
@@ -25,6 +25,7 @@
         sending: Least { rate: KIB, start: 2 * S, window: 4 * S },
         answering: member,
         taking: member,
+        patience: 60 * S,
         overdue: 6 * S,
         lingering: 5 * S,
         stopping: 5 * S,
@@ -124,6 +125,30 @@
     assert_eq!(pace.used(), before - 32 * KIB);
 }
 
+#[test]
+fn who_waits_for_room_that_nobody_gives_back_is_told_at_once() {
+    let mut pace = Pace::start(Bounds { patience: S / 4, ..bounds() });
+    let peers: Vec<Peer> = (0..12).map(|last| pace.meet(0, from(last)).unwrap()).collect();
+    let held: Vec<Claim> =
+        peers[..4].iter().map(|peer| peer.asks(&mut pace, 0, ask(220 * KIB, 0)).0).collect();
+    // At first it is taken to come free within a second: a little may wait, much may not.
+    let (little, todo) = peers[4].asks(&mut pace, 0, ask(200 * KIB, 9 * S));
+    assert_eq!((todo.granted, todo.refused), (vec![], vec![]));
+    let (much, todo) = peers[5].asks(&mut pace, 0, ask(250 * KIB, 9 * S));
+    assert_eq!(todo.refused, [much]);
+    assert_eq!(pace.wake(S / 4).refused, [little]);
+    // Nothing came free for seconds: not even a little may wait. Where it does, it may.
+    let (none, todo) = peers[6].asks(&mut pace, 9 * S, ask(200 * KIB, 19 * S));
+    assert_eq!(todo.refused, [none]);
+    for claim in held {
+        claim.shrinks(&mut pace, 9 * S, 160 * KIB);
+    }
+    peers[7].asks(&mut pace, 9 * S, ask(200 * KIB, 9 * S));
+    let (again, todo) = peers[8].asks(&mut pace, 9 * S, ask(100 * KIB, 19 * S));
+    assert_eq!((todo.granted, todo.refused), (vec![], vec![]));
+    assert_eq!(pace.wake(10 * S).refused, [again]);
+}
+
 #[test]
 fn an_address_has_its_share_and_does_not_come_back_at_once() {
     let address = Some(PerAddress { connections: 2, room: 300 * KIB });
