--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -334,7 +334,15 @@
         let key = if reads { None } else { quoted(text) };
         self.owed.push_back(Owed { task: client, key, answer: None, statement: large, rows: None });
         let (mailbox, arrived) = (self.address.clone(), Instant::now());
-        let order = Order { client, holder: self.presence.peer, mailbox, arrived, statement, comment };
+        let order = Order {
+            client,
+            holder: self.presence.peer,
+            mailbox,
+            arrived,
+            statement,
+            comment,
+            written_ago: None,
+        };
         self.context.desk.send(Call::Take(order)).await.map_err(|_| End::Quiet)
     }
 
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -1,36 +1,49 @@
 //! The actor that owns the router: every decision is asked for here, and carried out at once.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use aldermill_routing::{
-    Effect, Handle, Listed, MemberId, Micros, Need, Outcome, Router, Standing, Step, Task, Todo, Told,
+    Effect, Handle, Listed, MemberId, Micros, Need, Outcome, Role, Router, Standing, Step, Task, Todo, Told,
     Verdict,
 };
+use aldermill_sites::Handle as SitesHandle;
 use aldermill_terms::Decoded;
 use aldermill_wire::statement::quoted;
 use slog::{info, warn};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
 use crate::catalog::{Catalog, Entry};
 use crate::clock::{Clock, duration};
 use crate::context::Context;
+use crate::hub::Hub;
 use crate::member::Member;
 use crate::words::{Answer, Bulletin, Call, ClientId, Ended, Errand, Gave, Launch, Mail, Order, Query};
 
 /// A task under way and the client that waits for it.
-struct Open {
+pub(crate) struct Open {
+    /// Of the gateway, where there is one: it is told what the module says, and answers the client.
+    pub via: Option<SitesHandle>,
     /// Of the best paid offering.
     best: bool,
-    client: Option<(ClientId, mpsc::Sender<Mail>)>,
+    pub client: Option<(ClientId, mpsc::Sender<Mail>)>,
     order: Rc<Order>,
 }
 
+/// Where a client's task is.
+#[derive(Clone, Copy)]
+pub(crate) enum Holder {
+    Here(Handle),
+    Via(SitesHandle),
+}
+
 /// A member's actor, as the desk sees it.
 struct Peer {
+    group: u64,
+    ready: bool,
     errands: mpsc::Sender<Errand>,
     /// Whether the list's last word lets anything new be sent there.
     open: watch::Sender<bool>,
@@ -41,22 +54,26 @@
 }
 
 pub struct Desk {
-    context: Rc<Context>,
-    decoded: Decoded,
-    router: Router,
+    pub(crate) context: Rc<Context>,
+    pub(crate) decoded: Decoded,
+    pub(crate) router: Router,
+    /// Where this driver is a gateway to other sites.
+    pub(crate) hub: Option<Hub>,
     /// By the router's index; an index whose member was let go stands empty until it is given out anew.
     peers: Vec<Option<Peer>>,
     member_ids: HashMap<String, MemberId>,
     groups: HashSet<u64>,
-    open: HashMap<Handle, Open>,
+    pub(crate) open: HashMap<Handle, Open>,
     /// The ids of the tasks under way.
-    open_ids: HashSet<String>,
-    by_client: HashMap<ClientId, Handle>,
+    pub(crate) open_ids: HashSet<String>,
+    pub(crate) by_client: HashMap<ClientId, Holder>,
     /// What ended while a decision was being carried out.
     pending: VecDeque<Call>,
     wake_at: Micros,
     ready: watch::Sender<bool>,
     requests: Option<mpsc::Sender<()>>,
+    /// Who waits until nothing of other gateways is under way.
+    parted: Vec<oneshot::Sender<()>>,
 }
 
 impl Desk {
@@ -64,6 +81,7 @@
         context: Rc<Context>,
         decoded: Decoded,
         seed: u64,
+        hub: Option<Hub>,
         ready: watch::Sender<bool>,
         requests: Option<mpsc::Sender<()>>,
     ) -> Desk {
@@ -71,6 +89,7 @@
         Desk {
             router: Router::start(decoded.terms.clone(), seed, now),
             decoded,
+            hub,
             peers: Vec::new(),
             member_ids: HashMap::new(),
             groups: HashSet::new(),
@@ -81,6 +100,7 @@
             wake_at: now,
             ready,
             requests,
+            parted: Vec::new(),
             context,
         }
     }
@@ -88,14 +108,20 @@
     /// Serves until every other actor is gone. The list comes first: the rule on drains counts from when it
     /// was written. Nothing here ever waits for another actor.
     pub async fn run(mut self, mut bulletins: mpsc::Receiver<Bulletin>, mut calls: mpsc::Receiver<Call>) {
+        let mut stopping = self.context.stopping.clone();
         loop {
+            let (hub_wakes, draining) =
+                self.hub.as_ref().map_or((None, true), |hub| (Some(hub.wake_at), hub.is_draining()));
+            let clock = self.context.clock;
             tokio::select! {
                 biased;
                 Some(bulletin) = bulletins.recv() => self.bulletin(bulletin),
-                () = sleep_until(self.context.clock.instant(self.wake_at)) => {
+                () = sleep_until(clock.instant(self.wake_at)) => {
                     let todo = self.router.wake(self.context.clock.now());
                     self.carry_out(todo);
                 }
+                () = sleep_until(clock.instant(hub_wakes.unwrap_or(0))), if hub_wakes.is_some() => self.wake_sites(),
+                Ok(_) = stopping.wait_for(Option::is_some), if !draining => self.drain_sites(),
                 call = calls.recv() => match call {
                     Some(call) => self.call(call),
                     None => return,
@@ -104,6 +130,11 @@
             while let Some(call) = self.pending.pop_front() {
                 self.call(call);
             }
+            if !self.parted.is_empty() && self.hub.as_ref().is_none_or(|hub| hub.guests() == 0) {
+                for asked in self.parted.drain(..) {
+                    let _ = asked.send(());
+                }
+            }
         }
     }
 
@@ -111,7 +142,11 @@
         match call {
             Call::Take(order) => self.take(order),
             Call::Left(client) => {
-                let Some(handle) = self.by_client.remove(&client) else { return };
+                let handle = match self.by_client.remove(&client) {
+                    Some(Holder::Here(handle)) => handle,
+                    Some(Holder::Via(handle)) => return self.trip_left(handle),
+                    None => return,
+                };
                 if let Some(open) = self.open.get_mut(&handle) {
                     open.client = None;
                 }
@@ -123,6 +158,17 @@
             Call::Probed { member, verdict, told } => {
                 let todo = self.router.probed(self.context.clock.now(), member, verdict, told);
                 self.carry_out(todo);
+                if told.role == Some(Role::Primary)
+                    && let Some(group) =
+                        self.peers.get(member).and_then(Option::as_ref).map(|peer| peer.group)
+                {
+                    self.primary_here(group);
+                }
+            }
+            Call::Link(link, call) => self.link(link, call),
+            Call::Parted(asked) => self.parted.push(asked),
+            Call::Describe(asked) => {
+                let _ = asked.send(self.describe());
             }
             Call::Crowded(member) => {
                 // Idle connections of the others make room.
@@ -145,39 +191,61 @@
         let Ok(offering) = self.decoded.offering(&order.comment.offering) else {
             return refuse(Answer::Wrong("unknown offering"));
         };
-        if self.groups.is_empty() {
+        let elsewhere = self.hub.as_ref().is_some_and(|hub| hub.knows_group(order.comment.group));
+        if self.groups.is_empty() && !elsewhere {
             return refuse(Answer::Denied { cool_down: 0 });
         }
-        if !self.groups.contains(&order.comment.group) {
+        if !self.groups.contains(&order.comment.group) && !elsewhere {
             return refuse(Answer::Wrong("no member of this cluster was ever listed"));
         }
         if self.open_ids.contains(&order.comment.id) {
             return refuse(Answer::Wrong("a task with this id is under way"));
         }
-        if self.open.len() >= self.context.limits.tasks {
+        let trips = self.hub.as_ref().map_or(0, Hub::trips);
+        if self.open.len().max(trips) >= self.context.limits.tasks {
             return refuse(Answer::Denied { cool_down: 0 });
         }
+        if self.hub.is_some() {
+            return self.dispatch(order, offering);
+        }
+        // The wait has run since the statement arrived.
+        let clock = self.context.clock;
+        let ttl = Micros::from(order.comment.wait) * 1000 - (clock.now() - clock.at(order.arrived));
+        let (client, id) = (order.client, order.comment.id.clone());
+        let mailbox = Some((client, order.mailbox.clone()));
+        let (handle, todo) = self.hand_over(Rc::new(order), offering, ttl, mailbox, None);
+        self.by_client.insert(client, Holder::Here(handle));
+        self.open_ids.insert(id);
+        self.carry_out(todo);
+    }
+
+    /// Hands a task to the module here; what that returns is not carried out yet.
+    pub(crate) fn hand_over(
+        &mut self,
+        order: Rc<Order>,
+        offering: usize,
+        ttl: Micros,
+        client: Option<(ClientId, mpsc::Sender<Mail>)>,
+        via: Option<SitesHandle>,
+    ) -> (Handle, Todo) {
         let clock = self.context.clock;
         let now = clock.now();
         let keyed = matches!(self.decoded.terms.offerings[offering].need, Need::Write | Need::OwnWrites);
         let session = if keyed { quoted(&order.statement[order.comment.end..]) } else { None };
         let written = order.comment.after.map(|after| clock.convert(millis(after)));
+        let written_ago = order.written_ago.or(written.map(|at| now.saturating_sub(at).max(1)));
         let task = Task {
             offering,
             group: order.comment.group,
-            // The wait has run since the statement arrived.
-            ttl: Micros::from(order.comment.wait) * 1000 - (now - clock.at(order.arrived)),
+            ttl,
             session,
-            last_write: written.map(|at| now.saturating_sub(at).max(1)),
+            last_write: written_ago,
             repeat: order.comment.repeat,
         };
         let (handle, todo) = self.router.take(now, task);
-        self.by_client.insert(order.client, handle);
-        self.open_ids.insert(order.comment.id.clone());
-        let client = Some((order.client, order.mailbox.clone()));
         let best = self.context.best_paid.contains(&order.comment.offering);
-        self.open.insert(handle, Open { best, client, order: Rc::new(order) });
-        self.carry_out(todo);
+        self.open.insert(handle, Open { via, best, client, order });
+        (handle, todo)
     }
 
     fn ended(&mut self, ended: Ended) {
@@ -187,38 +255,58 @@
             Gave::MoreThanFits => self.deny_for_room(handle),
             Gave::Nothing => {}
         }
-        let closed = self.open.get(&handle).is_none_or(|open| open.client.is_none());
+        let open = self.open.get(&handle);
+        let (via, group) = open.map_or((None, 0), |open| (open.via, open.order.comment.group));
+        // The gateway hears of a miss first: it may take the task back before the module sends it on.
+        let (mut missed, mut taken_back) = (None, false);
+        if let Some(via) = via.filter(|_| verdict == Verdict::Miss) {
+            (missed, taken_back) = self.here_missed(via);
+        }
+        let closed = taken_back || self.open.get(&handle).is_none_or(|open| open.client.is_none());
         let outcome = Outcome { verdict, took, told, closed };
         let todo = handle.ended(&mut self.router, self.context.clock.now(), outcome);
         self.carry_out(todo);
         self.release(handle);
+        if let Some(missed) = missed {
+            self.carry_out_sites(missed, None);
+        }
+        if via.is_some() && told.role == Some(Role::Primary) {
+            self.primary_here(group);
+        }
     }
 
     /// Its member answered, but there is no room for that: what is pure may be denied, anything else did run.
     fn deny_for_room(&mut self, handle: Handle) {
         let Some(open) = self.open.get(&handle) else { return };
         let Ok(offering) = self.decoded.offering(&open.order.comment.offering) else { return };
+        let answer = self.without_room(offering);
+        self.answer(handle, answer);
+    }
+
+    /// What a client hears whose answer finds no room.
+    pub(crate) fn without_room(&self, offering: usize) -> Answer {
         let terms = &self.decoded.terms;
-        let answer = match terms.offerings[offering].effect {
+        match terms.offerings[offering].effect {
             Effect::Pure => {
                 Answer::Denied { cool_down: self.context.gate.come_back().min(terms.max_cool_down) }
             }
             _ => Answer::BrokenOff,
-        };
-        self.answer(handle, answer);
+        }
     }
 
     /// Gives a task its one answer.
     fn answer(&mut self, handle: Handle, answer: Answer) {
-        let Some((client, mailbox)) = self.open.get_mut(&handle).and_then(|open| open.client.take()) else {
-            return;
-        };
+        let Some(open) = self.open.get_mut(&handle) else { return };
+        let Some((client, mailbox)) = open.client.take() else { return };
+        if let Some(via) = open.via {
+            return self.here_answered(via, answer);
+        }
         self.by_client.remove(&client);
         // Its mailbox always has room for the answers it waits for; it may be gone.
         let _ = mailbox.try_send(Mail::Answer(client, answer));
     }
 
-    fn carry_out(&mut self, todo: Todo) {
+    pub(crate) fn carry_out(&mut self, todo: Todo) {
         for (handle, step) in todo.steps {
             match step {
                 Step::Launch { member, limit } => self.launch(handle, member, limit),
@@ -262,9 +350,10 @@
     }
 
     /// Drops what is kept for a task of which nothing more can be heard.
-    fn release(&mut self, handle: Handle) {
+    pub(crate) fn release(&mut self, handle: Handle) {
         if !self.router.knows(handle)
             && let Some(open) = self.open.remove(&handle)
+            && open.via.is_none()
         {
             self.open_ids.remove(&open.order.comment.id);
             if let Some((client, _)) = open.client {
@@ -286,6 +375,13 @@
         };
         self.carry_out(todo);
         self.forget(now);
+        if self.hub.is_some() {
+            let mut groups: BTreeMap<u64, usize> = BTreeMap::new();
+            for peer in self.peers.iter().flatten().filter(|peer| peer.ready) {
+                *groups.entry(peer.group).or_default() += 1;
+            }
+            self.groups_listed(&groups.into_iter().collect::<Vec<_>>());
+        }
         if !self.peers.is_empty() {
             self.ready.send_if_modified(|ready| !std::mem::replace(ready, true));
         }
@@ -308,8 +404,9 @@
             let listed: HashSet<&str> = catalog.members.iter().map(|entry| entry.id.as_str()).collect();
             let open = self.lets_send(Standing::Gone);
             for (_, &id) in self.member_ids.iter().filter(|(name, _)| !listed.contains(name.as_str())) {
-                if let Some(peer) = &self.peers[id] {
+                if let Some(peer) = &mut self.peers[id] {
                     peer.open.send_replace(open);
+                    peer.ready = false;
                 }
             }
         }
@@ -341,6 +438,7 @@
         let open = self.lets_send(standing);
         let peer = self.peers[member].as_mut()?;
         peer.open.send_replace(open);
+        (peer.group, peer.ready) = (entry.cell, standing == Standing::Ready);
         let restarted = peer.up_since != entry.up_since_ms && standing == Standing::Ready;
         if restarted {
             peer.up_since = entry.up_since_ms;
@@ -374,13 +472,15 @@
         if id == self.peers.len() {
             self.peers.push(None);
         }
-        self.peers[id] = Some(Peer { errands, open, address, up_since: entry.up_since_ms, since });
+        let (group, ready) = (entry.cell, false);
+        self.peers[id] =
+            Some(Peer { group, ready, errands, open, address, up_since: entry.up_since_ms, since });
         self.member_ids.insert(entry.id.clone(), id);
         id
     }
 }
 
-fn millis(millis: u64) -> Micros {
+pub(crate) fn millis(millis: u64) -> Micros {
     Micros::try_from(millis).map_or(Micros::MAX, |millis| millis.saturating_mul(1000))
 }
 
--- a/crates/driver/src/gate.rs
+++ b/crates/driver/src/gate.rs
@@ -127,6 +127,15 @@
         granted.then_some(room)
     }
 
+    /// Room on behalf of a peer, if it is there now.
+    pub fn room_now(self: &Rc<Gate>, peer: Peer, bytes: usize, best: bool) -> Option<Room> {
+        let claim = self.with(|pace, now| {
+            let (claim, todo) = peer.asks(pace, now, Ask { bytes: bytes as u64, best, until: now });
+            (todo.granted.contains(&claim).then_some(claim), todo)
+        });
+        claim.map(|claim| Room { gate: self.clone(), claim: Some(claim) })
+    }
+
     /// Asks the books and carries out what they return.
     fn with<T>(&self, ask: impl FnOnce(&mut Pace, i64) -> (T, Todo)) -> T {
         let mut books = self.books.borrow_mut();
--- /dev/null
+++ b/crates/driver/src/gateway/link.rs
@@ -0,0 +1,167 @@
+//! The actor of one link: a socket, the protocol's state, and the words between it and the desk.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use aldermill_link::{Event, Link};
+use aldermill_pace::Way;
+use slog::{info, warn};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use super::Yard;
+use crate::context::Context;
+use crate::gate::Presence;
+use crate::words::{Call, LinkCall, LinkId};
+
+/// What is read at once, and what is written at once.
+const PIECE: usize = 32 * 1024;
+
+pub struct Wire {
+    pub context: Rc<Context>,
+    pub yard: Rc<Yard>,
+    pub stream: TcpStream,
+    pub from: SocketAddr,
+    /// The site that was gone to, where this side opened the link.
+    pub gone_to: Option<String>,
+    pub presence: Presence,
+}
+
+impl Wire {
+    /// Until the link ends. Says whether the other side was ever met.
+    pub async fn run(self) -> bool {
+        let id = self.yard.next_id();
+        let (context, from) = (self.context.clone(), self.from);
+        let mut met = None;
+        let ended = self.converse(id, &mut met).await;
+        let why = ended.unwrap_or_else(|why| why);
+        match &met {
+            Some(peer) => {
+                let _ = context.desk.send(Call::Link(id, LinkCall::Broke)).await;
+                warn!(context.log, "link down"; "link" => id, "site" => peer, "peer" => %from, "why" => why);
+            }
+            None => warn!(context.log, "link refused"; "peer" => %from, "why" => why),
+        }
+        met.is_some()
+    }
+
+    async fn converse(mut self, id: LinkId, met: &mut Option<String>) -> Result<String, String> {
+        let context = self.context.clone();
+        let clock = context.clock;
+        let mut link = Link::start(self.yard.bounds, &self.yard.own, clock.now());
+        let (sender, mut said) = mpsc::channel(context.limits.calls);
+        let mut sender = Some(sender);
+        let mut waiting: Vec<u8> = Vec::new();
+        let mut at = 0;
+        let mut owing = false;
+        let mut bytes = Vec::with_capacity(PIECE);
+        loop {
+            if at == waiting.len() {
+                (waiting, at) = (link.next_bytes(PIECE).unwrap_or_default(), 0);
+                if waiting.is_empty() && std::mem::take(&mut owing) {
+                    self.presence.rests();
+                }
+            }
+            // Written to the system as far as it takes it; what it does not take, the other side has not taken.
+            while at < waiting.len() {
+                match self.stream.try_write(&waiting[at..]) {
+                    Ok(count) => {
+                        at += count;
+                        if owing {
+                            self.presence.moved(count);
+                        }
+                    }
+                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                        if !std::mem::replace(&mut owing, true) {
+                            self.presence.owes(Way::Reading);
+                        }
+                        break;
+                    }
+                    Err(error) => return Err(error.to_string()),
+                }
+            }
+            if at == waiting.len() && !waiting.is_empty() {
+                continue;
+            }
+            let room = link.takes();
+            tokio::select! {
+                biased;
+                () = self.presence.cut() => return Err("too slow".to_owned()),
+                ready = self.stream.readable(), if room => {
+                    ready.map_err(|error| error.to_string())?;
+                    match self.stream.try_read_buf(&mut bytes) {
+                        Ok(0) => return Ok("closed".to_owned()),
+                        Ok(_) => {}
+                        Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => continue,
+                        Err(error) => return Err(error.to_string()),
+                    }
+                    let events = link.receive(clock.now(), &bytes);
+                    bytes.clear();
+                    let events = match events {
+                        Ok(events) => events,
+                        Err(why) => {
+                            let _ = self.stream.try_write(&Link::close(&why.to_string()));
+                            return Err(why.to_string());
+                        }
+                    };
+                    for event in events {
+                        if let Event::Met(peer) = &event {
+                            let welcome =
+                                self.yard.is_welcome(peer, self.from.ip(), self.gone_to.as_deref());
+                            if let Err(why) = welcome {
+                                let _ = self.stream.try_write(&Link::close(&why));
+                                return Err(why);
+                            }
+                            info!(context.log, "link up"; "link" => id, "site" => &peer.site,
+                                "instance" => &peer.instance, "peer" => %self.from);
+                            *met = Some(peer.site.clone());
+                            if let Some(said) = sender.take() {
+                                let up = LinkCall::Up { said, holder: self.presence.peer };
+                                self.tell(id, up).await?;
+                            }
+                        }
+                        self.tell(id, LinkCall::Heard(event)).await?;
+                    }
+                }
+                word = said.recv() => match word {
+                    Some(word) => link.say(word),
+                    None => {
+                        // The desk wants it no more: another link of this peer is from a newer start.
+                        self.finish(&mut link, &waiting[at..], "not wanted").await;
+                        return Ok("not wanted".to_owned());
+                    }
+                },
+                ready = self.stream.writable(), if at < waiting.len() => {
+                    ready.map_err(|error| error.to_string())?;
+                }
+                () = sleep_until(clock.instant(link.wake_at())) => {
+                    if let Err(why) = link.wake(clock.now()) {
+                        let _ = self.stream.try_write(&Link::close(&why.to_string()));
+                        return Err(why.to_string());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Says what is left to say, for a short time.
+    async fn finish(&mut self, link: &mut Link, waiting: &[u8], why: &str) {
+        let mut out = waiting.to_vec();
+        while let Some(more) = link.next_bytes(PIECE) {
+            out.extend_from_slice(&more);
+        }
+        out.extend_from_slice(&Link::close(why));
+        let write = tokio::io::AsyncWriteExt::write_all(&mut self.stream, &out);
+        let _ = timeout(self.context.limits.parting, write).await;
+    }
+
+    async fn tell(&self, id: LinkId, call: LinkCall) -> Result<(), String> {
+        self.context.desk.send(Call::Link(id, call)).await.map_err(|_| "stopped".to_owned())
+    }
+}
+
+/// How long a link must have stood to count as one that stands.
+pub fn stood(since: Instant) -> bool {
+    since.elapsed().as_secs() >= 1
+}
--- /dev/null
+++ b/crates/driver/src/gateway/meeting.rs
@@ -0,0 +1,105 @@
+//! Who comes, and who is gone to.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use slog::{info, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+use super::Yard;
+use super::link::{Wire, stood};
+use crate::context::Context;
+
+/// Takes links in from the networks of the peers, until the driver stops.
+pub async fn accept(context: Rc<Context>, yard: Rc<Yard>, listener: TcpListener) {
+    let mut links = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(_) = links.join_next() => {}
+            accepted = listener.accept() => {
+                let Ok((stream, from)) = accepted else {
+                    sleep(context.limits.sweep / 100).await;
+                    continue;
+                };
+                if !yard.admits(from.ip()) {
+                    warn!(context.log, "link refused"; "peer" => %from, "why" => "in none of the peers' networks");
+                    continue;
+                }
+                if links.len() >= context.limits.links {
+                    warn!(context.log, "link refused"; "peer" => %from, "why" => "too many links");
+                    continue;
+                }
+                if let Some(wire) = wire(&context, &yard, stream, from, None) {
+                    links.spawn_local(async move {
+                        let _ = wire.run().await;
+                    });
+                }
+            }
+        }
+    }
+}
+
+/// Keeps a link to that address, for ever. After a break it waits for a time by chance, longer after each attempt
+/// that failed: many gateways do not come back at once.
+pub async fn keep(context: Rc<Context>, yard: Rc<Yard>, site: String, address: SocketAddr, seed: u64) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let (least, most) = context.limits.link_retry;
+    let mut wait = least;
+    let mut silent = false;
+    loop {
+        let since = Instant::now();
+        let opened = timeout(context.limits.connect, TcpStream::connect(address)).await;
+        match opened {
+            Ok(Ok(stream)) => {
+                if std::mem::take(&mut silent) {
+                    info!(context.log, "gateway reached again"; "site" => &site, "peer" => %address);
+                }
+                if let Some(wire) = wire(&context, &yard, stream, address, Some(site.clone())) {
+                    wire.run().await;
+                }
+                if stood(since) {
+                    wait = least;
+                }
+            }
+            failed => {
+                if !std::mem::replace(&mut silent, true) {
+                    let why = match failed {
+                        Ok(Err(error)) => error.to_string(),
+                        _ => "no connection in time".to_owned(),
+                    };
+                    warn!(context.log, "gateway out of reach"; "site" => &site, "peer" => %address, "why" => why);
+                }
+            }
+        }
+        if context.stopping.borrow().is_some() {
+            return;
+        }
+        let millis = wait.as_millis() as u64;
+        sleep(Duration::from_millis(rng.random_range(millis / 2..=millis))).await;
+        wait = (wait * 2).min(most);
+    }
+}
+
+fn wire(
+    context: &Rc<Context>,
+    yard: &Rc<Yard>,
+    stream: TcpStream,
+    from: SocketAddr,
+    gone_to: Option<String>,
+) -> Option<Wire> {
+    let _ = stream.set_nodelay(true);
+    let presence = context.gate.meet(from.ip()).ok()?;
+    Some(Wire { context: context.clone(), yard: yard.clone(), stream, from, gone_to, presence })
+}
+
+/// Starts all that keeps links.
+pub fn start(context: &Rc<Context>, yard: &Rc<Yard>, gone_to: Vec<(String, SocketAddr)>, seed: u64) {
+    for (number, (site, address)) in gone_to.into_iter().enumerate() {
+        spawn_local(keep(context.clone(), yard.clone(), site, address, seed.wrapping_add(number as u64)));
+    }
+}
--- /dev/null
+++ b/crates/driver/src/gateway/mod.rs
@@ -0,0 +1,61 @@
+//! Links to other sites' gateways: who may come, who is gone to, and the actor of each link.
+
+mod link;
+mod meeting;
+mod status;
+
+use std::cell::Cell;
+use std::net::IpAddr;
+use std::rc::Rc;
+
+use aldermill_link::{Bounds, Identity};
+use aldermill_operator::{Gateway, IpNet};
+
+pub use meeting::{accept, start};
+pub use status::{ask, serve};
+
+use crate::words::LinkId;
+
+/// What the actors of links share.
+pub struct Yard {
+    pub own: Identity,
+    pub peers: Vec<Allowed>,
+    pub bounds: Bounds,
+    next: Cell<LinkId>,
+}
+
+/// Another site, and the networks that its gateways may come from.
+pub struct Allowed {
+    pub site: String,
+    networks: Vec<IpNet>,
+}
+
+impl Yard {
+    pub fn new(own: Identity, gateway: &Gateway, bounds: Bounds) -> Rc<Yard> {
+        let peers = gateway.peers.iter();
+        let peers = peers.map(|peer| Allowed { site: peer.site.clone(), networks: peer.networks.clone() });
+        Rc::new(Yard { own, peers: peers.collect(), bounds, next: Cell::new(0) })
+    }
+
+    fn next_id(&self) -> LinkId {
+        self.next.replace(self.next.get() + 1)
+    }
+
+    /// Whether one of some site may come from there at all.
+    fn admits(&self, from: IpAddr) -> bool {
+        self.peers.iter().any(|peer| peer.networks.iter().any(|network| network.contains(&from)))
+    }
+
+    /// Whether who greets so may be there: at an address that was gone to, or from one of its site's networks.
+    fn is_welcome(&self, greeted: &Identity, from: IpAddr, gone_to: Option<&str>) -> Result<(), String> {
+        let Some(peer) = self.peers.iter().find(|peer| peer.site == greeted.site) else {
+            return Err(format!("site {:?} is none of this gateway's peers", greeted.site));
+        };
+        match gone_to {
+            Some(site) if site == peer.site => Ok(()),
+            Some(site) => Err(format!("site {:?} where site {site:?} was expected", greeted.site)),
+            None if peer.networks.iter().any(|network| network.contains(&from)) => Ok(()),
+            None => Err(format!("{from} is in none of the networks of site {:?}", greeted.site)),
+        }
+    }
+}
--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -87,8 +87,14 @@
     /// Silence of discovery that is taken for a lost connection: two and a half of its usual gaps.
     pub list_silence: Duration,
     pub list_retry: (Duration, Duration),
+    /// Links from other gateways at once, the waits before one is opened again, and fates kept for one sender.
+    pub links: usize,
+    pub link_retry: (Duration, Duration),
+    pub fates: usize,
     /// After a request to stop, how long new connections are still taken.
     pub stop_window: Duration,
+    /// How long after the last client what other gateways sent is waited for.
+    pub stop_guests: Duration,
     /// And how long the rest of a message is still waited for.
     pub stop_message: Duration,
 }
@@ -152,7 +158,11 @@
             sweep: Duration::from_secs(1),
             list_silence: Duration::from_secs(5),
             list_retry: (Duration::from_millis(100), Duration::from_secs(2)),
+            links: (sockets / 32).clamp(4, 64),
+            link_retry: (Duration::from_millis(50), Duration::from_secs(2)),
+            fates: (memory / 16 / SMALL).clamp(256, 65_536),
             stop_window: Duration::from_millis(600),
+            stop_guests: Duration::from_secs(30),
             stop_message: Duration::from_millis(500),
         }
     }
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -6,6 +6,8 @@
 mod context;
 mod desk;
 mod gate;
+mod gateway;
+mod hub;
 mod limits;
 mod listener;
 mod member;
@@ -18,23 +20,27 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use aldermill_operator::Operator;
+use aldermill_link::{Bounds as LinkBounds, Identity};
+use aldermill_operator::{Gateway, Operator};
+use aldermill_terms::Decoded;
 use bpaf::Bpaf;
 use slog::{Drain, Logger, info, o};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{Semaphore, mpsc, watch as notice};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch as notice};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::clock::Clock;
 use crate::context::Context;
 use crate::desk::Desk;
 use crate::gate::Gate;
+use crate::gateway::Yard;
+use crate::hub::{Hub, Opening};
 use crate::limits::Limits;
 use crate::reload::Reload;
 use crate::start::{Files, Start};
 use crate::watch::Watch;
-use crate::words::Bulletin;
+use crate::words::{Bulletin, Call};
 
 /// A proxy before groups of databases, each a primary and its replicas
 #[derive(Clone, Debug, Bpaf)]
@@ -60,6 +66,13 @@
         #[bpaf(long, argument("FILE"), env("ALDERMILL_OPERATOR"))]
         operator: Option<String>,
     },
+    /// Say what a running gateway believes of sites and links, as JSON
+    #[bpaf(command)]
+    Sites {
+        /// The status socket that the operator's own file names
+        #[bpaf(positional("SOCKET"))]
+        socket: String,
+    },
     /// Print the JSON schema of the operator's own file
     #[bpaf(command)]
     Schema,
@@ -74,6 +87,7 @@
         Command::Check { config, operator } => {
             read(&Files { config, operator }).map(|start| describe(&start))
         }
+        Command::Sites { socket } => gateway::ask(&socket).map(|text| print!("{text}")),
         Command::Schema => {
             print!("{}", Operator::schema());
             Ok(())
@@ -133,8 +147,8 @@
 
 /// Starts the actors and stays until the listener has served its last client.
 async fn run(start: Start, files: Files, ends: [Signal; 2], hangup: Signal) -> Result<(), String> {
-    let Start { name, listen, discovery, seed, limits, bounds, known, decoded, fixed } = start;
-    let stop_window = limits.stop_window;
+    let Start { name, listen, discovery, seed, limits, bounds, gateway, known, decoded, fixed } = start;
+    let (stop_window, stop_guests) = (limits.stop_window, limits.stop_guests);
     let (log, _guard) = logger(&limits);
     let [mut terminate, mut interrupt] = ends;
     let (address, discovery) = notice::channel(discovery);
@@ -152,6 +166,7 @@
     let (ready, seen_ready) = notice::channel(false);
     let (stop, stopping) = notice::channel(None);
     let member_room = Arc::new(Semaphore::new(limits.members));
+    let room = bounds.room as usize;
     let on_request = decoded.terms.list_on_request;
     let (request, requests) = mpsc::channel(1);
     let context = Rc::new(Context {
@@ -167,18 +182,22 @@
         member_room,
     });
     let address = listener.local_addr().unwrap_or(listen);
-    info!(log, "serving"; "name" => name, "listen" => %address, "version" => env!("CARGO_PKG_VERSION"));
+    info!(log, "serving"; "name" => &name, "listen" => %address, "version" => env!("CARGO_PKG_VERSION"));
 
     let revision = known.as_ref().map(|known| known.revision);
     if let Some(mut known) = known {
         known.complete = true;
         let _ = bulletin.send(Bulletin::List(known)).await;
     }
-    let desk = Desk::new(context.clone(), decoded, seed, ready, on_request.then_some(request));
+    let hub = match gateway {
+        Some(gateway) => Some(open_gateway(&context, &decoded, gateway, &name, seed, room).await?),
+        None => None,
+    };
+    let desk = Desk::new(context.clone(), decoded, seed, hub, ready, on_request.then_some(request));
     let deciding = spawn_local(desk.run(bulletins, calls));
     let requests = on_request.then_some(requests);
     spawn_local(Watch { context: context.clone(), desk: bulletin, requests, revision }.run());
-    let serving = spawn_local(listener::run(context, listener));
+    let serving = spawn_local(listener::run(context.clone(), listener));
 
     tokio::select! {
         _ = terminate.recv() => {}
@@ -188,6 +207,55 @@
     stop.send_replace(Some(Instant::now() + stop_window));
     gate.stop();
     serving.await.map_err(|error| format!("listener: {error}"))?;
+    // What other sites sent has its answer, too, before the end.
+    let (asked, done) = oneshot::channel();
+    if context.desk.send(Call::Parted(asked)).await.is_ok() {
+        let _ = timeout(stop_guests, done).await;
+    }
     info!(log, "stopped");
     Ok(())
 }
+
+/// Starts what keeps and accepts links, and the desk's part in it.
+async fn open_gateway(
+    context: &Rc<Context>,
+    decoded: &Decoded,
+    gateway: Gateway,
+    name: &str,
+    seed: u64,
+    room: usize,
+) -> Result<Hub, String> {
+    let limits = &context.limits;
+    let now = context.clock.now();
+    // New with every start: the time of it, which a restart does not share.
+    let own = Identity { site: gateway.site.clone(), instance: name.to_owned(), start: now.max(1) as u64 };
+    let bounds = LinkBounds {
+        waiting: (room / 8).max(256 * 1024),
+        ..LinkBounds::usual(limits.statement, limits.answer)
+    };
+    let yard = Yard::new(own.clone(), &gateway, bounds);
+    if let Some(listen) = gateway.listen {
+        let listener = listener::bind(listen, limits.backlog, limits.member_buffer)
+            .map_err(|error| format!("gateway.listen: {listen}: {error}"))?;
+        let address = listener.local_addr().unwrap_or(listen);
+        info!(context.log, "gateway"; "site" => &own.site, "links" => %address);
+        spawn_local(gateway::accept(context.clone(), yard.clone(), listener));
+    }
+    let gone_to = gateway.peers.iter().flat_map(|peer| {
+        let links = peer.links.unwrap_or(2) as usize;
+        peer.addresses.iter().flat_map(move |&address| vec![(peer.site.clone(), address); links])
+    });
+    gateway::start(context, &yard, gone_to.collect(), seed);
+    if let Some(path) = &gateway.status {
+        spawn_local(gateway::serve(context.clone(), path.clone()));
+    }
+    let opening = Opening {
+        own,
+        peers: gateway.peers.iter().map(|peer| peer.site.clone()).collect(),
+        homes: gateway.homes.into_iter().collect(),
+        hops: gateway.hops.unwrap_or(1) as usize,
+        credit: gateway.credit.unwrap_or(256),
+        fates: limits.fates,
+    };
+    Ok(Hub::new(opening, decoded, seed, now))
+}
--- a/crates/driver/src/start.rs
+++ b/crates/driver/src/start.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use aldermill_operator::{Operator, Rate, SlowPeers};
+use aldermill_operator::{Gateway, Operator, Rate, SlowPeers};
 use aldermill_pace::{Bounds, Least, PerAddress};
 use aldermill_terms::Decoded;
 use serde::Deserialize;
@@ -28,7 +28,7 @@
 }
 
 /// What the file says of that which cannot change while the program runs.
-pub type Fixed = [(&'static str, Value); 5];
+pub type Fixed = [(&'static str, Value); 6];
 
 /// Where the configuration is, and the operator's own file if there is one.
 pub struct Files {
@@ -44,6 +44,7 @@
     pub seed: u64,
     pub limits: Limits,
     pub bounds: Bounds,
+    pub gateway: Option<Gateway>,
     pub known: Option<Catalog>,
     pub decoded: Decoded,
     pub fixed: Fixed,
@@ -101,6 +102,7 @@
             ("listen", form.listen.clone().into()),
             ("limits", value(&form.limits)),
             ("settings", value(&form.settings)),
+            ("gateway", serde_json::to_value(&operator.gateway).unwrap_or_default()),
             ("slow_peers.buffer_kib", operator.slow_peers.buffer_kib.into()),
         ];
         Ok(Start {
@@ -111,6 +113,7 @@
             seed: seed.map_err(|_| format!("seed: {:?} is no hexadecimal number", form.seed))?,
             limits: Limits::new(sockets, memory_mb, &decoded, operator.slow_peers.buffer_kib),
             bounds: Bounds::usual(memory_mb as u64 * 1024 * 1024),
+            gateway: operator.gateway.clone(),
             known: form.known,
             decoded,
         })
--- a/crates/driver/src/words.rs
+++ b/crates/driver/src/words.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use aldermill_link::{Event, Said};
 use aldermill_pace::Peer;
 use aldermill_routing::{Handle, MemberId, Micros, Told, Verdict};
 use aldermill_wire::pg;
 use aldermill_wire::statement::Comment;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
 use crate::catalog::Catalog;
@@ -26,10 +27,30 @@
         verdict: Verdict,
         told: Told,
     },
+    /// A link to another site's gateway came up, heard something, or broke.
+    Link(LinkId, LinkCall),
+    /// To be answered once nothing of other gateways is under way here.
+    Parted(oneshot::Sender<()>),
+    /// What is believed of sites and links, as JSON.
+    Describe(oneshot::Sender<String>),
     /// This member found no descriptor free for a connection.
     Crowded(MemberId),
 }
 
+/// One connection to another gateway.
+pub type LinkId = u64;
+
+/// What the actor of a link tells the desk.
+pub enum LinkCall {
+    /// It stands, and the other side has greeted as one that it may be. Room for its values is asked for this peer.
+    Up {
+        said: mpsc::Sender<Said>,
+        holder: Peer,
+    },
+    Heard(Event),
+    Broke,
+}
+
 /// A client's statement with its comment, when it was whole.
 pub struct Order {
     pub client: ClientId,
@@ -39,6 +60,8 @@
     pub arrived: Instant,
     pub statement: Vec<u8>,
     pub comment: Comment,
+    /// How long ago the session's last write was committed, where another gateway says so.
+    pub written_ago: Option<Micros>,
 }
 
 /// How a launch ended.
--- /dev/null
+++ b/crates/driver/tests/gateway.rs
@@ -0,0 +1,261 @@
+//! Two sites of built programs with a line between them that delays and cuts; effects are counted at the members.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::process::Command;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use aldermill_stand_ins::{
+    BACK, Cable, Client, Driver, Ledger, Said, Site, THERE, config, file, honoured, look, named, new_id,
+    order, program, until,
+};
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+/// Sites 0 and 1, the first going to the second over a cable; the primary is at site 1.
+fn pair(members: usize) -> (Site, Site, Cable, Ledger) {
+    let ledger = Ledger::default();
+    ledger.home.store(1, Ordering::SeqCst);
+    let mut near = Site::new(0, members, &ledger, |terms| terms);
+    let mut far = Site::new(1, 2, &ledger, |terms| terms);
+    let cable = Cable::to(far.links);
+    far.start(&[(0, None)]);
+    near.start(&[(1, Some(cable.address))]);
+    until("a link", || near.driver().logged("link up"));
+    until("a write crosses", || honoured(&near.client().ask(&order(3000))));
+    (near, far, cable, ledger)
+}
+
+/// A write under an id of its own; what came of it, and how often it ran.
+fn write(client: &mut Client, ledger: &Ledger, wait: u32) -> (Option<Said>, u32) {
+    let id = new_id();
+    let said = client.offer(&named(&order(wait), &id)).then(|| client.answer()).flatten();
+    let runs = ledger.runs(&id);
+    if let Some(said) = &said {
+        assert!(said.code != "53300" || runs == 0, "denied, and it ran");
+        assert!(said.value.is_none() || runs == 1, "honoured, and ran {runs} times");
+    }
+    (said, runs)
+}
+
+fn code(said: &Option<Said>) -> &str {
+    said.as_ref().map_or("none", |said| if said.value.is_some() { "honoured" } else { said.code.as_str() })
+}
+
+#[test]
+fn writes_cross_to_the_primarys_site_and_reads_stay_at_home() {
+    let (near, far, cable, ledger) = pair(1);
+    let mut client = near.client();
+    let before = (near.members[0].tasks().len(), far.members[0].tasks().len());
+    assert!((0..20).all(|_| honoured(&client.ask(&order(3000))) && honoured(&client.ask(&look(3000)))));
+    let looks = |site: &Site| {
+        site.members.iter().flat_map(|member| member.tasks()).filter(|text| text.contains("SELECT")).count()
+    };
+    assert_eq!((looks(&near), looks(&far)), (20, 0));
+    assert!(far.members[0].tasks().len() >= before.1 + 20);
+    // Once the home is known nobody here is asked for it.
+    assert!(near.members[0].tasks().len() <= before.0 + 20 + 4);
+    assert!(ledger.doubles().is_empty() && cable.carried()[THERE] > 0);
+    // Values larger than a frame cross whole, both ways.
+    let large = order(5000).replace("9f", &"9f".repeat(50_000));
+    assert!(honoured(&client.ask(&large)));
+    let said = Command::new(program()).arg("sites").arg(near.status()).output().unwrap();
+    let said = String::from_utf8(said.stdout).unwrap();
+    assert!(said.contains("\"home\": \"site1\"") && said.contains("\"links\": 2"), "{said}");
+}
+
+#[test]
+fn a_site_without_members_of_a_group_sends_everything_across() {
+    let (near, _far, _cable, _) = pair(0);
+    let mut client = near.client();
+    assert!((0..10).all(|_| honoured(&client.ask(&order(3000))) && honoured(&client.ask(&look(3000)))));
+}
+
+#[test]
+fn the_link_may_be_cut_at_any_byte_and_nothing_runs_twice() {
+    let (near, _far, cable, ledger) = pair(1);
+    let mut client = near.client();
+    let mut counted = std::collections::BTreeMap::<String, usize>::new();
+    for turn in 0..24 {
+        // Frames of a task and its answer are some 250 bytes; heartbeats go in between.
+        cable.cut_after([THERE, BACK][turn % 2], 17 * (turn / 2));
+        let (said, runs) = write(&mut client, &ledger, 3000);
+        assert!(runs <= 1 && said.is_some(), "{runs}");
+        *counted.entry(code(&said).to_owned()).or_default() += 1;
+    }
+    println!("{counted:?}");
+    assert!(ledger.doubles().is_empty(), "{:?}", ledger.doubles());
+    // The book tells what became of most: a cut alone is no reason to break off.
+    assert!(counted["honoured"] >= 20, "{counted:?}");
+    assert!(cable.cuts() >= 16, "{}", cable.cuts());
+}
+
+#[test]
+fn the_home_moves_with_tasks_under_way_on_both_sides() {
+    let (near, far, cable, ledger) = pair(2);
+    cable.delay(MS(10));
+    ledger.work.store(5, Ordering::SeqCst);
+    let moving = {
+        let home = ledger.home.clone();
+        thread::spawn(move || {
+            for home_at in [0, 1, 0, 1] {
+                thread::sleep(MS(700));
+                home.store(home_at, Ordering::SeqCst);
+            }
+        })
+    };
+    let clients: Vec<_> = (0..8)
+        .map(|number| {
+            let (mut client, ledger) = ([&near, &far][number % 2].client(), ledger.clone());
+            thread::spawn(move || {
+                let start = Instant::now();
+                let mut counted = (0, 0);
+                while start.elapsed() < MS(3500) {
+                    let (said, _) = write(&mut client, &ledger, 3000);
+                    counted.0 += 1;
+                    counted.1 += usize::from(code(&said) == "honoured");
+                    thread::sleep(MS(5));
+                }
+                counted
+            })
+        })
+        .collect();
+    let counted: Vec<(usize, usize)> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    moving.join().unwrap();
+    let (asked, good) = counted.iter().fold((0, 0), |sum, next| (sum.0 + next.0, sum.1 + next.1));
+    assert!(ledger.doubles().is_empty());
+    assert!(asked > 200 && good * 10 >= asked * 9, "{good} of {asked}");
+}
+
+#[test]
+fn one_dead_direction_is_noticed_and_what_comes_late_runs_nothing_twice() {
+    let (near, _far, cable, ledger) = pair(1);
+    for way in [THERE, BACK] {
+        let mut client = near.client();
+        cable.hold(way, true);
+        let start = Instant::now();
+        let (said, _) = write(&mut client, &ledger, 2500);
+        assert!(said.is_some() && start.elapsed() < MS(2600), "{:?}", start.elapsed());
+        // Then all at once: frames of links that are long given up.
+        cable.hold(way, false);
+        thread::sleep(MS(300));
+        until("it is served again", || code(&write(&mut client, &ledger, 2500).0) == "honoured");
+    }
+    assert!(ledger.doubles().is_empty());
+    assert!(near.driver().logged("link down"));
+}
+
+#[test]
+fn a_receiver_that_starts_anew_knows_nothing_and_nothing_runs_twice() {
+    let (near, mut far, _cable, ledger) = pair(1);
+    ledger.work.store(400, Ordering::SeqCst);
+    let mut clients: Vec<Client> = (0..4).map(|_| near.client()).collect();
+    let ids: Vec<String> = (0..4).map(|_| new_id()).collect();
+    clients.iter_mut().zip(&ids).for_each(|(client, id)| client.send(&named(&order(5000), id)));
+    until("all run", || ids.iter().all(|id| ledger.runs(id) == 1));
+    let mut driver = far.driver.take().unwrap();
+    driver.child.kill().unwrap();
+    driver.child.wait().unwrap();
+    drop(driver);
+    far.start(&[(0, None)]);
+    let start = Instant::now();
+    for client in &mut clients {
+        assert_eq!(client.answer().unwrap().code, "40003");
+    }
+    // As soon as the new start has greeted, not at the time limit.
+    assert!(start.elapsed() < MS(4500), "{:?}", start.elapsed());
+    until("it is served again", || code(&write(&mut clients[0], &ledger, 3000).0) == "honoured");
+    assert!(ledger.doubles().is_empty());
+}
+
+#[test]
+fn a_far_denial_comes_through_at_once_with_its_wait() {
+    let (near, _far, _cable, ledger) = pair(1);
+    ledger.full.store(1, Ordering::SeqCst);
+    let mut client = near.client();
+    let start = Instant::now();
+    let (said, runs) = write(&mut client, &ledger, 10_000);
+    assert_eq!((code(&said), runs), ("53300", 0));
+    assert!(said.unwrap().detail.parse::<u32>().is_ok_and(|millis| millis <= 500));
+    assert!(start.elapsed() < MS(6000), "{:?}", start.elapsed());
+    ledger.full.store(0, Ordering::SeqCst);
+    until("it is served again", || code(&write(&mut client, &ledger, 3000).0) == "honoured");
+}
+
+#[test]
+fn who_leaves_costs_nothing_but_its_own_task_and_what_cannot_be_back_is_not_sent() {
+    let (near, _far, cable, ledger) = pair(1);
+    ledger.work.store(200, Ordering::SeqCst);
+    for _ in 0..5 {
+        let mut client = near.client();
+        client.send(&order(3000));
+        thread::sleep(MS(30));
+    }
+    ledger.work.store(0, Ordering::SeqCst);
+    cable.delay(MS(150));
+    let mut client = near.client();
+    until("the round trip is known", || code(&write(&mut client, &ledger, 5000).0) == "honoured");
+    thread::sleep(MS(1500));
+    let (mut client, ran) = (near.client(), ledger.len());
+    let start = Instant::now();
+    let (said, runs) = write(&mut client, &ledger, 200);
+    assert_eq!((code(&said), runs, ledger.len()), ("53300", 0, ran));
+    assert!(start.elapsed() < MS(150), "{:?}", start.elapsed());
+    assert_eq!(code(&write(&mut client, &ledger, 3000).0), "honoured");
+    assert!(ledger.doubles().is_empty());
+}
+
+#[test]
+fn told_to_stop_a_gateway_answers_what_it_took_and_gets_nothing_new() {
+    let (near, mut far, _cable, ledger) = pair(1);
+    ledger.work.store(300, Ordering::SeqCst);
+    let mut clients: Vec<Client> = (0..6).map(|_| near.client()).collect();
+    let ids: Vec<String> = (0..6).map(|_| new_id()).collect();
+    clients.iter_mut().zip(&ids).for_each(|(client, id)| client.send(&named(&order(4000), id)));
+    until("all run", || ids.iter().all(|id| ledger.runs(id) == 1));
+    far.driver().signal("-TERM");
+    assert!(clients.iter_mut().all(|client| honoured(&client.answer().unwrap())));
+    let mut driver = far.driver.take().unwrap();
+    assert!(driver.child.wait().unwrap().success());
+    // With nobody there a write is denied in its time, and never ran.
+    let (said, runs) = write(&mut clients[0], &ledger, 1200);
+    assert_eq!((code(&said), runs), ("53300", 0));
+}
+
+#[test]
+fn who_is_no_peer_ends_its_own_link_only() {
+    let (near, far, _cable, ledger) = pair(1);
+    // Bytes that make no sense, and a gateway that claims another site's name.
+    for noise in [&b"\x00\x00\x00\x03abc"[..], b"\xff\xff\xff\xff", b"GET / HTTP/1.1\r\n\r\n"] {
+        let mut stream = TcpStream::connect(far.links).unwrap();
+        stream.write_all(noise).unwrap();
+        let mut rest = Vec::new();
+        let _ = std::io::Read::read_to_end(&mut stream, &mut rest);
+    }
+    until("noise is refused", || far.driver().logged("link refused"));
+    let liar = format!(
+        r#"{{"gateway":{{"site":"site9","peers":[{{"site":"site1","addresses":["{}"],"links":1}}]}}}}"#,
+        far.links
+    );
+    let whole = config("127.0.0.1:8500".parse().unwrap(), 256, "null");
+    let stranger = Driver::with("127.0.0.1:0".parse().unwrap(), &whole, Some(&liar));
+    until("a stranger is refused", || far.driver().logged("none of this gateway's peers"));
+    until("it hears why", || stranger.logged("none of this gateway's peers"));
+    assert_eq!(code(&write(&mut near.client(), &ledger, 3000).0), "honoured");
+    // A configuration that cannot be meant.
+    let wrong = file("operator", r#"{"gateway":{"site":"a","peers":[{"site":"a","networks":["::1/128"]}]}}"#);
+    let path = file("config", &whole);
+    let output = Command::new(program())
+        .args(["check", "--config"])
+        .arg(&path)
+        .arg("--operator")
+        .arg(&wrong)
+        .output()
+        .unwrap();
+    assert!(String::from_utf8(output.stderr).unwrap().contains("gateway.peers[0].site"));
+    assert!(!output.status.success());
+    std::fs::remove_file(path).unwrap();
+    std::fs::remove_file(wrong).unwrap();
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -3,11 +3,14 @@
 //! Every field may be left out. Unknown fields and wrong values are named by their path. The schema is made from
 //! the types below.
 
+mod gateway;
 mod slow_peers;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+pub use gateway::{Gateway, PeerSite};
+pub use ipnet::IpNet;
 pub use slow_peers::{Connections, Level, Rate, SlowPeers};
 
 /// The operator's own file.
@@ -20,6 +23,9 @@
     /// What may wait for clients and members that move slowly, and when they are cut off.
     #[serde(default)]
     pub slow_peers: SlowPeers,
+    /// Tasks that cross between sites. Off by default. Read at the start only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub gateway: Option<Gateway>,
 }
 
 impl Operator {
@@ -31,6 +37,8 @@
             format!("{path}: {}", error.into_inner())
         })?;
         reader.end().map_err(|error| error.to_string())?;
+        let read: Operator = read;
+        read.gateway.as_ref().map_or(Ok(()), Gateway::check)?;
         Ok(read)
     }
 
@@ -59,6 +67,31 @@
         assert_eq!(Operator::parse("{}"), Ok(Operator::default()));
     }
 
+    #[test]
+    fn a_gateway_that_cannot_be_meant_is_refused_with_its_path() {
+        let gateway =
+            |more: &str| format!(r#"{{"gateway":{{"site":"a","listen":"127.0.0.1:7000",{more}}}}}"#);
+        let peer = |site: &str, port: u16| {
+            format!(
+                r#"{{"site":"{site}","addresses":["127.0.0.1:{port}"],"networks":["127.0.0.0/8","::1/128"]}}"#
+            )
+        };
+        let said = |more: String| Operator::parse(&gateway(&more)).map(|_| ()).unwrap_err();
+        let (b, itself) = (peer("b", 7001), peer("a", 7001));
+        assert!(said(format!(r#""peers":[{b},{itself}]"#)).starts_with("gateway.peers[1].site: "));
+        assert!(said(format!(r#""peers":[{b},{b}]"#)).starts_with("gateway.peers[1].site: "));
+        assert!(
+            said(format!(r#""peers":[{}]"#, peer("b", 7000))).starts_with("gateway.peers[0].addresses[0]: ")
+        );
+        assert!(said(format!(r#""peers":[{b}],"homes":{{"3":"c"}}"#)).starts_with("gateway.homes.3: "));
+        assert!(said(r#""peers":[{"site":"b"}]"#.to_owned()).starts_with("gateway.peers[0]: "));
+        assert!(
+            said(r#""peers":[{"site":"b","networks":["10.0.0.0/33"]}]"#.to_owned())
+                .starts_with("gateway.peers[0].networks[0]: ")
+        );
+        assert!(Operator::parse(&gateway(&format!(r#""peers":[{b}],"homes":{{"3":"b"}}"#))).is_ok());
+    }
+
     #[test]
     fn the_schema_knows_every_field_that_is_written() {
         let schema = Operator::schema();
--- a/crates/sites/src/homes.rs
+++ b/crates/sites/src/homes.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    /// A first guess, that any answer and any site's own account corrects.
+    pub(crate) fn guess(&mut self, name: u64, site: SiteId) {
+        let group = self.group(name);
+        group.home = Some(site);
+        if site != OWN {
+            group.members_at.insert(site);
+        }
+    }
+
     /// An answer showed the primary at that site. Says whether that is news.
     pub(crate) fn answered(&mut self, now: Micros, name: u64, site: SiteId) -> bool {
         let group = self.group(name);
--- a/crates/sites/src/lib.rs
+++ b/crates/sites/src/lib.rs
@@ -17,7 +17,7 @@
 pub use credit::Offers;
 pub use crossing::{Crossing, Crossings, Settled};
 pub use fates::{Fate, Fates, Origin, TurnedAway};
-pub use sites::{Handle, Sites};
+pub use sites::{GateView, Handle, Sites};
 
 /// Whole microseconds, on the caller's clock.
 pub type Micros = i64;
--- a/crates/sites/src/sites.rs
+++ b/crates/sites/src/sites.rs
@@ -87,6 +87,17 @@
     took: Vec<Histogram>,
 }
 
+/// What is believed of a gateway, for people.
+#[derive(Clone, Debug, Default)]
+pub struct GateView {
+    pub trip: Micros,
+    pub credits: Vec<u32>,
+    pub draining: bool,
+    pub barred: bool,
+    /// Tasks under way there.
+    pub out: usize,
+}
+
 /// The decisions of one gateway on which site a task goes to.
 #[derive(Debug)]
 pub struct Sites {
@@ -151,8 +162,39 @@
         self.crossings.get(number).map(|sent| sent.handle)
     }
 
+    pub fn knows_group(&self, group: u64) -> bool {
+        self.homes.known().any(|known| known == group)
+    }
+
+    /// One way to a gateway, with a margin.
+    pub fn one_way(&self, id: GateId) -> Micros {
+        self.gates.get(&id).map_or(TRIP, |gate| gate.trip.one_way())
+    }
+
+    pub fn view(&self, id: GateId) -> GateView {
+        let Some(gate) = self.gates.get(&id) else { return GateView::default() };
+        GateView {
+            trip: gate.trip.mean(),
+            credits: gate.credits.clone(),
+            draining: gate.draining,
+            barred: !gate.failures.is_empty() && gate.barred_until > Micros::MIN / 2,
+            out: self.crossings.open_at(id).len(),
+        }
+    }
+
+    /// Each group, where its primary is believed to be, and how many members it has here.
+    pub fn homes(&self) -> Vec<(u64, Option<SiteId>, usize)> {
+        let homes = &self.homes;
+        homes.known().map(|group| (group, homes.home(group), homes.here(group))).collect()
+    }
+
     // ---- What is heard.
 
+    /// The operator's word on a group's home, until an answer tells.
+    pub fn guess(&mut self, group: u64, site: SiteId) {
+        self.homes.guess(group, site);
+    }
+
     /// The groups that have members here, and how many.
     pub fn listed(&mut self, now: Micros, groups: &[(u64, usize)]) -> Todo {
         self.homes.listed(groups);
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,20 +1,24 @@
 //! Stand-ins for what stands around the program: members, clients and discovery, and the program itself as a child.
 //! Only tests and measurements use them; all of them listen and connect on loopback addresses.
 
+mod cable;
 mod client;
 mod discovery;
 mod member;
 mod program;
+mod site;
 mod slow;
 mod statement;
 
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+pub use cable::{BACK, Cable, THERE};
 pub use client::{Client, Said, honoured};
 pub use discovery::{Discovery, list};
 pub use member::{Act, Member, honour, honour_with, refuse, sound, whole};
 pub use program::{Driver, TERMS, aldermill, config, file, program};
+pub use site::{Ledger, Site, free_port};
 pub use slow::drip;
 pub use statement::{look, named, new_id, order};
 
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -202,6 +202,15 @@
         self.offerings.get(name).copied().map_or_else(|| bad("service", name), Ok)
     }
 
+    /// The offerings' names, in the order of the terms.
+    pub fn names(&self) -> Vec<String> {
+        let mut names = vec![String::new(); self.terms.offerings.len()];
+        for (name, &index) in &self.offerings {
+            names[index].clone_from(name);
+        }
+        names
+    }
+
     /// The names of those offerings that pay most.
     pub fn best_paid(&self) -> Vec<String> {
         let payoff = |index: usize| self.terms.offerings[index].payoff;
