--- a/crates/driver/src/gateway/link.rs
+++ b/crates/driver/src/gateway/link.rs
@@ -161,7 +161,8 @@
     }
 }
 
-/// How long a link must have stood to count as one that stands.
+/// Whether a link that was met stood long enough for its address to count as one that can be reached: on a line that
+/// breaks often the next attempt is as good as the last.
 pub fn stood(since: Instant) -> bool {
-    since.elapsed().as_secs() >= 1
+    since.elapsed().as_millis() >= 100
 }
--- a/crates/driver/src/gateway/meeting.rs
+++ b/crates/driver/src/gateway/meeting.rs
@@ -59,10 +59,12 @@
                 if std::mem::take(&mut silent) {
                     info!(context.log, "gateway reached again"; "site" => &site, "peer" => %address);
                 }
-                if let Some(wire) = wire(&context, &yard, stream, address, Some(site.clone())) {
-                    wire.run().await;
-                }
-                if stood(since) {
+                let wire = wire(&context, &yard, stream, address, Some(site.clone()));
+                let met = match wire {
+                    Some(wire) => wire.run().await,
+                    None => false,
+                };
+                if met && stood(since) {
                     wait = least;
                 }
             }
