Store: a thread of its own for writing and syncing, where all that waits shares one sync

Need: syncing must never hold up the desk; many waiting writers are to share one sync.

Change: Committer hands batches to a thread over a bounded queue and tells each when it is confirmed; a batch that is too large fails alone, after a failed write everything confirmed is written anew before the next.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,11 +4,13 @@
 //! is synced. All file work goes through [`Files`], so that tests can tear it. The format is written down in
 //! `docs/store.md`.
 
+mod commit;
 mod files;
 mod keeping;
 mod log;
 mod store;
 
+pub use commit::{Committer, Done};
 pub use files::{Disk, Files};
 pub use keeping::{Keeping, State};
 pub use store::{Batch, Bounds, Damage, Problem, Recovered, Snapshot, Store};
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -460,6 +460,10 @@
         (self.live, self.segments.values().sum())
     }
 
+    pub fn has_failed(&self) -> bool {
+        self.failed
+    }
+
     pub fn files(&self) -> &F {
         &self.files
     }
