--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -1,5 +1,9 @@
 //! The actor that owns the router: every decision is asked for here, and carried out at once.
 
+mod hub;
+
+pub use hub::{Hub, Opening};
+
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,7 +23,7 @@
 use crate::catalog::{Catalog, Entry};
 use crate::clock::{Clock, duration};
 use crate::context::Context;
-use crate::hub::Hub;
+
 use crate::member::Member;
 use crate::words::{Answer, Bulletin, Call, ClientId, Ended, Errand, Gave, Launch, Mail, Order, Query};
 
--- a/crates/driver/src/hub.rs
+++ b/crates/driver/src/desk/hub.rs
@@ -21,7 +21,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::desk::{Desk, Holder};
+use super::{Desk, Holder};
 use crate::gate::Room;
 use crate::words::{Answer, ClientId, LinkCall, LinkId, Mail, Order, Rows};
 
@@ -427,7 +427,7 @@
         let (Some(trip), Some(state)) = (hub.trips.get(&handle), hub.gates.get(gate)) else { return };
         let order = &trip.order;
         let clock = self.context.clock;
-        let written = order.comment.after.map(|after| clock.convert(crate::desk::millis(after)));
+        let written = order.comment.after.map(|after| clock.convert(super::millis(after)));
         let written_ago = order.written_ago.or(written.map(|at| now.saturating_sub(at).max(1)));
         let visited = trip.visited.iter().cloned().chain([hub.own.site.clone()]).collect();
         let start = state.origin.start;
--- a/crates/stand-ins/examples/gateway.rs
+++ b/crates/stand-ins/examples/gateway.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use aldermill_stand_ins::{BACK, Cable, Client, Driver, Ledger, Site, THERE, named, new_id, order, until};
+use aldermill_stand_ins::{BACK, Cable, Client, Ledger, Site, THERE, named, new_id, order, quantile, until};
 
 const CLIENTS: usize = 60;
 const EVERY: Duration = Duration::from_millis(200);
@@ -23,12 +23,6 @@
 }
 
 impl Seen {
-    fn quantile(&mut self, share: f64) -> f64 {
-        self.took.sort();
-        let at = ((self.took.len() as f64 * share) as usize).min(self.took.len().saturating_sub(1));
-        self.took.get(at).map_or(f64::NAN, |took| took.as_secs_f64() * 1000.0)
-    }
-
     fn share(&self, code: &str) -> f64 {
         self.by_code.get(code).copied().unwrap_or(0) as f64 / self.asked.max(1) as f64
     }
@@ -112,15 +106,8 @@
     })
 }
 
-fn cpu(driver: &Driver) -> f64 {
-    let stat = std::fs::read_to_string(format!("/proc/{}/stat", driver.child.id())).unwrap_or_default();
-    let behind = stat.rsplit(')').next().unwrap_or("");
-    let field = |at: usize| behind.split_whitespace().nth(at).and_then(|word| word.parse::<f64>().ok());
-    (field(11).unwrap_or(0.0) + field(12).unwrap_or(0.0)) / 100.0
-}
-
 fn row(what: &str, trip: u64, seen: &mut Seen, cuts: usize, cpu: f64, ledger: &Ledger) {
-    let (half, most) = (seen.quantile(0.5), seen.quantile(0.99));
+    let (half, most) = (quantile(&mut seen.took, 0.5), quantile(&mut seen.took, 0.99));
     let (broken, asked) = (seen.by_code.get("40003").copied().unwrap_or(0), seen.asked as f64);
     println!(
         "{what:<12} {trip:>4} ms  {:>6} asked  {:.4} honoured  {:.4} denied  {broken} broken off ({:.2} a cut)  {} none  {} late  \
@@ -154,17 +141,17 @@
         until("a write crosses", || near.client().ask(&order(3000)).value.is_some());
 
         let calm = Duration::from_secs(10);
-        let before = cpu(near.driver()) + cpu(far.driver());
+        let before = near.driver().cpu() + far.driver().cpu();
         let mut seen = load(near.address, Way::Once, calm, &ledger);
-        row("no cuts", trip, &mut seen, 0, cpu(near.driver()) + cpu(far.driver()) - before, &ledger);
+        row("no cuts", trip, &mut seen, 0, near.driver().cpu() + far.driver().cpu() - before, &ledger);
 
         let (stop, cuts) = (Arc::<AtomicBool>::default(), cable.cuts());
         let cutter = cutting(cable.clone(), stop.clone());
-        let before = cpu(near.driver()) + cpu(far.driver());
+        let before = near.driver().cpu() + far.driver().cpu();
         let mut seen = load(near.address, Way::Once, long, &ledger);
         stop.store(true, Ordering::SeqCst);
         cutter.join().unwrap();
-        let used = cpu(near.driver()) + cpu(far.driver()) - before;
+        let used = near.driver().cpu() + far.driver().cpu() - before;
         row("gateway", trip, &mut seen, cable.cuts() - cuts, used, &ledger);
 
         // Without a book: clients go across by themselves, and send again what a cut left open.
@@ -179,7 +166,7 @@
         let mut seen = load(cable.address, Way::Again, calm, &ledger);
         stop.store(true, Ordering::SeqCst);
         cutter.join().unwrap();
-        row("plain retry", trip, &mut seen, cable.cuts() - cuts, cpu(alone.driver()), &ledger);
+        row("plain retry", trip, &mut seen, cable.cuts() - cuts, alone.driver().cpu(), &ledger);
 
         // Home only: the near site has a replica, and nobody to forward to.
         let ledger = Ledger::default();
@@ -187,6 +174,6 @@
         let mut home = Site::new(0, 1, &ledger, |terms| terms);
         home.start(&[]);
         let mut seen = load(home.address, Way::Once, Duration::from_secs(5), &ledger);
-        row("home only", trip, &mut seen, 0, cpu(home.driver()), &ledger);
+        row("home only", trip, &mut seen, 0, home.driver().cpu(), &ledger);
     }
 }
--- a/crates/stand-ins/examples/slow_peers.rs
+++ b/crates/stand-ins/examples/slow_peers.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant};
 
 use aldermill_stand_ins::{
-    Client, Discovery, Driver, Member, config, drip, honour, honour_with, list, look, order, refuse, whole,
+    Client, Discovery, Driver, Member, config, drip, honour, honour_with, list, look, order, quantile,
+    refuse, whole,
 };
 
 const CLIENTS: usize = 40;
@@ -25,14 +26,6 @@
     took: Vec<Duration>,
 }
 
-impl Seen {
-    fn quantile(&mut self, share: f64) -> f64 {
-        self.took.sort();
-        let at = ((self.took.len() as f64 * share) as usize).min(self.took.len().saturating_sub(1));
-        self.took.get(at).map_or(f64::NAN, |took| took.as_secs_f64() * 1000.0)
-    }
-}
-
 /// Ten tasks a second from each client, a quarter of them effectful, counted from when they were due.
 fn usual(address: SocketAddr, long: Duration) -> Seen {
     let seen = Arc::<Mutex<Seen>>::default();
@@ -83,14 +76,6 @@
     (after("mem").unwrap_or(0) * 4, after("orphan").unwrap_or(0))
 }
 
-/// CPU seconds that the program has used.
-fn cpu(driver: &Driver) -> f64 {
-    let stat = std::fs::read_to_string(format!("/proc/{}/stat", driver.child.id())).unwrap_or_default();
-    let behind = stat.rsplit(')').next().unwrap_or("");
-    let field = |at: usize| behind.split_whitespace().nth(at).and_then(|word| word.parse::<f64>().ok());
-    (field(11).unwrap_or(0.0) + field(12).unwrap_or(0.0)) / 100.0
-}
-
 fn start(members: &[(&str, &Member)], memory: usize, sockets: usize) -> Driver {
     let members: Vec<_> = members.iter().map(|&(id, member)| (id, member, "in_service")).collect();
     let discovery = Discovery::default();
@@ -100,7 +85,7 @@
 }
 
 fn row(what: &str, seen: &mut Seen, cpu: f64, resident: u64, kernel: u64, orphans: u64) {
-    let (half, most) = (seen.quantile(0.5), seen.quantile(0.99));
+    let (half, most) = (quantile(&mut seen.took, 0.5), quantile(&mut seen.took, 0.99));
     println!(
         "{what:<34} {:>6} asked  {:.4} in time  {:.4} late  {:.4} nothing  p50 {half:.2} ms  p99 {most:.2} ms  {:.0} us CPU a task  \
          resident {resident} KiB  kernel {kernel} KiB  orphans {orphans}",
@@ -131,9 +116,9 @@
             (resident, held, orphans)
         })
     };
-    let before = cpu(driver);
+    let before = driver.cpu();
     let mut seen = usual(driver.address, LONG);
-    let used = cpu(driver) - before;
+    let used = driver.cpu() - before;
     done.store(true, Ordering::SeqCst);
     let (resident, held, orphans) = watching.join().unwrap();
     row(what, &mut seen, used, resident, held.saturating_sub(base), orphans);
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -37,3 +37,10 @@
 pub fn unix_millis() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
 }
+
+/// The time that this share of them does not pass, in milliseconds.
+pub fn quantile(took: &mut [Duration], share: f64) -> f64 {
+    took.sort();
+    let at = ((took.len() as f64 * share) as usize).min(took.len().saturating_sub(1));
+    took.get(at).map_or(f64::NAN, |took| took.as_secs_f64() * 1000.0)
+}
--- a/crates/stand-ins/src/program.rs
+++ b/crates/stand-ins/src/program.rs
@@ -118,6 +118,14 @@
         line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
     }
 
+    /// CPU seconds that it has used.
+    pub fn cpu(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
+        let behind = stat.rsplit(')').next().unwrap_or("");
+        let field = |at: usize| behind.split_whitespace().nth(at).and_then(|word| word.parse::<f64>().ok());
+        (field(11).unwrap_or(0.0) + field(12).unwrap_or(0.0)) / 100.0
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
