Read again: a barred gateway is shown as such, and a file call nobody made is gone

Cause: 'aldermill sites' asked whether failures are counted, but those are cleared the moment a gateway is barred, so that no bar was ever shown. The store's file trait had a truncate that nothing called.

Change: the view compares the bar with the time; truncate is removed from the trait, the disk and its stand-in.

--- a/crates/driver/src/desk/hub.rs
+++ b/crates/driver/src/desk/hub.rs
@@ -215,10 +215,10 @@
     }
 
     /// What is believed here, for people.
-    fn describe(&self) -> String {
+    fn describe(&self, now: Micros) -> String {
         let gates: Vec<_> = (self.gates.iter().enumerate())
             .map(|(id, gate)| {
-                let view = self.sites.view(id);
+                let view = self.sites.view(now, id);
                 json!({
                     "site": self.names[gate.site], "instance": gate.origin.instance, "links": gate.links.len(),
                     "round_trip_us": view.trip, "draining": view.draining, "barred": view.barred,
@@ -351,7 +351,8 @@
     }
 
     pub(crate) fn describe(&self) -> String {
-        self.hub.as_ref().map_or_else(|| "{}\n".to_owned(), Hub::describe)
+        let now = self.context.clock.now();
+        self.hub.as_ref().map_or_else(|| "{}\n".to_owned(), |hub| hub.describe(now))
     }
 
     /// Carries out what the books return. `brought` is what a task has just been answered with.
--- a/crates/sites/src/sites.rs
+++ b/crates/sites/src/sites.rs
@@ -193,13 +193,13 @@
         self.gates.get(&id).map_or(TRIP, |gate| gate.trip.one_way())
     }
 
-    pub fn view(&self, id: GateId) -> GateView {
+    pub fn view(&self, now: Micros, id: GateId) -> GateView {
         let Some(gate) = self.gates.get(&id) else { return GateView::default() };
         GateView {
             trip: gate.trip.mean(),
             credits: gate.credits.clone(),
             draining: gate.draining,
-            barred: !gate.failures.is_empty() && gate.barred_until > Micros::MIN / 2,
+            barred: now < gate.barred_until,
             out: self.crossings.open_at(id).len(),
         }
     }
--- a/crates/store/src/files.rs
+++ b/crates/store/src/files.rs
@@ -14,7 +14,6 @@
     fn append(&mut self, name: &str, bytes: &[u8]) -> Result<()>;
     /// What was appended to the file is on the disk once this returns well. After an error it may or may not be.
     fn sync(&mut self, name: &str) -> Result<()>;
-    fn truncate(&mut self, name: &str, length: u64) -> Result<()>;
     /// Replaces `to`, whole or not at all.
     fn rename(&mut self, from: &str, to: &str) -> Result<()>;
     fn remove(&mut self, name: &str) -> Result<()>;
@@ -80,13 +79,6 @@
         self.file(name)?.sync_data()
     }
 
-    fn truncate(&mut self, name: &str, length: u64) -> Result<()> {
-        self.open.remove(name);
-        let file = OpenOptions::new().write(true).open(self.folder.join(name))?;
-        file.set_len(length)?;
-        file.sync_all()
-    }
-
     fn rename(&mut self, from: &str, to: &str) -> Result<()> {
         self.open.remove(from);
         self.open.remove(to);
--- a/crates/store/tests/torn.rs
+++ b/crates/store/tests/torn.rs
@@ -73,11 +73,6 @@
         Ok(())
     }
 
-    fn truncate(&mut self, name: &str, length: u64) -> Result<()> {
-        self.files.get_mut(name).ok_or_else(|| Error::other("no such file"))?.truncate(length as usize);
-        Ok(())
-    }
-
     fn rename(&mut self, from: &str, to: &str) -> Result<()> {
         self.asked.push(Asked::Rename(from.into(), to.into()));
         let file = self.files.remove(from).ok_or_else(|| Error::other("no such file"))?;
