Patience and the pace of saved-up launches by offering, not by the slowest of all

Cause: one patience for all offerings, taken from the slowest (a report, 1.1 to 1.9 s), set the pace at which sparse drivers save up launches and the time after which a member counts as mute. Ruled out: crowded members (median 70 ms). Lines at fault: patience, credit, mute, room.

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -134,6 +134,7 @@
     sessions: HashMap<String, Micros>,
     forgotten: Option<Micros>, // a write of a session not found may be as new as that
     took: Vec<Histogram>,
+    any_took: Histogram, // of launches of all offerings together
     usual_wait: Vec<(Micros, i32)>, // that most tasks of an offering bring, and how sure that is
     warm_load: f64,
     mean_size: f64,
@@ -159,6 +160,7 @@
             forgotten: None,
             // Until launches tell better, most are taken to last half of the quoted time.
             took: terms.offerings.iter().map(|offering| Histogram::of(offering.quoted / 2, 4)).collect(),
+            any_took: Histogram::of(terms.offerings.iter().map(|o| o.quoted / 2).min().unwrap_or(0), 4),
             usual_wait: vec![(0, 0); terms.offerings.len()],
             warm_load: 0.0,
             mean_size: 1.0,
@@ -472,12 +474,12 @@
 
     fn launch_ended(&mut self, now: Micros, handle: Handle, outcome: Outcome) {
         let out = self.errands.get(&handle).and_then(|errand| errand.out);
-        let patience = self.patience();
         let mute = out.is_some_and(|(id, _)| self.mute(now, id));
         let (sparse, drivers) = (self.sparse(), self.terms.drivers as f64);
         let credit = self.first_credit();
         let Some(errand) = self.errands.get_mut(&handle) else { return };
         let Some((id, sent)) = errand.out.take() else { return };
+        let patience = patience_after(&self.took[errand.task.offering]);
         let Outcome { verdict, told, .. } = outcome;
         let (group, offering) = (errand.group, errand.task.offering);
         let member = &mut self.members[id];
@@ -519,6 +521,7 @@
                     newest.and_modify(|at| *at = position.max(*at)).or_insert(position);
                 }
                 self.took[offering].add(outcome.took, KEEP * 4);
+                self.any_took.add(outcome.took, KEEP * 4);
                 (member.honoured, member.spoilt) = (member.honoured + 0.1, 0);
             }
             Verdict::Full => (member.window, member.credit, member.credited) = (shrunk, 0.0, now),
@@ -689,17 +692,19 @@
     /// Has launches out that no later one overtook, and answered none for far longer than launches take.
     fn mute(&self, now: Micros, id: MemberId) -> bool {
         let member = &self.members[id];
-        let waiting = self.sent_out(id).filter(|&at| at >= member.overtaken).min();
-        waiting.is_some_and(|oldest| now - oldest.max(member.answered) > self.patience())
+        let mut waiting = self.sent_out(id).filter(|&(at, _)| at >= member.overtaken);
+        waiting.any(|(at, offering)| now - at.max(member.answered) > self.patience(offering))
     }
 
-    fn sent_out(&self, id: MemberId) -> impl Iterator<Item = Micros> {
-        self.members[id].out.iter().filter_map(|out| self.errands[out].out).map(|(_, at)| at)
+    /// When each launch out at the member was sent, and of which offering it is.
+    fn sent_out(&self, id: MemberId) -> impl Iterator<Item = (Micros, usize)> {
+        let out = self.members[id].out.iter().map(|out| &self.errands[out]);
+        out.filter_map(|errand| errand.out.map(|(_, at)| (at, errand.task.offering)))
     }
 
-    fn patience(&self) -> Micros {
-        let slowest = self.took.iter().filter_map(|took| took.quantile(0.9)).max();
-        slowest.unwrap_or(200 * MS).max(100 * MS) * 2
+    /// Beyond what nearly all launches of an offering take.
+    fn patience(&self, offering: usize) -> Micros {
+        patience_after(&self.took[offering])
     }
 
     /// How many more launches this driver may have out at the member: its window, and for a cold one its
@@ -707,8 +712,8 @@
     fn room(&self, now: Micros, id: MemberId) -> f64 {
         let member = &self.members[id];
         // Launches that were overtaken and stay out for long are taken for lost: they hold no place.
-        let overdue = now - self.patience();
-        let lost = self.sent_out(id).filter(|&at| at < overdue && at < member.overtaken).count();
+        let overdue = |(at, offering)| at < member.overtaken && now - at > self.patience(offering);
+        let lost = self.sent_out(id).filter(|&out| overdue(out)).count();
         let out = (member.out.len() - lost) as f64;
         let mut room = member.window.floor() - out;
         if self.sparse() {
@@ -743,7 +748,8 @@
         let member = &self.members[id];
         let bearable = self.bearable(now, id);
         let bearable_pace = bearable / self.terms.overload_window as f64;
-        let pace = bearable_pace.min(member.window / (self.patience() / 4) as f64);
+        let usual = self.any_took.quantile(0.9).unwrap_or(0).max(100 * MS) / 2;
+        let pace = bearable_pace.min(member.window / usual as f64);
         let most = if bearable < 1.0 { 1.0 } else { 2.0 };
         (member.credit + (now - member.credited) as f64 * pace).min(most)
     }
@@ -810,3 +816,7 @@
         self.pump_all(now);
     }
 }
+
+fn patience_after(took: &Histogram) -> Micros {
+    took.quantile(0.9).unwrap_or(200 * MS).max(100 * MS) * 2
+}
