Sparse drivers probe on demand only, not each member at their start and each second

Cause: two probes for each member a driver is told of, and one a second at what was not heard, paid for by the start and by tasks, over hundreds of drivers. Checks: probes and their outcomes counted in a tap, by second. Ruled out: probes that reads need (0.6 a task). Lines at fault: list_line, beat.

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -28,6 +28,7 @@
 /// Probes of members whose proof of freshness has run out, and of a group without a primary.
 const PROBE_NEEDED: Micros = 100 * MS;
 const PROBES_A_TASK: f64 = 0.7; // that a task taken pays for: the allowance
+const PROBES_AT_START: f64 = 4.0;
 const KEEP: u32 = 32;
 const SESSIONS: usize = 10_000; // remembered before older ones are forgotten
 /// Launches at a member that windows start with and stay at, all drivers together.
@@ -164,7 +165,7 @@
             usual_wait: vec![(0, 0); terms.offerings.len()],
             warm_load: 0.0,
             mean_size: 1.0,
-            allowance: 0.0,
+            allowance: PROBES_AT_START,
             next_beat: now,
             ask_at,
             ask_wait: 500 * MS,
@@ -607,7 +608,7 @@
             (member.since, member.credit, member.credited) = (line.since, credit, now);
         }
         self.stand(now, id, line.standing);
-        if !known {
+        if !known && !self.sparse() {
             // A probe for each member and one in reserve.
             self.allowance += 2.0;
             self.probe(now, id, PROBE_NEEDED);
@@ -799,7 +800,7 @@
             let Group { primary, held, .. } = &self.groups[member.group];
             let wanted = !held.is_empty()
                 && (now < member.lost_until || primary.is_none_or(|id| self.silent(now, id)));
-            let spare = self.allowance > self.members.len() as f64 * 0.5;
+            let spare = !self.sparse() && self.allowance > self.members.len() as f64 * 0.5;
             if wanted || spare && now - member.heard > PROBE_EVERY {
                 let gap = if self.sparse() { HOLD } else { PROBE_NEEDED };
                 self.probe(now, id, if wanted { gap } else { PROBE_EVERY });
