Long reads of a group share one replica, so that the others apply the log

Cause: a manifest-report of 1.1 to 1.9 s stops the log on its replica; spread over all replicas they keep most beyond the bound of 800 ms. Checks: launches by member and offering in a tap. Line at fault: read_target, the draw for Loose. An offering counts as long by what its launches take, against the least bound and the quickest offering; the setting itself is not on the wire.

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -399,6 +399,7 @@
             Need::Loose | Need::Write => Micros::MIN,
         };
         let (group, asked, sparse) = (errand.group, errand.asked, self.sparse());
+        let offering = errand.task.offering;
         let may = |id: &MemberId| self.may_follow(now, errand, *id);
         let mut open: Vec<MemberId> = self.groups[group].members.iter().copied().filter(may).collect();
         if open.iter().any(|&id| now >= self.members[id].barred_until && Some(id) != errand.last) {
@@ -410,6 +411,11 @@
         let idle = seen.filter(|_| sparse && self.groups[group].owed > 0.0);
         let drawable = replicas.iter().copied().chain(idle).map(|id| (id, self.room(now, id)));
         let rooms: Vec<(MemberId, f64)> = drawable.filter(|&(_, room)| room > 0.0).collect();
+        if need == Need::Loose && self.long(offering) {
+            // All drivers alike: the last replica by sorted id that has room.
+            let last = rooms.iter().rev().find(|&&(id, _)| Some(id) != primary);
+            return last.map(|&(id, _)| id);
+        }
         let fresh = |router: &Router, id| Some(id) == idle || router.members[id].position >= floor;
         let proven: Vec<(MemberId, f64)> = rooms.iter().copied().filter(|&(id, _)| fresh(self, id)).collect();
         let drawn = if sparse && !asked { self.draw(&rooms) } else { None };
@@ -439,6 +445,16 @@
         if waits { None } else { target.or(resort) }
     }
 
+    /// Protects the freshness of replicas from reads that hold up their log for longer than bounded reads bear: these
+    /// share one replica. Harms them where that one is slow, and where other long reads hold up nothing.
+    fn long(&self, offering: usize) -> bool {
+        let usual = |offering: usize| self.took[offering].quantile(0.5).unwrap_or(0);
+        let bound = |offering: &Offering| if let Need::Recent(bound) = offering.need { Some(bound) } else { None };
+        let bound = self.terms.offerings.iter().filter_map(bound).min();
+        let least = (0..self.took.len()).map(usual).min().unwrap_or(0);
+        bound.is_some_and(|bound| usual(offering) > bound.max(3 * least))
+    }
+
     /// A member drawn by its room. Where crossing has a price the own zone is preferred, by a sparse driver
     /// for what that zone's members carry if all zones send alike.
     fn draw(&mut self, rooms: &[(MemberId, f64)]) -> Option<MemberId> {
