--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -179,15 +179,17 @@
         self.next_handle += 1;
         let group = self.group(task.group);
         self.allowance = (self.allowance + PROBES_A_TASK).min(self.members.len() as f64);
-        // What is missing to the time limit of a repeat has gone by already. Where repeats are not marked,
-        // first tries are told by the wait that most tasks bring; others only lose their turn by this guess.
+        // Where repeats are not marked, first tries are told by the wait that most tasks bring.
         let Offering { limit, quoted, .. } = self.terms.offerings[task.offering];
-        let quoted_by = now + quoted - if task.repeat { (limit - task.ttl).max(0) } else { 0 };
         let (usual, votes) = &mut self.usual_wait[task.offering];
         let common = (task.ttl - *usual).abs() <= *usual / 64;
         *votes = if common { (*votes + 1).min(64) } else { *votes - 1 };
         (*usual, *votes) = if *votes < 0 { (task.ttl, 1) } else { (*usual, *votes) };
         let repeat = task.repeat || !self.terms.repeats_marked && !common;
+        // What is missing to the time limit of a repeat has gone by already. Where repeats are not marked, a wait
+        // cut short tells them once the usual one is sure. Harms clients in a hurry: they are taken for late.
+        let cut = task.repeat || !self.terms.repeats_marked && !common && *votes >= 2 && task.ttl < *usual;
+        let quoted_by = now + quoted - if cut { (limit - task.ttl).max(0) } else { 0 };
         let errand = Errand { task, group, arrived: now, quoted_by, repeat, ..Errand::default() };
         self.errands.insert(handle, errand);
         self.place(now, handle);
