Reads keep off zones whose probes tell of a long way

Cause: each driver learnt the slow way member by member, each met once in 18 s, and the time of a probe, the one clean measure of the way, was passed over by the adapter. Checks: times of probes and launches by zone in a tap.

--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -267,10 +267,10 @@
             "PONG" => {
                 let name = fields.text("member")?;
                 let verdict = fields.verdict("how")?;
-                fields.skip("timeTakenMs")?;
+                let took = fields.time("timeTakenMs")?;
                 let told = driver.told(None, fields.optional("load")?)?;
                 let member = driver.member(name);
-                driver.router.probed(now, member, verdict, told)
+                driver.router.probed(now, member, verdict, took, told)
             }
             _ => {
                 fields.integer("name")?;
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -159,8 +159,8 @@
                 self.release(handle);
             }
             Call::Ended(ended) => self.ended(ended),
-            Call::Probed { member, verdict, told } => {
-                let todo = self.router.probed(self.context.clock.now(), member, verdict, told);
+            Call::Probed { member, verdict, took, told } => {
+                let todo = self.router.probed(self.context.clock.now(), member, verdict, took, told);
                 self.carry_out(todo);
                 if told.role == Some(Role::Primary)
                     && let Some(group) =
@@ -320,11 +320,12 @@
             self.release(handle);
         }
         for member in todo.probes {
-            let until = Instant::now() + self.context.limits.probe;
+            let sent = Instant::now();
+            let until = sent + self.context.limits.probe;
             let peer = self.peers[member].as_ref();
-            if peer.is_none_or(|peer| peer.errands.try_send(Errand::Probe { until }).is_err()) {
-                let (verdict, told) = (Verdict::TimedOut, Told::default());
-                self.pending.push_back(Call::Probed { member, verdict, told });
+            if peer.is_none_or(|peer| peer.errands.try_send(Errand::Probe { sent, until }).is_err()) {
+                let (verdict, told) = (Verdict::Moot, Told::default());
+                self.pending.push_back(Call::Probed { member, verdict, took: 0, told });
             }
         }
         if todo.subscribe
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -46,7 +46,7 @@
 /// What a launch or a probe is for.
 enum Purpose {
     Task { handle: Handle, sent: Instant },
-    Probe,
+    Probe { sent: Instant },
 }
 
 struct Done {
@@ -131,10 +131,10 @@
                     Some(Errand::Launch(Launch { handle, query, holder, sent, until })) => {
                         self.visit(Purpose::Task { handle, sent }, query, Some(holder), until);
                     }
-                    Some(Errand::Probe { until }) => {
+                    Some(Errand::Probe { sent, until }) => {
                         let mut query = Vec::new();
                         pg::query(&mut query, &[b"SHOW usage"]);
-                        self.visit(Purpose::Probe, Query::Whole(query), None, until);
+                        self.visit(Purpose::Probe { sent }, Query::Whole(query), None, until);
                     }
                     Some(Errand::Renew(address)) => {
                         self.address = address;
@@ -264,12 +264,13 @@
                 };
                 Call::Ended(Ended { handle, verdict, took, told, gave })
             }
-            Purpose::Probe => {
+            Purpose::Probe { sent } => {
                 if exchange.error.as_deref() == Some("57P03") {
                     verdict = Verdict::Full;
                 }
                 let told = self.told(&exchange, std::str::from_utf8(exchange.value()).ok());
-                Call::Probed { member: self.id, verdict, told }
+                let took = sent.elapsed().as_micros() as Micros;
+                Call::Probed { member: self.id, verdict, took, told }
             }
         };
         self.context.desk.send(call).await
--- a/crates/driver/src/words.rs
+++ b/crates/driver/src/words.rs
@@ -25,6 +25,7 @@
     Probed {
         member: MemberId,
         verdict: Verdict,
+        took: Micros,
         told: Told,
     },
     /// A link to another site's gateway came up, heard something, or broke.
@@ -111,6 +112,7 @@
 pub enum Errand {
     Launch(Launch),
     Probe {
+        sent: Instant,
         until: Instant,
     },
     /// The member's process is another one, or reached elsewhere: old connections are of no use.
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -5,7 +5,7 @@
 //! later is a call on that handle. Each call brings `now` and returns a [`Todo`]. The interface types are
 //! in `lib.rs`; a task's way is `place`, from top to bottom.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use aldermill_measured::Histogram;
 use rand::seq::IndexedRandom;
@@ -135,6 +135,7 @@
     sessions: HashMap<String, Micros>,
     forgotten: Option<Micros>, // a write of a session not found may be as new as that
     took: Vec<Histogram>,
+    ways: BTreeMap<usize, (Micros, Micros)>, // there and back by zone, and when last heard
     any_took: Histogram, // of launches of all offerings together
     usual_wait: Vec<(Micros, i32)>, // that most tasks of an offering bring, and how sure that is
     warm_load: f64,
@@ -161,6 +162,7 @@
             forgotten: None,
             // Until launches tell better, most are taken to last half of the quoted time.
             took: terms.offerings.iter().map(|offering| Histogram::of(offering.quoted / 2, 4)).collect(),
+            ways: BTreeMap::new(),
             any_took: Histogram::of(terms.offerings.iter().map(|o| o.quoted / 2).min().unwrap_or(0), 4),
             usual_wait: vec![(0, 0); terms.offerings.len()],
             warm_load: 0.0,
@@ -226,9 +228,23 @@
     }
 
     /// How a probe ended. A member too full to report has answered all the same.
-    pub fn probed(&mut self, now: Micros, id: MemberId, verdict: Verdict, told: Told) -> Todo {
+    pub fn probed(
+        &mut self,
+        now: Micros,
+        id: MemberId,
+        verdict: Verdict,
+        took: Micros,
+        told: Told,
+    ) -> Todo {
         let credit = self.first_credit();
         let Some(member) = self.members.get_mut(id) else { return self.take_todo() };
+        // The way to its zone: an answer halves the difference, silence tells less, as one member alone may be dead.
+        let (way, at) = self.ways.entry(member.zone).or_insert((0, now));
+        match verdict {
+            Verdict::Honoured => (*way, *at) = ((*way + took) / 2, now),
+            Verdict::TimedOut => (*way, *at) = (*way + (took - *way) / 4, now),
+            _ => {}
+        }
         let (group, was_barred) = (member.group, member.probe_misses >= PROBE_MISSES);
         member.probe_out = false;
         if matches!(verdict, Verdict::Honoured | Verdict::Full | Verdict::Spoilt | Verdict::Dropped) {
@@ -412,7 +428,10 @@
         let replicas: Vec<MemberId> = open.iter().copied().filter(|&id| Some(id) != primary).collect();
         let idle = seen.filter(|_| sparse && self.groups[group].owed > 0.0);
         let drawable = replicas.iter().copied().chain(idle).map(|id| (id, self.room(now, id)));
-        let rooms: Vec<(MemberId, f64)> = drawable.filter(|&(_, room)| room > 0.0).collect();
+        let mut rooms: Vec<(MemberId, f64)> = drawable.filter(|&(_, room)| room > 0.0).collect();
+        if rooms.iter().any(|&(id, _)| !self.remote(now, id, offering)) {
+            rooms.retain(|&(id, _)| !self.remote(now, id, offering));
+        }
         if need == Need::Loose && self.long(offering) {
             // All drivers alike: the last replica by sorted id that has room.
             let last = rooms.iter().rev().find(|&&(id, _)| Some(id) != primary);
@@ -457,6 +476,15 @@
         bound.is_some_and(|bound| usual(offering) > bound.max(3 * least))
     }
 
+    /// Protects reads from a way that has grown so long that answers come too late, as its probes tell. Tried again
+    /// after a while. Harms members beyond it that are probed just when a neighbour dies.
+    fn remote(&self, now: Micros, id: MemberId, offering: usize) -> bool {
+        let zone = self.members[id].zone;
+        let (way, at) = self.ways.get(&zone).copied().unwrap_or_default();
+        let usual = self.took[offering].quantile(0.5).unwrap_or(0);
+        zone != self.terms.zone && now - at < BAR && way + usual > self.terms.offerings[offering].quoted / 2
+    }
+
     /// A member drawn by its room. Where crossing has a price the own zone is preferred, by a sparse driver
     /// for what that zone's members carry if all zones send alike.
     fn draw(&mut self, rooms: &[(MemberId, f64)]) -> Option<MemberId> {
--- a/crates/routing/tests/router/world.rs
+++ b/crates/routing/tests/router/world.rs
@@ -208,13 +208,14 @@
     }
 
     pub fn late_report(&mut self, id: MemberId) {
-        let todo = self.router.probed(self.now, id, Verdict::Honoured, self.reports[id]);
+        let todo = self.router.probed(self.now, id, Verdict::Honoured, MS, self.reports[id]);
         self.carry_out(todo);
     }
 
     pub fn probe_ends(&mut self, id: MemberId, verdict: Verdict) {
+        let took = if verdict == Verdict::TimedOut { 250 * MS } else { MS };
         let told = if verdict == Verdict::Honoured { self.told(id) } else { Told::default() };
-        let todo = self.router.probed(self.now, id, verdict, told);
+        let todo = self.router.probed(self.now, id, verdict, took, told);
         self.carry_out(todo);
     }
 
