Drivers refused a connection close their idle ones, and probe before they take a member for cold

Lines at fault: launch_ended (fell), hear; no SHUT_IDLE anywhere. A dead process still counts as fallen: it stays away longer than 2 s. In the driver the member's actor closes its idle connections.

--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -105,6 +105,9 @@
         for member in todo.probes {
             reply.poll(who, &self.member_names[member]);
         }
+        for member in todo.shut {
+            reply.shut_idle(who, &self.member_names[member]);
+        }
         if todo.subscribe {
             reply.stream_changes(who);
         }
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -138,6 +138,10 @@
         self.add(format_args!("POLL\t{who}\t{member}"));
     }
 
+    pub fn shut_idle(&mut self, who: u32, member: &str) {
+        self.add(format_args!("SHUT_IDLE\t{who}\t{member}"));
+    }
+
     pub fn stream_changes(&mut self, who: u32) {
         self.add(format_args!("STREAM_CHANGES\t{who}\t1"));
     }
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -328,6 +328,12 @@
                 self.pending.push_back(Call::Probed { member, verdict, took: 0, told });
             }
         }
+        for member in todo.shut {
+            if let Some(peer) = &self.peers[member] {
+                // A full mailbox means that its connections are wanted.
+                let _ = peer.errands.try_send(Errand::CloseIdle);
+            }
+        }
         if todo.subscribe
             && let Some(requests) = &self.requests
         {
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -145,6 +145,7 @@
                             self.idle.remove(0);
                         }
                     }
+                    Some(Errand::CloseIdle) => self.idle.clear(),
                     None => return,
                 },
                 _ = sweep.tick() => {
--- a/crates/driver/src/words.rs
+++ b/crates/driver/src/words.rs
@@ -119,6 +119,8 @@
     Renew(SocketAddr),
     /// Others need descriptors: close an idle connection.
     Shed,
+    /// The member has few connections to spare: close all idle ones.
+    CloseIdle,
 }
 
 pub struct Launch {
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -85,7 +85,7 @@
     answered: Micros,
     overtaken: Micros,  // when the newest launch that it answered was sent
     lost_until: Micros, // it could not be reached; believed until then, or until it is heard
-    fell: bool,         // its process was seen dead; taken for cold from the moment it is heard again
+    fell: Option<Micros>, // since when its process seems dead; taken for cold when it is heard again
     barred_until: Micros,
     failures: VecDeque<Micros>,
     spoilt: usize, // launches spoilt or dropped since the last honoured one
@@ -115,10 +115,11 @@
 
 impl Member {
     /// Protects a process that died and came back from the crowd that waits for it. Should also cover starts
-    /// that no list tells. Harms a member that only refused: it gets a cold part until it must be warm.
+    /// that no list tells. Harms a member that only refused: it gets a cold part until it must be warm, unless it is
+    /// heard sooner than any process comes back.
     fn hear(&mut self, now: Micros, credit: f64) {
         (self.heard, self.lost_until) = (now, now);
-        if std::mem::take(&mut self.fell) {
+        if self.fell.take().is_some_and(|at| now - at > 4 * HOLD) {
             (self.since, self.credit, self.credited) = (Some(now), credit, now);
         }
     }
@@ -141,6 +142,7 @@
     warm_load: f64,
     mean_size: f64,
     allowance: f64,
+    tight_until: Micros, // a member lately had no connection to spare
     next_beat: Micros,
     ask_at: Micros,
     ask_wait: Micros,
@@ -168,6 +170,7 @@
             warm_load: 0.0,
             mean_size: 1.0,
             allowance: PROBES_AT_START,
+            tight_until: now,
             next_beat: now,
             ask_at,
             ask_wait: 500 * MS,
@@ -255,7 +258,7 @@
             self.note(id, told, told.position.unwrap_or(now - HOLD));
         } else {
             member.probe_misses += 1;
-            member.fell |= verdict == Verdict::Unconnected;
+            member.fell = member.fell.or((verdict == Verdict::Unconnected).then_some(now));
             member.lost_until = now + 2 * HOLD;
             let barred = member.probe_misses >= PROBE_MISSES;
             member.barred_until = if barred { now + BAR } else { member.barred_until };
@@ -533,12 +536,15 @@
         member.out.retain(|&out| out != handle);
         let ran = (!verdict.never_ran()).then_some((sent, member.zone));
         errand.may_have_run = errand.may_have_run.or(ran);
+        let mut refusal = false;
         if verdict.heard() {
             (member.answered, member.overtaken) = (now, member.overtaken.max(sent));
             member.hear(now, credit);
         } else if matches!(verdict, Verdict::Unconnected | Verdict::Reset) {
             member.lost_until = now + 2 * HOLD;
-            member.fell |= verdict == Verdict::Reset || outcome.took < PROBE_NEEDED;
+            let refused = verdict == Verdict::Unconnected && outcome.took < PROBE_NEEDED;
+            member.fell = member.fell.or((verdict == Verdict::Reset || refused).then_some(now));
+            refusal = refused && sparse;
         }
         // A driver among many hears of few answers of a member: each then counts for more.
         let step = 0.92f64.powf(if sparse { (drivers / 4.0).min(16.0) } else { 1.0 });
@@ -588,6 +594,13 @@
             }
         }
         errand.last = Some(id);
+        let idle = member.out.is_empty();
+        if refusal {
+            self.refused(now, id);
+        } else if now < self.tight_until && idle {
+            self.todo.shut.push(id);
+        }
+        let errand = &self.errands[&handle];
         let over = outcome.closed || errand.closed;
         self.note(id, told, now);
         if verdict == Verdict::Miss && self.groups[group].primary.is_none() {
@@ -607,6 +620,18 @@
         self.pump(now, group);
     }
 
+    /// Protects members that take few connections from those that drivers keep idle: a driver among many that was
+    /// refused closes its own, for a while after each use. A probe tells whether the process is dead. Harms launches
+    /// by a handshake each.
+    fn refused(&mut self, now: Micros, id: MemberId) {
+        if now >= self.tight_until {
+            let idle = (0..self.members.len()).filter(|&id| self.members[id].out.is_empty());
+            self.todo.shut.extend(idle);
+        }
+        self.tight_until = now + FAILURE_WINDOW;
+        self.probe(now, id, PROBE_NEEDED);
+    }
+
     /// Takes in what a member says of itself, `at` being the time it was true. Protects against reports that
     /// come late: an older word never beats a newer one, neither on the member nor on its group.
     fn note(&mut self, id: MemberId, told: Told, at: Micros) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -186,6 +186,8 @@
 pub struct Todo {
     pub steps: Vec<(Handle, Step)>,
     pub probes: Vec<MemberId>,
+    /// Members whose idle connections are to be closed.
+    pub shut: Vec<MemberId>,
     pub subscribe: bool,
     pub wake_at: Option<Micros>,
 }
