--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -83,8 +83,8 @@
     demoted: Micros,    // the time of its newest word that it is a replica
     heard: Micros,
     answered: Micros,
-    overtaken: Micros,  // when the newest launch that it answered was sent
-    lost_until: Micros, // it could not be reached; believed until then, or until it is heard
+    overtaken: Micros,    // when the newest launch that it answered was sent
+    lost_until: Micros,   // it could not be reached; believed until then, or until it is heard
     fell: Option<Micros>, // since when its process seems dead; taken for cold when it is heard again
     barred_until: Micros,
     failures: VecDeque<Micros>,
@@ -137,8 +137,8 @@
     forgotten: Option<Micros>, // a write of a session not found may be as new as that
     took: Vec<Histogram>,
     ways: BTreeMap<usize, (Micros, Micros)>, // there and back by zone, and when last heard
-    any_took: Histogram, // of launches of all offerings together
-    usual_wait: Vec<(Micros, i32)>, // that most tasks of an offering bring, and how sure that is
+    any_took: Histogram,                     // of launches of all offerings together
+    usual_wait: Vec<(Micros, i32)>,          // that most tasks of an offering bring, and how sure that is
     warm_load: f64,
     mean_size: f64,
     allowance: f64,
@@ -231,14 +231,7 @@
     }
 
     /// How a probe ended. A member too full to report has answered all the same.
-    pub fn probed(
-        &mut self,
-        now: Micros,
-        id: MemberId,
-        verdict: Verdict,
-        took: Micros,
-        told: Told,
-    ) -> Todo {
+    pub fn probed(&mut self, now: Micros, id: MemberId, verdict: Verdict, took: Micros, told: Told) -> Todo {
         let credit = self.first_credit();
         let Some(member) = self.members.get_mut(id) else { return self.take_todo() };
         // The way to its zone: an answer halves the difference, silence tells less, as one member alone may be dead.
@@ -473,7 +466,8 @@
     /// share one replica. Harms them where that one is slow, and where other long reads hold up nothing.
     fn long(&self, offering: usize) -> bool {
         let usual = |offering: usize| self.took[offering].quantile(0.5).unwrap_or(0);
-        let bound = |offering: &Offering| if let Need::Recent(bound) = offering.need { Some(bound) } else { None };
+        let bound =
+            |offering: &Offering| if let Need::Recent(bound) = offering.need { Some(bound) } else { None };
         let bound = self.terms.offerings.iter().filter_map(bound).min();
         let least = (0..self.took.len()).map(usual).min().unwrap_or(0);
         bound.is_some_and(|bound| usual(offering) > bound.max(3 * least))
--- a/crates/routing/tests/router/cases.rs
+++ b/crates/routing/tests/router/cases.rs
@@ -1,7 +1,7 @@
 //! Plain cases of the design's path and of each failure found.
 
-use crate::world::{BOUND, LOOSE, MS, OWN, READ, RECEIPTED, WRITE, World, terms};
-use aldermill_routing::{Handle, MemberId, Standing, Terms, Verdict};
+use crate::world::{BOUND, LOOSE, MS, OWN, READ, RECEIPTED, REPORT, WRITE, World, line, terms};
+use aldermill_routing::{Handle, Listed, MemberId, Standing, Terms, Verdict};
 
 fn heard(terms: Terms) -> World {
     let mut world = World::new(terms, 4);
@@ -423,7 +423,7 @@
 #[test]
 fn a_primary_missing_from_a_whole_list_is_looked_for_elsewhere() {
     let mut world = heard(terms());
-    let others = (1..4).map(|id| crate::world::line(id, Standing::Ready, None)).collect();
+    let others = (1..4).map(|id| line(id, Standing::Ready, None)).collect();
     drop(world.router.list(world.now, true, others));
     world.primary = 2;
     world.pass(600 * MS);
@@ -461,3 +461,103 @@
     }
     assert_eq!(target(&world, read), Some(0));
 }
+
+#[test]
+fn one_long_offering_does_not_slow_the_pace_of_the_others() {
+    let mut world = heard(many());
+    for _ in 0..8 {
+        let write = world.take(WRITE, 2_000 * MS);
+        world.pass(500 * MS);
+        assert!(target(&world, write).is_some(), "held for half a second");
+        world.end(write, Verdict::Honoured);
+    }
+}
+
+#[test]
+fn a_member_is_mute_by_the_pace_of_what_is_out_there() {
+    let mut world = heard(terms());
+    (1..3).for_each(|id| world.relist(id, Standing::Gone, None));
+    let report = world.take(REPORT, 12_000 * MS);
+    assert_eq!(target(&world, report), Some(3));
+    world.pass(2_000 * MS);
+    let read = world.take(LOOSE, 1_000 * MS);
+    assert_eq!(target(&world, read), Some(3), "a report out for two seconds tells nothing");
+    world.pass(900 * MS);
+    let other = world.take(LOOSE, 1_000 * MS);
+    assert_ne!(target(&world, other), Some(3), "a read out for so long does");
+}
+
+#[test]
+fn long_reads_of_a_group_share_one_replica() {
+    let mut world = heard(terms());
+    for expected in [3, 3, 3, 2, 2] {
+        let report = world.take(REPORT, 12_000 * MS);
+        assert_eq!(target(&world, report), Some(expected));
+        if world.launched.len() == 3 {
+            world.relist(3, Standing::Draining, None);
+        }
+    }
+}
+
+#[test]
+fn a_driver_among_many_probes_nobody_before_a_task_needs_it() {
+    let mut world = World::new(many(), 4);
+    world.pass(20_000 * MS);
+    assert!(world.probes.is_empty());
+    world.take(READ, 1_000 * MS);
+    assert_eq!(world.probes.len(), 1);
+}
+
+#[test]
+fn an_unmarked_repeat_is_told_by_a_wait_cut_short() {
+    let mut world = heard(Terms { repeats_marked: false, ..terms() });
+    for _ in 0..3 {
+        let read = world.take(READ, 1_200 * MS);
+        world.end(read, Verdict::Honoured);
+        world.hear_all();
+    }
+    // Of two seconds in all 1.3 s have gone by: its quoted time of half a second as well.
+    let repeat = world.take(READ, 700 * MS);
+    assert_eq!(world.denied, [repeat]);
+}
+
+#[test]
+fn reads_keep_off_a_zone_beyond_a_long_way() {
+    let mut world = heard(many());
+    world.grow(6);
+    for id in [4, 5] {
+        world.relist_as(Listed { zone: 1, ..line(id, Standing::Ready, None) });
+    }
+    let met = |world: &mut World| {
+        let met = (0..40).filter(|_| {
+            world.pass(100 * MS);
+            let read = world.take(LOOSE, 1_000 * MS);
+            let far = target(world, read).is_some_and(|id| id >= 4);
+            if target(world, read).is_some() {
+                world.end(read, Verdict::Honoured);
+            }
+            far
+        });
+        met.count()
+    };
+    assert!(met(&mut world) > 5);
+    // One member does not answer; its neighbour is not asked.
+    (0..8).for_each(|_| world.probe_ends(4, Verdict::TimedOut));
+    assert_eq!(met(&mut world), 0);
+    world.pass(5_000 * MS);
+    assert!(met(&mut world) > 5, "tried again after a while");
+}
+
+#[test]
+fn a_driver_among_many_that_is_refused_a_connection_closes_its_idle_ones_and_probes() {
+    let mut world = heard(many());
+    world.probes.clear();
+    let write = world.take(WRITE, 2_000 * MS);
+    world.end(write, Verdict::Unconnected);
+    assert_eq!((&world.probes[..], world.shut.len()), (&[0][..], 4));
+    world.probe_answer(0, true);
+    world.pass(300 * MS);
+    assert_eq!(target(&world, write), Some(0), "what answers is not dead");
+    world.end(write, Verdict::Honoured);
+    assert_eq!(world.shut[4..], [0], "closed after use while connections are short");
+}
--- a/crates/routing/tests/router/rules.rs
+++ b/crates/routing/tests/router/rules.rs
@@ -24,7 +24,7 @@
     let members = world.positions.len();
     let id = a % members;
     match kind {
-        0..=5 => drop(world.take(b % 5, (100 + 30 * a as i64 % 3_000) * MS)),
+        0..=5 => drop(world.take(b % 6, (100 + 30 * a as i64 % 3_000) * MS)),
         6..=11 => {
             let out = world.out();
             if let Some(&(handle, _)) = out.get(a % out.len().max(1)) {
--- a/crates/routing/tests/router/world.rs
+++ b/crates/routing/tests/router/world.rs
@@ -12,6 +12,7 @@
 pub const WRITE: usize = 2;
 pub const RECEIPTED: usize = 3;
 pub const OWN: usize = 4;
+pub const REPORT: usize = 5;
 
 pub fn terms() -> Terms {
     let offering = |effect, need, payoff, late_share| Offering {
@@ -30,6 +31,11 @@
             offering(Effect::Effectful, Need::Write, 6.0, 0.5),
             offering(receipted, Need::Write, 3.0, 0.5),
             offering(Effect::Pure, Need::OwnWrites, 1.0, 0.0),
+            Offering {
+                quoted: 6_000 * MS,
+                limit: 12_000 * MS,
+                ..offering(Effect::Pure, Need::Loose, 4.0, 0.0)
+            },
         ],
         drivers: 2,
         repeats_marked: true,
@@ -96,6 +102,7 @@
     pub denied: Vec<Handle>,
     pub broken_off: Vec<Handle>,
     pub probes: Vec<MemberId>,
+    pub shut: Vec<MemberId>,
     pub asked: usize,
     reports: Vec<Told>,
     wake_at: Micros,
@@ -122,6 +129,7 @@
             denied: Vec::new(),
             broken_off: Vec::new(),
             probes: Vec::new(),
+            shut: Vec::new(),
             asked: 0,
             reports: vec![Told::default(); members],
             wake_at: now,
@@ -274,11 +282,16 @@
     }
 
     pub fn relist(&mut self, id: MemberId, standing: Standing, since: Option<Micros>) {
+        self.relist_as(line(id, standing, since));
+    }
+
+    pub fn relist_as(&mut self, line: Listed) {
+        let Listed { member: id, standing, since, .. } = line;
         if self.standing[id].0 != standing {
             self.standing[id] = (standing, self.now);
         }
         self.since[id] = since;
-        let todo = self.router.list(self.now, false, vec![line(id, standing, since)]);
+        let todo = self.router.list(self.now, false, vec![line]);
         self.carry_out(todo);
     }
 
@@ -309,6 +322,7 @@
         self.wake_at = todo.wake_at.expect("a router always wants waking").max(self.now + 1);
         self.asked += usize::from(todo.subscribe);
         self.probes.extend(todo.probes);
+        self.shut.extend(todo.shut);
         for (handle, step) in todo.steps {
             match step {
                 Step::Launch { member, limit } => self.check_launch(handle, member, limit),
