--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -523,7 +523,10 @@
         let credit = self.first_credit();
         let Some(errand) = self.errands.get_mut(&handle) else { return };
         let Some((id, sent)) = errand.out.take() else { return };
-        let patience = patience_after(&self.took[errand.task.offering]);
+        let patience = patience_after(
+            &self.took[errand.task.offering],
+            self.terms.offerings[errand.task.offering].quoted,
+        );
         let Outcome { verdict, told, .. } = outcome;
         let (group, offering) = (errand.group, errand.task.offering);
         let member = &mut self.members[id];
@@ -770,7 +773,7 @@
 
     /// Beyond what nearly all launches of an offering take.
     fn patience(&self, offering: usize) -> Micros {
-        patience_after(&self.took[offering])
+        patience_after(&self.took[offering], self.terms.offerings[offering].quoted)
     }
 
     /// How many more launches this driver may have out at the member: its window, and for a cold one its
@@ -883,6 +886,6 @@
     }
 }
 
-fn patience_after(took: &Histogram) -> Micros {
-    took.quantile(0.9).unwrap_or(200 * MS).max(100 * MS) * 2
+fn patience_after(took: &Histogram, quoted: Micros) -> Micros {
+    took.quantile(0.9).unwrap_or(200 * MS).min(quoted).max(100 * MS) * 2
 }
