Settings on trial: a sample of decisions is made again under other settings, and only counted

Need: before operators switch to settings of the new shape they want to watch. A copy of the router with its chance goes on under the other settings, is asked the same, and dropped; counts by kind go to the log each minute, at a reload and at the end. Off by default; in the operator's file ('trial'). Terms: unknown words and figures below zero are refused by their field, a scope unknown passed as the group before; accounts on a task are checked.

--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -229,7 +229,7 @@
             "ORDER" => {
                 let ticket = fields.integer("ticket")?;
                 let offering = driver.decoded.offering(fields.text("service")?)?;
-                fields.skip("account")?;
+                fields.optional("account")?.map_or(Ok(()), |account| driver.decoded.account(account))?;
                 let session = fields.optional("session")?.map(str::to_owned);
                 let ttl = fields.time("ttlMs")?;
                 fields.skip("workMs")?;
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -25,6 +25,7 @@
 use crate::context::Context;
 
 use crate::member::Member;
+use crate::trial::Trial;
 use crate::words::{Answer, Bulletin, Call, ClientId, Ended, Errand, Gave, Launch, Mail, Order, Query};
 
 /// A task under way and the client that waits for it.
@@ -61,6 +62,8 @@
     pub(crate) context: Rc<Context>,
     pub(crate) decoded: Decoded,
     pub(crate) router: Router,
+    /// Other settings that are watched.
+    trial: Option<Trial>,
     /// Where this driver is a gateway to other sites.
     pub(crate) hub: Option<Hub>,
     /// By the router's index; an index whose member was let go stands empty until it is given out anew.
@@ -86,6 +89,7 @@
         decoded: Decoded,
         seed: u64,
         hub: Option<Hub>,
+        trial: Option<Trial>,
         ready: watch::Sender<bool>,
         requests: Option<mpsc::Sender<()>>,
     ) -> Desk {
@@ -93,6 +97,7 @@
         Desk {
             router: Router::start(decoded.terms.clone(), seed, now),
             decoded,
+            trial,
             hub,
             peers: Vec::new(),
             member_ids: HashMap::new(),
@@ -121,7 +126,8 @@
                 biased;
                 Some(bulletin) = bulletins.recv() => self.bulletin(bulletin),
                 () = sleep_until(clock.instant(self.wake_at)) => {
-                    let todo = self.router.wake(self.context.clock.now());
+                    let now = self.context.clock.now();
+                    let ((), todo) = self.ask(|router| ((), router.wake(now)));
                     self.carry_out(todo);
                 }
                 () = sleep_until(clock.instant(hub_wakes.unwrap_or(0))), if hub_wakes.is_some() => self.wake_sites(),
@@ -142,6 +148,18 @@
         }
     }
 
+    /// Asks the router, and, for a sample, a copy of it under the settings on trial, whose answer is only counted.
+    pub(crate) fn ask<T>(&mut self, decide: impl Fn(&mut Router) -> (T, Todo)) -> (T, Todo) {
+        let Some(trial) = &mut self.trial else { return decide(&mut self.router) };
+        let copy = trial.before(&self.router);
+        let (made, todo) = decide(&mut self.router);
+        if let Some(mut copy) = copy {
+            trial.after(&todo, &decide(&mut copy).1);
+        }
+        trial.tell(&self.context.log, false);
+        (made, todo)
+    }
+
     fn call(&mut self, call: Call) {
         match call {
             Call::Take(order) => self.take(order),
@@ -154,13 +172,15 @@
                 if let Some(open) = self.open.get_mut(&handle) {
                     open.client = None;
                 }
-                let todo = handle.left(&mut self.router, self.context.clock.now());
+                let now = self.context.clock.now();
+                let ((), todo) = self.ask(|router| ((), handle.left(router, now)));
                 self.carry_out(todo);
                 self.release(handle);
             }
             Call::Ended(ended) => self.ended(ended),
             Call::Probed { member, verdict, took, told } => {
-                let todo = self.router.probed(self.context.clock.now(), member, verdict, took, told);
+                let now = self.context.clock.now();
+                let ((), todo) = self.ask(|router| ((), router.probed(now, member, verdict, took, told)));
                 self.carry_out(todo);
                 if told.role == Some(Role::Primary)
                     && let Some(group) =
@@ -169,8 +189,19 @@
                     self.primary_here(group);
                 }
             }
+            Call::Trial(trial) => {
+                if let Some(ended) = &mut self.trial {
+                    ended.tell(&self.context.log, true);
+                }
+                self.trial = trial.map(|trial| *trial);
+            }
             Call::Link(link, call) => self.link(link, call),
-            Call::Parted(asked) => self.parted.push(asked),
+            Call::Parted(asked) => {
+                if let Some(trial) = &mut self.trial {
+                    trial.tell(&self.context.log, true);
+                }
+                self.parted.push(asked);
+            }
             Call::Describe(asked) => {
                 let _ = asked.send(self.describe());
             }
@@ -246,7 +277,7 @@
             last_write: written_ago,
             repeat: order.comment.repeat,
         };
-        let (handle, todo) = self.router.take(now, task);
+        let (handle, todo) = self.ask(|router| router.take(now, task.clone()));
         let best = self.context.best_paid.contains(&order.comment.offering);
         self.open.insert(handle, Open { via, best, client, order });
         (handle, todo)
@@ -268,7 +299,8 @@
         }
         let closed = taken_back || self.open.get(&handle).is_none_or(|open| open.client.is_none());
         let outcome = Outcome { verdict, took, told, closed };
-        let todo = handle.ended(&mut self.router, self.context.clock.now(), outcome);
+        let now = self.context.clock.now();
+        let ((), todo) = self.ask(|router| ((), handle.ended(router, now, outcome)));
         self.carry_out(todo);
         self.release(handle);
         if let Some(missed) = missed {
@@ -376,12 +408,12 @@
     fn bulletin(&mut self, bulletin: Bulletin) {
         let now = self.context.clock.now();
         let todo = match bulletin {
-            Bulletin::Unavailable => self.router.list_unavailable(now),
+            Bulletin::Unavailable => self.ask(|router| ((), router.list_unavailable(now))).1,
             Bulletin::List(catalog) => {
                 info!(self.context.log, "list"; "revision" => catalog.revision,
                     "complete" => catalog.complete, "entries" => catalog.members.len());
                 let lines = self.lines(&catalog);
-                self.router.list(now, catalog.complete, lines)
+                self.ask(|router| ((), router.list(now, catalog.complete, lines.clone()))).1
             }
         };
         self.carry_out(todo);
--- a/crates/driver/src/desk/hub.rs
+++ b/crates/driver/src/desk/hub.rs
@@ -417,7 +417,8 @@
         if let Some(open) = self.open.get_mut(&here) {
             open.client = None;
         }
-        let todo = here.left(&mut self.router, self.context.clock.now());
+        let now = self.context.clock.now();
+        let ((), todo) = self.ask(|router| ((), here.left(router, now)));
         self.carry_out(todo);
         self.release(here);
     }
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -12,6 +12,7 @@
 mod member;
 mod reload;
 mod start;
+mod trial;
 mod watch;
 mod words;
 
@@ -145,7 +146,8 @@
 
 /// Starts the actors and stays until the listener has served its last client.
 async fn run(start: Start, files: Files, ends: [Signal; 2], hangup: Signal) -> Result<(), String> {
-    let Start { name, listen, discovery, seed, limits, bounds, gateway, known, decoded, fixed } = start;
+    let Start { name, listen, discovery, seed, limits, bounds, gateway, trial, known, decoded, fixed } =
+        start;
     let (stop_window, stop_guests) = (limits.stop_window, limits.stop_guests);
     let (log, _guard) = logger(&limits);
     let [mut terminate, mut interrupt] = ends;
@@ -153,13 +155,14 @@
     let clock = Clock::start();
     let gate = Gate::new(clock, log.clone(), bounds);
     spawn_local(gate.clone().run());
-    spawn_local(
-        Reload { files, fixed, discovery: address, gate: gate.clone(), log: log.clone() }.run(hangup),
-    );
     let listener = listener::bind(listen, limits.backlog, limits.buffer)
         .map_err(|error| format!("listen: {listen}: {error}"))?;
 
     let (desk, calls) = mpsc::channel(limits.calls);
+    spawn_local(
+        Reload { files, fixed, discovery: address, gate: gate.clone(), desk: desk.clone(), log: log.clone() }
+            .run(hangup),
+    );
     let (bulletin, bulletins) = mpsc::channel(limits.lists);
     let (ready, seen_ready) = notice::channel(false);
     let (stop, stopping) = notice::channel(None);
@@ -191,7 +194,7 @@
         Some(gateway) => Some(open_gateway(&context, &decoded, gateway, &name, seed, room).await?),
         None => None,
     };
-    let desk = Desk::new(context.clone(), decoded, seed, hub, ready, on_request.then_some(request));
+    let desk = Desk::new(context.clone(), decoded, seed, hub, trial, ready, on_request.then_some(request));
     let deciding = spawn_local(desk.run(bulletins, calls));
     let requests = on_request.then_some(requests);
     spawn_local(Watch { context: context.clone(), desk: bulletin, requests, revision }.run());
--- a/crates/driver/src/reload.rs
+++ b/crates/driver/src/reload.rs
@@ -5,16 +5,18 @@
 
 use slog::{Logger, info, warn};
 use tokio::signal::unix::Signal;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::gate::Gate;
 use crate::start::{Files, Fixed, Start};
+use crate::words::Call;
 
 pub struct Reload {
     pub files: Files,
     pub fixed: Fixed,
     pub discovery: watch::Sender<SocketAddr>,
     pub gate: Rc<Gate>,
+    pub desk: mpsc::Sender<Call>,
     pub log: Logger,
 }
 
@@ -37,6 +39,8 @@
             }
             self.fixed = start.fixed;
             self.gate.rebound(start.bounds);
+            // A desk that is gone ends the program by itself.
+            let _ = self.desk.send(Call::Trial(start.trial.map(Box::new))).await;
             let moved = self
                 .discovery
                 .send_if_modified(|address| std::mem::replace(address, start.discovery) != start.discovery);
--- a/crates/driver/src/start.rs
+++ b/crates/driver/src/start.rs
@@ -9,6 +9,7 @@
 
 use crate::catalog::Catalog;
 use crate::limits::Limits;
+use crate::trial::Trial;
 
 #[derive(Deserialize)]
 struct Allowed {
@@ -45,6 +46,7 @@
     pub limits: Limits,
     pub bounds: Bounds,
     pub gateway: Option<Gateway>,
+    pub trial: Option<Trial>,
     pub known: Option<Catalog>,
     pub decoded: Decoded,
     pub fixed: Fixed,
@@ -66,6 +68,11 @@
             None => Operator::default(),
         };
         let mut start = within(&files.config, |text| Start::parse(text, env, &operator))?;
+        if let Some(wanted) = &operator.trial {
+            let path = files.operator.as_ref().unwrap_or(&files.config);
+            let trial = Trial::read(wanted, &start.decoded);
+            start.trial = Some(trial.map_err(|why| format!("{path}: {why}"))?);
+        }
         // What the operator wants must hold one statement and one answer of full size.
         let sizes = (start.limits.statement as u64, start.limits.answer as u64);
         start.bounds = bounded(start.bounds, &operator.slow_peers);
@@ -114,6 +121,7 @@
             limits: Limits::new(sockets, memory_mb, &decoded, operator.slow_peers.buffer_kib),
             bounds: Bounds::usual(memory_mb as u64 * 1024 * 1024),
             gateway: operator.gateway.clone(),
+            trial: None,
             known: form.known,
             decoded,
         })
--- a/crates/driver/src/words.rs
+++ b/crates/driver/src/words.rs
@@ -13,6 +13,7 @@
 
 use crate::catalog::Catalog;
 use crate::gate::Room;
+use crate::trial::Trial;
 
 /// A statement of a client, new for each.
 pub type ClientId = u64;
@@ -28,6 +29,8 @@
         took: Micros,
         told: Told,
     },
+    /// The settings that are on trial from now on.
+    Trial(Option<Box<Trial>>),
     /// A link to another site's gateway came up, heard something, or broke.
     Link(LinkId, LinkCall),
     /// To be answered once nothing of other gateways is under way here.
--- a/crates/driver/tests/sockets.rs
+++ b/crates/driver/tests/sockets.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use aldermill_stand_ins::{
-    Act, Client, Discovery, Driver, LONG, Member, Said, aldermill, config, honour, honoured, list, look,
-    named, order, refuse, sound, until,
+    Act, Client, Discovery, Driver, LONG, Member, Said, TERMS, aldermill, config, file, honour, honoured,
+    list, look, named, order, refuse, sound, until,
 };
 use aldermill_wire::{Buffer, pg};
 
@@ -851,3 +851,45 @@
     assert!(understood.status.success());
     assert!(String::from_utf8(understood.stdout).unwrap().contains("2 offerings"));
 }
+
+#[test]
+fn settings_on_trial_are_counted_and_a_bad_file_of_them_leaves_the_driver_as_it_was() {
+    let trial = |settings: &str| {
+        let path = file("settings", settings);
+        format!(r#"{{"trial":{{"settings":{:?},"one_in":1,"every_s":1}}}}"#, path.display().to_string())
+    };
+    let other = TERMS.replace(r#""balancers":1"#, r#""balancers":400"#);
+    let (member, replica) = (sound("writer"), sound("reader"));
+    let told = list(1, true, &[("a", &member, "in_service"), ("b", &replica, "in_service")]);
+    let discovery = Discovery::default();
+    discovery.say(told.clone());
+    let config = config(discovery.start(), 256, &told);
+    let mut driver = Driver::with("127.0.0.1:0".parse().unwrap(), &config, Some(&trial(&other)));
+    let mut client = Client::connect(driver.address);
+    let ask = |client: &mut Client| (0..20).all(|_| honoured(&client.ask(&look(15000))));
+    assert!(ask(&mut client));
+    until("counts", || driver.logged("settings on trial") && driver.logged("not_probed="));
+    let operator = driver.operator.clone().unwrap();
+    // Settings that cannot be read: the counts go on, and so does service.
+    std::fs::write(&operator, trial("{")).unwrap();
+    driver.signal("-HUP");
+    until("the line on the bad file", || driver.logged("configuration not read"));
+    assert!(driver.logged("trial.settings: "));
+    assert!(ask(&mut client));
+    std::fs::write(&operator, "{}").unwrap();
+    driver.signal("-HUP");
+    until("the line on the good file", || driver.logged("configuration read anew"));
+    assert!(ask(&mut client));
+    driver.signal("-TERM");
+    until("the end", || driver.child.try_wait().unwrap().is_some());
+    // At the start such a file is refused in one line.
+    let (mut command, _) = aldermill(&["check"], &config);
+    let bad = file("operator", &trial(&TERMS.replace("\"look\"", "\"see\"")));
+    let output = command.env("ALDERMILL_OPERATOR", &bad).output().unwrap();
+    assert!(!output.status.success());
+    let why = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        why.contains("trial.settings: ") && why.contains("categories") && why.lines().count() == 1,
+        "{why}"
+    );
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod gateway;
 mod slow_peers;
+mod trial;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -12,6 +13,7 @@
 pub use gateway::{Gateway, PeerSite};
 pub use ipnet::IpNet;
 pub use slow_peers::{Connections, Level, Rate, SlowPeers};
+pub use trial::Trial;
 
 /// The operator's own file.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize, JsonSchema)]
@@ -26,6 +28,9 @@
     /// Tasks that cross between sites. Off by default. Read at the start only.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub gateway: Option<Gateway>,
+    /// Settings of another shape that are only watched. Off by default.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub trial: Option<Trial>,
 }
 
 impl Operator {
@@ -39,6 +44,7 @@
         reader.end().map_err(|error| error.to_string())?;
         let read: Operator = read;
         read.gateway.as_ref().map_or(Ok(()), Gateway::check)?;
+        read.trial.as_ref().map_or(Ok(()), Trial::check)?;
         Ok(read)
     }
 
--- /dev/null
+++ b/crates/operator/src/trial.rs
@@ -0,0 +1,28 @@
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// Settings of another shape, under which a sample of the decisions is made a second time and only counted.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Trial {
+    /// A file with such settings, in the form of the configuration's `settings`.
+    pub settings: String,
+    /// One in so many decisions is compared; ten by default.
+    #[schemars(range(min = 1))]
+    pub one_in: Option<u32>,
+    /// Seconds between two lines in the log; sixty by default.
+    #[schemars(range(min = 1))]
+    pub every_s: Option<u32>,
+}
+
+impl Trial {
+    /// What cannot be meant, with its field's path.
+    pub(crate) fn check(&self) -> Result<(), String> {
+        for (field, value) in [("one_in", self.one_in), ("every_s", self.every_s)] {
+            if value == Some(0) {
+                return Err(format!("trial.{field}: at least 1 is needed"));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -54,7 +54,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Errand {
     task: Task,
     group: usize,
@@ -70,7 +70,7 @@
     closed: bool,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Member {
     name: String,
     group: usize,
@@ -101,7 +101,7 @@
     honoured: f64, // launches in one window of the overload rule, as of late
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Group {
     members: Vec<MemberId>,
     primary: Option<MemberId>,
@@ -125,6 +125,7 @@
     }
 }
 
+#[derive(Clone)]
 pub struct Router {
     terms: Terms,
     rng: Pcg64Mcg,
@@ -201,6 +202,11 @@
         (handle, self.take_todo())
     }
 
+    /// A copy that goes on under other terms, to see how it would decide.
+    pub fn under(&self, terms: &Terms) -> Router {
+        Router { terms: terms.clone(), ..self.clone() }
+    }
+
     pub fn knows(&self, handle: Handle) -> bool {
         self.errands.contains_key(&handle)
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -182,7 +182,7 @@
 }
 
 /// What the caller is to do now, in this order, and when to wake the router again.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Todo {
     pub steps: Vec<(Handle, Step)>,
     pub probes: Vec<MemberId>,
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -103,6 +103,13 @@
     registry_mode: String,
     weights: String,
     deductions: Deductions,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    name: String,
 }
 
 /// What a program around the router needs of the settings, beside the router's own terms.
@@ -118,6 +125,24 @@
     /// Where the drill's clock stands when positions are zero.
     pub zero: Micros,
     sizes_listed: bool,
+    tenants: Vec<String>,
+}
+
+/// One of the words that the field may hold.
+fn known<'a>(field: &str, value: &'a str, words: &[&str]) -> Result<&'a str, Trouble> {
+    if words.contains(&value) { Ok(value) } else { bad(field, value) }
+}
+
+/// A figure that can be meant: nothing here is below zero.
+fn figure(field: &str, value: f64) -> Result<f64, Trouble> {
+    if value.is_finite() && value >= 0.0 {
+        return Ok(value);
+    }
+    Err(Trouble::new(field, &format!("{value} is no figure from zero on")))
+}
+
+fn time(field: &str, millis: f64) -> Result<Micros, Trouble> {
+    figure(field, millis).map(micros)
 }
 
 fn bad<T>(field: &str, value: &str) -> Result<T, Trouble> {
@@ -129,9 +154,20 @@
         let message: Message =
             serde_json::from_str(text).map_err(|error| Trouble::new("settings", &error.to_string()))?;
         let family = &message.family_info;
+        let weights = known("weights", &message.weights, &["off", "nominal", "rough", "live"])?;
+        known("registryMode", &message.registry_mode, &["automatic", "subscribe"])?;
+        known("familyInfo.behind", &family.behind, &["off", "reject", "hold"])?;
+        known("familyInfo.tokens", &family.tokens, &["client", "router"])?;
+        for &age in &family.max_age_ms {
+            figure("familyInfo.maxAgeMs", age)?;
+        }
+        if message.balancers == 0 {
+            return Err(Trouble::new("balancers", "0 is too few"));
+        }
         let mut offerings = Vec::new();
         for (index, category) in message.categories.iter().enumerate() {
-            let window = micros(category.window_ms);
+            let window = time("windowMs", category.window_ms)?;
+            known("dedupScope", &category.dedup_scope, &["all", "zone", "cell"])?;
             let effect = match (category.effect.as_str(), category.dedup_scope.as_str()) {
                 ("pure", _) => Effect::Pure,
                 ("side_effect", _) => Effect::Effectful,
@@ -151,10 +187,10 @@
             offerings.push(Offering {
                 effect,
                 need,
-                quoted: micros(category.target_ms),
-                limit: micros(category.deadline_ms),
-                payoff: category.worth,
-                late_share: category.late_worth,
+                quoted: time("targetMs", category.target_ms)?,
+                limit: time("deadlineMs", category.deadline_ms)?,
+                payoff: figure("worth", category.worth)?,
+                late_share: figure("lateWorth", category.late_worth)?,
             });
         }
         let listed_roles = match family.role_listed.as_str() {
@@ -173,26 +209,30 @@
             zones: message.azs.len(),
             max_launches: limits.max_attempts,
             may_probe: limits.probes,
-            max_cool_down: if limits.retry_after { micros(limits.max_retry_after_ms) } else { 0 },
+            max_cool_down: match time("limits.maxRetryAfterMs", limits.max_retry_after_ms)? {
+                longest if limits.retry_after => longest,
+                _ => 0,
+            },
             listed_roles,
             members_check: family.behind != "off",
             remember_sessions: family.tokens == "router",
             list_on_request: message.registry_mode == "subscribe",
             only_draining_binds: rules.only_draining_binds,
-            cold_from: rules.cold_from,
-            warm_within: micros(rules.warm_within_ms),
-            overload_factor: rules.overload_factor,
-            overload_window: micros(rules.fall_ms),
-            crossing_price: message.deductions.cross_zone,
+            cold_from: figure("rules.coldFrom", rules.cold_from)?,
+            warm_within: time("rules.warmWithinMs", rules.warm_within_ms)?,
+            overload_factor: figure("rules.overloadFactor", rules.overload_factor)?,
+            overload_window: time("rules.fallMs", rules.fall_ms)?,
+            crossing_price: figure("deductions.crossZone", message.deductions.cross_zone)?,
         };
         let names = message.categories.into_iter().map(|category| category.name);
         Ok(Decoded {
             terms,
-            idle: micros(limits.conn_idle_ms),
-            connect_timeout: micros(limits.connect_timeout_ms),
+            idle: time("limits.connIdleMs", limits.conn_idle_ms)?,
+            connect_timeout: time("limits.connectTimeoutMs", limits.connect_timeout_ms)?,
             max_open: limits.max_open,
             offerings: names.enumerate().map(|(index, name)| (name, index)).collect(),
-            sizes_listed: matches!(message.weights.as_str(), "nominal" | "rough"),
+            sizes_listed: matches!(weights, "nominal" | "rough"),
+            tenants: message.tenants.into_iter().map(|tenant| tenant.name).collect(),
             zero: micros(message.family_info.position_zero_ms),
             zones: message.azs,
         })
@@ -202,6 +242,19 @@
         self.offerings.get(name).copied().map_or_else(|| bad("service", name), Ok)
     }
 
+    /// Whether a task's account is one that the settings name.
+    pub fn account(&self, name: &str) -> Result<(), Trouble> {
+        if self.tenants.is_empty() && name == "0" || self.tenants.iter().any(|tenant| tenant == name) {
+            return Ok(());
+        }
+        bad("account", name)
+    }
+
+    /// The zones' names, in the order of the terms.
+    pub fn zones(&self) -> &[String] {
+        &self.zones
+    }
+
     /// The offerings' names, in the order of the terms.
     pub fn names(&self) -> Vec<String> {
         let mut names = vec![String::new(); self.terms.offerings.len()];
