--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -109,7 +109,6 @@
     listed: Option<MemberId>,
     walk_after: Micros,
     owed: f64, // launches due to the primary by its size and window, beyond those it had
-    short: Option<(Micros, Micros)>, // when reads last lacked fresh replicas, and how new they wanted them
     held: Vec<Handle>,
 }
 
@@ -356,28 +355,6 @@
         (if held { hopeless.min(errand.arrived + errand.task.ttl / 2) } else { hopeless }, useful)
     }
 
-    /// Protects against reports too late to prove anything fresh: a replica's 'miss' tells its position as of
-    /// now. While reads lack fresh replicas, a write calls at one first. Should also cover unanswered probes.
-    /// Harms a write whose replica dies with it: the member must be heard of late and have none out.
-    fn detour(&self, now: Micros, errand: &Errand) -> Option<MemberId> {
-        let group = &self.groups[errand.group];
-        let (at, floor) = group.short?;
-        if self.sparse() || now - at > PROBE_NEEDED || errand.launches >= self.terms.max_launches / 4 {
-            return None;
-        }
-        let calls = |id: MemberId| {
-            let member = &self.members[id];
-            let idle = member.out.is_empty()
-                && now - member.heard < 2 * PROBE_EVERY
-                && now - member.answered >= self.catches_up_in(id, floor);
-            idle && member.position < floor && self.usable(now, id) && now >= self.members[id].barred_until
-        };
-        let replicas = group.members.iter().copied().filter(|&id| Some(id) != group.primary && calls(id));
-        let since = |id: MemberId| self.members[id].sent.back().map_or(Micros::MAX, |&at| now - at);
-        let open = replicas.filter(|&id| self.room(now, id) > 0.0);
-        open.max_by_key(|&id| (self.members[id].zone == self.terms.zone, since(id)))
-    }
-
     /// Protects the price of probes and the time of writes: a member far behind is not asked again before it
     /// can have caught up, at twice the pace of time. Harms one that catches up faster, for a second at most.
     fn catches_up_in(&self, id: MemberId, floor: Micros) -> Micros {
@@ -391,7 +368,7 @@
         let group = &self.groups[errand.group];
         if let Some(id) = group.primary {
             let takes = self.usable(now, id) && self.room(now, id) > 0.0;
-            return self.detour(now, errand).or(takes.then_some(id));
+            return takes.then_some(id);
         }
         if errand.misses == 0 && now < group.walk_after {
             return None;
@@ -455,7 +432,6 @@
             return target.or(resort);
         }
         // One stale replica at a time is asked; a read waits for its word before it burdens the primary.
-        self.groups[group].short = Some((now, floor));
         let awaited = |member: &Member| member.probe_out && now - member.probed < BEAT;
         if !stale.iter().any(|&id| awaited(&self.members[id])) {
             let due = |&id: &MemberId| now - self.members[id].probed >= self.catches_up_in(id, floor);
