--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -113,9 +113,9 @@
 }
 
 impl Member {
-    /// Protects a process that died and came back from the crowd that waits for it. Should also cover starts
-    /// that no list tells. Harms a member that only refused: it gets a cold part until it must be warm, unless it is
-    /// heard sooner than any process comes back.
+    /// Protects a process that died and came back from the crowd that waits for it. Should also cover
+    /// starts that no list tells. Harms a member that only refused: it gets a cold part until it must be
+    /// warm, unless it is heard sooner than any process comes back.
     fn hear(&mut self, now: Micros, credit: f64) {
         (self.heard, self.lost_until) = (now, now);
         if self.fell.take().is_some_and(|at| now - at > 4 * HOLD) {
@@ -191,8 +191,9 @@
         *votes = if common { (*votes + 1).min(64) } else { *votes - 1 };
         (*usual, *votes) = if *votes < 0 { (task.ttl, 1) } else { (*usual, *votes) };
         let repeat = task.repeat || !self.terms.repeats_marked && !common;
-        // What is missing to the time limit of a repeat has gone by already. Where repeats are not marked, a wait
-        // cut short tells them once the usual one is sure. Harms clients in a hurry: they are taken for late.
+        // What is missing to the time limit of a repeat has gone by already. Where repeats are not
+        // marked, a wait cut short tells them once the usual one is sure. Harms clients in a hurry: they
+        // are taken for late.
         let cut = task.repeat || !self.terms.repeats_marked && !common && *votes >= 2 && task.ttl < *usual;
         let quoted_by = now + quoted - if cut { (limit - task.ttl).max(0) } else { 0 };
         let errand = Errand { task, group, arrived: now, quoted_by, repeat, ..Errand::default() };
@@ -239,7 +240,8 @@
     pub fn probed(&mut self, now: Micros, id: MemberId, verdict: Verdict, took: Micros, told: Told) -> Todo {
         let credit = self.first_credit();
         let Some(member) = self.members.get_mut(id) else { return self.take_todo() };
-        // The way to its zone: an answer halves the difference, silence tells less, as one member alone may be dead.
+        // The way to its zone: an answer halves the difference, silence tells less, as one member alone
+        // may be dead.
         let (way, at) = self.ways.entry(member.zone).or_insert((0, now));
         match verdict {
             Verdict::Honoured => (*way, *at) = ((*way + took) / 2, now),
@@ -444,8 +446,9 @@
         if waits { None } else { target.or(resort) }
     }
 
-    /// Protects the freshness of replicas from reads that hold up their log for longer than bounded reads bear: these
-    /// share one replica. Harms them where that one is slow, and where other long reads hold up nothing.
+    /// Protects the freshness of replicas from reads that hold up their log for longer than bounded reads
+    /// bear: these share one replica. Harms them where that one is slow, and where other long reads hold
+    /// up nothing.
     fn long(&self, offering: usize) -> bool {
         let usual = |offering: usize| self.took[offering].quantile(0.5).unwrap_or(0);
         let bound =
@@ -455,8 +458,8 @@
         bound.is_some_and(|bound| usual(offering) > bound.max(3 * least))
     }
 
-    /// Protects reads from a way that has grown so long that answers come too late, as its probes tell. Tried again
-    /// after a while. Harms members beyond it that are probed just when a neighbour dies.
+    /// Protects reads from a way that has grown so long that answers come too late, as its probes tell.
+    /// Tried again after a while. Harms members beyond it that are probed just when a neighbour dies.
     fn remote(&self, now: Micros, id: MemberId, offering: usize) -> bool {
         let zone = self.members[id].zone;
         let (way, at) = self.ways.get(&zone).copied().unwrap_or_default();
@@ -599,9 +602,9 @@
         self.pump(now, group);
     }
 
-    /// Protects members that take few connections from those that drivers keep idle: a driver among many that was
-    /// refused closes its own, for a while after each use. A probe tells whether the process is dead. Harms launches
-    /// by a handshake each.
+    /// Protects members that take few connections from those that drivers keep idle: a driver among many
+    /// that was refused closes its own, for a while after each use. A probe tells whether the process is
+    /// dead. Harms launches by a handshake each.
     fn refused(&mut self, now: Micros, id: MemberId) {
         if now >= self.tight_until {
             let idle = (0..self.members.len()).filter(|&id| self.members[id].out.is_empty());
