Drivers among many launch nothing that would pay only a small late share

Cause: its late share of 0.2 kept launches of it useful to the end of the wait, and where no time-out stops work each takes a member's time from tasks that would be in time. Ruled out: lag as load, standstills (before). Line at fault: useful_until.

--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -346,13 +346,15 @@
 
     /// Until when a launch of the task would most likely pay, and until when an answer pays at all. Protects
     /// a client from a long wait for nothing: what was never launched and pays little when late is not held
-    /// beyond half of its time. Should also cover groups without members. Harms what finds room just after.
+    /// beyond half of its time, and a driver among many, who cannot see the crowd, launches nothing that would
+    /// pay only that little. Should also cover groups without members. Harms what finds room just after.
     fn useful_until(&self, now: Micros, errand: &Errand) -> (Micros, Micros) {
         let end = errand.arrived + errand.task.ttl;
         let late_share = self.terms.offerings[errand.task.offering].late_share;
         let useful = if late_share > 0.0 { end } else { end.min(errand.quoted_by) };
         let share = if now == errand.arrived { 0.5 } else { 0.85 };
-        let hopeless = useful - self.took[errand.task.offering].quantile(share).unwrap_or(0) - BEAT;
+        let pays = if self.sparse() && late_share < 0.5 { useful.min(errand.quoted_by) } else { useful };
+        let hopeless = pays - self.took[errand.task.offering].quantile(share).unwrap_or(0) - BEAT;
         let held = errand.launches == 0 && late_share < 0.5;
         (if held { hopeless.min(errand.arrived + errand.task.ttl / 2) } else { hopeless }, useful)
     }
--- a/crates/routing/tests/router/cases.rs
+++ b/crates/routing/tests/router/cases.rs
@@ -543,3 +543,12 @@
     world.end(write, Verdict::Honoured);
     assert_eq!(world.shut[4..], [0], "closed after use while connections are short");
 }
+
+#[test]
+fn a_driver_among_many_launches_nothing_that_pays_only_a_small_late_share() {
+    let mut world = heard(many());
+    // Of two seconds in all 0.6 s have gone by: the quoted half a second as well.
+    let (read, write) = (world.take_try(LOOSE, 1_400 * MS, true), world.take_try(WRITE, 1_400 * MS, true));
+    assert_eq!(world.denied, [read]);
+    assert_eq!(target(&world, write), Some(0), "half of its payoff is left");
+}
