--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -347,7 +347,7 @@
     /// Until when a launch of the task would most likely pay, and until when an answer pays at all. Protects
     /// a client from a long wait for nothing: what was never launched and pays little when late is not held
     /// beyond half of its time, and a driver among many, who cannot see the crowd, launches nothing that
-    /// would pay only that little. Should also cover groups without members. Harms what finds room just after.
+    /// would pay only that little. Should also cover groups without members. Harms what finds room later.
     fn useful_until(&self, now: Micros, errand: &Errand) -> (Micros, Micros) {
         let end = errand.arrived + errand.task.ttl;
         let late_share = self.terms.offerings[errand.task.offering].late_share;
