Read again: patience in one place, the trial asks in one place, zones filtered once

Cause: a free function stood beside the method for patience; the desk and a test each wrote again how a copy is asked and compared; a read computed the way of each member twice. Three cases of slow_peers failed once while the fleet test ran beside them and used all cores; they pass without it.

--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -151,13 +151,9 @@
     /// Asks the router, and, for a sample, a copy of it under the settings on trial, whose answer is only counted.
     pub(crate) fn ask<T>(&mut self, decide: impl Fn(&mut Router) -> (T, Todo)) -> (T, Todo) {
         let Some(trial) = &mut self.trial else { return decide(&mut self.router) };
-        let copy = trial.before(&self.router);
-        let (made, todo) = decide(&mut self.router);
-        if let Some(mut copy) = copy {
-            trial.after(&todo, &decide(&mut copy).1);
-        }
+        let asked = trial.ask(&mut self.router, decide);
         trial.tell(&self.context.log, false);
-        (made, todo)
+        asked
     }
 
     fn call(&mut self, call: Call) {
--- a/crates/driver/src/trial.rs
+++ b/crates/driver/src/trial.rs
@@ -91,8 +91,18 @@
         })
     }
 
-    /// Before a decision: a copy that is to make it under the other settings, if this one is in the sample.
-    pub fn before(&mut self, router: &Router) -> Option<Router> {
+    /// Lets the router decide, and for the sample a copy of it under the other settings, whose answer is counted.
+    pub fn ask<T>(&mut self, router: &mut Router, decide: impl Fn(&mut Router) -> (T, Todo)) -> (T, Todo) {
+        let copy = self.sampled(router);
+        let (made, todo) = decide(router);
+        if let Some(mut copy) = copy {
+            self.compare(&todo, &decide(&mut copy).1);
+        }
+        (made, todo)
+    }
+
+    /// A copy that is to decide under the other settings, if this decision is in the sample.
+    fn sampled(&mut self, router: &Router) -> Option<Router> {
         self.left -= 1;
         if self.left > 0 {
             return None;
@@ -102,7 +112,7 @@
     }
 
     /// Counts where the copy would have done otherwise.
-    pub fn after(&mut self, done: &Todo, other: &Todo) {
+    fn compare(&mut self, done: &Todo, other: &Todo) {
         self.compared += 1;
         let (was, would) = (fates(done), fates(other));
         let handles = was.keys().chain(would.keys().filter(|handle| !was.contains_key(handle)));
@@ -187,11 +197,10 @@
         let mut router = Router::start(decoded(TERMS).terms, 7, 0);
         let mut done = Vec::new();
         let mut ask = |router: &mut Router, decide: &dyn Fn(&mut Router) -> Todo| {
-            let copy = trial.as_mut().and_then(|trial| trial.before(router));
-            let todo = decide(router);
-            if let (Some(mut copy), Some(trial)) = (copy, &mut trial) {
-                trial.after(&todo, &decide(&mut copy));
-            }
+            let todo = match &mut trial {
+                Some(trial) => trial.ask(router, |router| ((), decide(router))).1,
+                None => decide(router),
+            };
             done.push(format!("{todo:?}"));
             todo
         };
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -412,8 +412,10 @@
         let idle = seen.filter(|_| sparse && self.groups[group].owed > 0.0);
         let drawable = replicas.iter().copied().chain(idle).map(|id| (id, self.room(now, id)));
         let mut rooms: Vec<(MemberId, f64)> = drawable.filter(|&(_, room)| room > 0.0).collect();
-        if rooms.iter().any(|&(id, _)| !self.remote(now, id, offering)) {
-            rooms.retain(|&(id, _)| !self.remote(now, id, offering));
+        let at_hand = rooms.iter().copied().filter(|&(id, _)| !self.remote(now, id, offering));
+        let at_hand: Vec<(MemberId, f64)> = at_hand.collect();
+        if !at_hand.is_empty() {
+            rooms = at_hand;
         }
         if need == Need::Loose && self.long(offering) {
             // All drivers alike: the last replica by sorted id that has room.
@@ -504,16 +506,14 @@
     }
 
     fn launch_ended(&mut self, now: Micros, handle: Handle, outcome: Outcome) {
-        let out = self.errands.get(&handle).and_then(|errand| errand.out);
+        let errand = self.errands.get(&handle);
+        let out = errand.and_then(|errand| errand.out.map(|(id, _)| (id, errand.task.offering)));
         let mute = out.is_some_and(|(id, _)| self.mute(now, id));
+        let patience = out.map_or(0, |(_, offering)| self.patience(offering));
         let (sparse, drivers) = (self.sparse(), self.terms.drivers as f64);
         let credit = self.first_credit();
         let Some(errand) = self.errands.get_mut(&handle) else { return };
         let Some((id, sent)) = errand.out.take() else { return };
-        let patience = patience_after(
-            &self.took[errand.task.offering],
-            self.terms.offerings[errand.task.offering].quoted,
-        );
         let Outcome { verdict, told, .. } = outcome;
         let (group, offering) = (errand.group, errand.task.offering);
         let member = &mut self.members[id];
@@ -760,7 +760,8 @@
 
     /// Beyond what nearly all launches of an offering take.
     fn patience(&self, offering: usize) -> Micros {
-        patience_after(&self.took[offering], self.terms.offerings[offering].quoted)
+        let quoted = self.terms.offerings[offering].quoted;
+        self.took[offering].quantile(0.9).unwrap_or(200 * MS).min(quoted).max(100 * MS) * 2
     }
 
     /// How many more launches this driver may have out at the member: its window, and for a cold one its
@@ -872,7 +873,3 @@
         self.pump_all(now);
     }
 }
-
-fn patience_after(took: &Histogram, quoted: Micros) -> Micros {
-    took.quantile(0.9).unwrap_or(200 * MS).min(quoted).max(100 * MS) * 2
-}
