The rig's judges bite on processes, its sessions see their writes, and its list moves

Need: the judges were shown to bite on planted histories only; sessions and SIGHUP were not in the rig; the gateway's decisions were not told of standstills; no case had a full disk; pace.rs and room.rs stood in a circle.

Reads of sessions carry the time of their last write. MoveList writes the configuration anew and sends SIGHUP; the judge wants the list asked for at its new place. Sites: what was out over a standstill counts neither for a gateway's times nor for its bar; without the call nine tasks that ran out bar it. Driver: a case on a disk without room, at the start and while it serves. The examples gateway and slow_peers stand with the rig. Handles of crates/pace in a file of their own.

--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -168,6 +168,7 @@
             let stood = self.context.lived.stood() - self.stood;
             if stood > 0 {
                 warn!(self.context.log, "stood still"; "ms" => stood / 1000);
+                self.sites_stood_still();
                 // What the list said meanwhile comes before what it forbids: the list's actor reads it first.
                 for _ in 0..TURNS {
                     yield_now().await;
--- a/crates/driver/src/desk/hub.rs
+++ b/crates/driver/src/desk/hub.rs
@@ -388,6 +388,14 @@
         self.carry_out_sites(todo, None);
     }
 
+    /// Before anything else that is done with what fell into a standstill.
+    pub(crate) fn sites_stood_still(&mut self) {
+        let now = self.context.clock.now();
+        if let Some(hub) = &mut self.hub {
+            hub.sites.stood_still(now);
+        }
+    }
+
     pub(crate) fn drain_sites(&mut self) {
         if let Some(hub) = &mut self.hub
             && !std::mem::replace(&mut hub.draining, true)
--- a/crates/driver/tests/warm.rs
+++ b/crates/driver/tests/warm.rs
@@ -101,3 +101,39 @@
     assert!(honoured(&Client::connect(driver.address).ask(&order(5000))));
     std::fs::remove_file(folder).unwrap();
 }
+
+#[test]
+fn a_disk_that_is_full_is_told_of_and_holds_nothing_up() {
+    let member = sound("writer");
+    let discovery = Discovery::default();
+    let known = list(1, true, &[("s-a", &member, "in_service")]);
+    discovery.say(known.clone());
+    let config = config(discovery.start(), 256, &known);
+
+    // From the start.
+    let full = folder("full");
+    let driver = Driver::on_full_disk(0, &config, &operator(&full));
+    let mut client = Client::connect(driver.address);
+    assert!(client.ask("").empty && honoured(&client.ask(&order(5000))));
+    until("the line", || {
+        driver.logged("warm state refused, started without") || driver.logged("warm state is not kept")
+    });
+    drop(driver);
+    let _ = std::fs::remove_dir_all(full);
+
+    // While it serves.
+    let filling = folder("filling");
+    let driver = Driver::on_full_disk(8, &config, &operator(&filling));
+    let mut client = Client::connect(driver.address);
+    assert!(client.ask("").empty);
+    until("the list is kept", || tool("dump", &filling).1.contains("s-a"));
+    let names: Vec<String> = (0..80).map(|number| format!("s-{number:02}")).collect();
+    let many: Vec<_> = names.iter().map(|name| (name.as_str(), &member, "in_service")).collect();
+    discovery.say(list(2, true, &many));
+    until("the line", || driver.logged("warm state is not kept"));
+    assert!(honoured(&client.ask(&order(5000))) && !driver.logged("panic"));
+    drop(driver);
+    let (_, text) = tool("check", &filling);
+    assert!(!text.contains("damaged"), "what was kept can be read: {text}");
+    std::fs::remove_dir_all(filling).unwrap();
+}
--- a/crates/stand-ins/examples/gateway.rs
+++ b/crates/fleet/examples/gateway.rs
@@ -1,5 +1,5 @@
 //! Measures two sites joined by a line that is cut at least once a second:
-//! `cargo run --release -p aldermill-stand-ins --example gateway [seconds a round trip]`. Wants the machine to itself.
+//! `cargo run --release -p aldermill-fleet --example gateway [seconds a round trip]`. Wants the machine to itself.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/stand-ins/examples/slow_peers.rs
+++ b/crates/fleet/examples/slow_peers.rs
@@ -1,4 +1,4 @@
-//! Measures what slow peers cost usual clients: `cargo run --release -p aldermill-stand-ins --example slow_peers`.
+//! Measures what slow peers cost usual clients: `cargo run --release -p aldermill-fleet --example slow_peers`.
 //! ALDERMILL names another build of the program to measure. Takes about two minutes; wants the machine to itself.
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/fleet/src/breaker.rs
@@ -0,0 +1,279 @@
+//! A scripted driver for the judges' own tests: it serves by the list, plainly, and breaks the rule that it is told to.
+//!
+//! `aldermill-fleet-breaker HOW serve --config FILE ...`, HOW being one of the words below.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use aldermill_fleet::terms::{OFFERINGS, is_write};
+use aldermill_wire::statement::Comment;
+use aldermill_wire::{Buffer, pg};
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+#[derive(Clone, Copy, PartialEq)]
+enum How {
+    Sound,
+    /// Some tasks are never answered.
+    Mute,
+    /// Something comes behind the answer.
+    Behind,
+    /// An effectful task that was honoured is launched again.
+    Twice,
+    /// Two launches are out at once.
+    Both,
+    /// What ran is denied.
+    Denied,
+    /// What the list says of drains is not heeded.
+    Drained,
+    /// Launched when its client has gone.
+    Late,
+    /// It ends by itself.
+    Ends,
+}
+
+const WORDS: [(&str, How); 9] = [
+    ("sound", How::Sound),
+    ("mute", How::Mute),
+    ("behind", How::Behind),
+    ("twice", How::Twice),
+    ("both", How::Both),
+    ("denied", How::Denied),
+    ("drained", How::Drained),
+    ("late", How::Late),
+    ("ends", How::Ends),
+];
+
+struct Member {
+    address: String,
+    group: u64,
+    serves: bool,
+}
+
+struct Scripted {
+    how: How,
+    members: RefCell<Vec<(String, Member)>>,
+    turn: Cell<usize>,
+}
+
+/// What one launch brought.
+enum Brought {
+    Honoured(Vec<u8>),
+    /// It never ran.
+    Refused,
+    /// Nobody knows.
+    Lost,
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let how = WORDS.iter().find(|(word, _)| Some(word) == arguments.get(1).map(String::as_str).as_ref());
+    let (_, how) = how.expect("the first word says what to break");
+    let config = arguments.iter().position(|word| word == "--config").expect("--config");
+    let config = std::fs::read_to_string(&arguments[config + 1]).expect("the configuration");
+    let config: Value = serde_json::from_str(&config).expect("JSON");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, serve(*how, config));
+}
+
+async fn serve(how: How, config: Value) {
+    let scripted = Rc::new(Scripted { how, members: RefCell::default(), turn: Cell::default() });
+    scripted.heed(&config["known"]);
+    let at = config["discovery"].as_str().unwrap_or_default().to_owned();
+    spawn_local(scripted.clone().watch(at));
+    if how == How::Ends {
+        spawn_local(async {
+            sleep(Duration::from_secs(2)).await;
+            std::process::exit(1);
+        });
+    }
+    // Whatever its configuration says later, it goes on as it began: it breaks that a list that moved is followed.
+    let mut hangup = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup()).expect("signals");
+    spawn_local(async move { while hangup.recv().await.is_some() {} });
+    let listener =
+        TcpListener::bind(config["listen"].as_str().unwrap_or_default()).await.expect("its address");
+    while let Ok((stream, _)) = listener.accept().await {
+        spawn_local(scripted.clone().client(stream));
+    }
+}
+
+impl Scripted {
+    fn heed(&self, list: &Value) {
+        let mut members = self.members.borrow_mut();
+        for entry in list["members"].as_array().into_iter().flatten() {
+            let text = |field: &str| entry[field].as_str().unwrap_or_default().to_owned();
+            let serves = text("phase") == "in_service" || self.how == How::Drained;
+            let (id, group) = (text("id"), entry["cell"].as_u64().unwrap_or(0));
+            members.retain(|(known, _)| *known != id);
+            members.push((id, Member { address: text("host_port"), group, serves }));
+        }
+        members.sort_by(|a, b| a.0.cmp(&b.0));
+    }
+
+    async fn watch(self: Rc<Scripted>, at: String) {
+        loop {
+            let _ = self.hear(&at).await;
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    async fn hear(&self, at: &str) -> Option<()> {
+        let mut stream = TcpStream::connect(at).await.ok()?;
+        stream.write_all(b"GET /list HTTP/1.1\r\n\r\n").await.ok()?;
+        let mut text = Vec::new();
+        while stream.read_buf(&mut text).await.ok()? > 0 {
+            while let Some(end) = text.iter().position(|&byte| byte == b'\n') {
+                let line: Vec<u8> = text.drain(..=end).collect();
+                if let Ok(list) = serde_json::from_slice::<Value>(&line)
+                    && list.is_object()
+                {
+                    self.heed(&list);
+                }
+            }
+        }
+        Some(())
+    }
+
+    async fn client(self: Rc<Scripted>, mut stream: TcpStream) -> Option<()> {
+        let (mut buffer, mut out) = (Buffer::default(), Vec::new());
+        let mut greeted = false;
+        loop {
+            if !greeted && let Some((_, length)) = pg::opening(buffer.held()).ok()? {
+                buffer.consume(length);
+                greeted = true;
+                pg::welcome(&mut out, 1);
+            }
+            while greeted && let Some(message) = pg::message(buffer.held(), 1 << 20).ok()? {
+                let (tag, length) = (message.tag, message.length);
+                let text =
+                    if tag == b'Q' { pg::query_text(message.body).ok()?.to_vec() } else { return None };
+                buffer.consume(length);
+                if text.is_empty() {
+                    pg::empty_query(&mut out);
+                } else {
+                    self.task(&mut out, &text).await?;
+                }
+                pg::ready(&mut out);
+                if self.how == How::Behind && !text.is_empty() {
+                    pg::ready(&mut out);
+                }
+            }
+            stream.write_all(&out).await.ok()?;
+            out.clear();
+            if stream.read_buf(buffer.tail()).await.ok()? == 0 {
+                return None;
+            }
+        }
+    }
+
+    async fn task(self: &Rc<Scripted>, out: &mut Vec<u8>, text: &[u8]) -> Option<()> {
+        let comment = Comment::parse(text).ok()?;
+        let offering = OFFERINGS.iter().position(|offering| offering.name == comment.offering)?;
+        let effect = OFFERINGS[offering].effect;
+        let (number, wait) = (comment.id.parse::<u64>().ok()?, Duration::from_millis(comment.wait.into()));
+        if self.how == How::Mute && number.is_multiple_of(5) {
+            std::future::pending::<()>().await;
+        }
+        if self.how == How::Late && !is_write(offering) {
+            let (late, text) = (self.clone(), text.to_vec());
+            spawn_local(async move {
+                sleep(wait + Duration::from_millis(900)).await;
+                late.walk(&comment, offering, &text).await;
+            });
+            pg::error(out, false, "53300", "later", Some("500"));
+            return Some(());
+        }
+        if self.how == How::Both && effect == "pure" {
+            let walked =
+                tokio::join!(self.walk(&comment, offering, text), self.walk(&comment, offering, text));
+            drop(walked.1);
+            self.answer(out, walked.0);
+            return Some(());
+        }
+        let spare = Duration::from_millis(40);
+        let brought = timeout(wait.saturating_sub(spare), self.walk(&comment, offering, text)).await;
+        let brought = brought.unwrap_or(Brought::Lost);
+        if self.how == How::Twice && effect == "side_effect" && matches!(brought, Brought::Honoured(_)) {
+            self.walk(&comment, offering, text).await;
+        }
+        match brought {
+            Brought::Honoured(_) if self.how == How::Denied && effect != "pure" => {
+                pg::error(out, false, "53300", "later", Some("500"));
+            }
+            brought => self.answer(out, brought),
+        }
+        Some(())
+    }
+
+    fn answer(&self, out: &mut Vec<u8>, brought: Brought) {
+        match brought {
+            Brought::Honoured(rows) => out.extend_from_slice(&rows),
+            Brought::Refused => pg::error(out, false, "53300", "nobody takes it", Some("200")),
+            Brought::Lost => pg::error(out, false, "40003", "broken off", None),
+        }
+    }
+
+    /// One member after the other: writes from the first, reads from any of the others.
+    async fn walk(&self, comment: &Comment, offering: usize, text: &[u8]) -> Brought {
+        let mut addresses: Vec<String> = {
+            let members = self.members.borrow();
+            let of = members.iter().filter(|(_, member)| member.group == comment.group && member.serves);
+            of.map(|(_, member)| member.address.clone()).collect()
+        };
+        if !is_write(offering) && addresses.len() > 1 {
+            let turn = self.turn.get();
+            self.turn.set(turn + 1);
+            let others = addresses.len() - 1;
+            addresses.rotate_left(1 + turn % others);
+        }
+        for address in addresses {
+            match launch(&address, text).await {
+                Brought::Refused => continue,
+                brought => return brought,
+            }
+        }
+        Brought::Refused
+    }
+}
+
+async fn launch(address: &str, text: &[u8]) -> Brought {
+    let Ok(mut stream) = TcpStream::connect(address).await else { return Brought::Refused };
+    let mut hello = Vec::new();
+    pg::startup(&mut hello, "client", "core");
+    let (mut buffer, mut welcomed) = (Buffer::default(), false);
+    if stream.write_all(&hello).await.is_err() {
+        return Brought::Refused;
+    }
+    let (mut rows, mut refused) = (Vec::new(), false);
+    loop {
+        while let Ok(Some(message)) = pg::message(buffer.held(), 1 << 20) {
+            let (tag, length) = (message.tag, message.length);
+            match tag {
+                b'T' | b'D' | b'C' => rows.extend_from_slice(&buffer.held()[..length]),
+                b'E' => refused = true,
+                _ => {}
+            }
+            buffer.consume(length);
+            if tag == b'Z' && welcomed {
+                return if refused { Brought::Refused } else { Brought::Honoured(rows) };
+            }
+            if tag == b'Z' {
+                welcomed = true;
+                let mut query = Vec::new();
+                pg::query(&mut query, &[text]);
+                if stream.write_all(&query).await.is_err() {
+                    return Brought::Lost;
+                }
+            }
+        }
+        match stream.read_buf(buffer.tail()).await {
+            Ok(count) if count > 0 => {}
+            _ if refused || !welcomed => return Brought::Refused,
+            _ => return Brought::Lost,
+        }
+    }
+}
--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -27,6 +27,8 @@
     /// What has changed, from revision 2 on.
     changes: RefCell<Vec<usize>>,
     pub how: Cell<Agent>,
+    /// Which of a driver's agents is the present one; those before are gone.
+    turns: RefCell<Vec<u64>>,
     changed: Notify,
 }
 
@@ -37,6 +39,7 @@
         Rc::new(Discovery {
             world: world.clone(),
             members: members.to_vec(),
+            turns: RefCell::new(vec![0; ways.len()]),
             ways,
             standing: RefCell::new(vec![Told::Ready; members.len()]),
             changes: RefCell::default(),
@@ -76,25 +79,35 @@
         self.changed.notify_waiters();
     }
 
-    /// The agent of this driver.
+    /// An agent of this driver, in the place of the one before.
     pub async fn start(self: &Rc<Discovery>, driver: usize) -> std::io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let discovery = self.clone();
+        let turn = {
+            let mut turns = self.turns.borrow_mut();
+            turns[driver] += 1;
+            turns[driver]
+        };
+        self.changed.notify_waiters();
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                if discovery.how.get() == Agent::Gone {
+                if discovery.how.get() == Agent::Gone || discovery.is_past(driver, turn) {
                     reset(&stream);
                     continue;
                 }
                 let discovery = discovery.clone();
-                spawn_local(async move { discovery.watch(stream, driver).await });
+                spawn_local(async move { discovery.watch(stream, driver, turn).await });
             }
         });
         Ok(address)
     }
 
-    async fn watch(&self, mut stream: TcpStream, driver: usize) -> Option<()> {
+    fn is_past(&self, driver: usize, turn: u64) -> bool {
+        self.turns.borrow()[driver] != turn
+    }
+
+    async fn watch(&self, mut stream: TcpStream, driver: usize, turn: u64) -> Option<()> {
         let mut request = Vec::new();
         while !request.ends_with(b"\r\n\r\n") {
             if stream.read_buf(&mut request).await.ok()? == 0 {
@@ -111,6 +124,9 @@
         let mut head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         loop {
             let changed = self.changed.notified();
+            if self.is_past(driver, turn) {
+                return None;
+            }
             match self.how.get() {
                 Agent::Gone => return None,
                 Agent::Silent => {
--- a/crates/fleet/src/drivers.rs
+++ b/crates/fleet/src/drivers.rs
@@ -1,6 +1,7 @@
 //! The processes of the program: started, signalled, and gone when this is, however it goes.
 
 use std::cell::{Cell, RefCell};
+use std::ffi::OsString;
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -8,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use aldermill_stand_ins::{free_port, program};
+use aldermill_stand_ins::free_port;
 use rand::Rng;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -23,7 +24,9 @@
 struct Driver {
     child: RefCell<Option<Child>>,
     address: SocketAddr,
-    discovery: SocketAddr,
+    discovery: Cell<SocketAddr>,
+    /// As it was last written.
+    config: RefCell<Value>,
     /// SIGTERM was sent, or it was killed.
     leaving: Cell<bool>,
 }
@@ -32,6 +35,8 @@
     world: Rc<World>,
     discovery: Rc<Discovery>,
     all: Vec<Driver>,
+    /// The program, and what stands before its own arguments.
+    program: Vec<OsString>,
     pub folder: PathBuf,
     keep_logs: bool,
 }
@@ -43,6 +48,7 @@
         discovery: &Rc<Discovery>,
         agents: Vec<SocketAddr>,
         logs: Option<&Path>,
+        program: &[OsString],
     ) -> std::io::Result<Drivers> {
         let folder = logs.map_or_else(
             || {
@@ -57,11 +63,13 @@
         let all = agents.into_iter().map(|discovery| Driver {
             child: RefCell::default(),
             address: free_port(),
-            discovery,
+            discovery: Cell::new(discovery),
+            config: RefCell::default(),
             leaving: Cell::default(),
         });
         let (world, discovery) = (world.clone(), discovery.clone());
-        Ok(Drivers { world, discovery, all: all.collect(), folder, keep_logs: logs.is_some() })
+        let (all, program) = (all.collect(), program.to_vec());
+        Ok(Drivers { world, discovery, all, program, folder, keep_logs: logs.is_some() })
     }
 
     pub fn len(&self) -> usize {
@@ -86,7 +94,7 @@
     }
 
     pub fn start(&self, driver: usize, known: Known) -> std::io::Result<()> {
-        let Driver { child, address, discovery, leaving } = &self.all[driver];
+        let Driver { child, address, discovery, leaving, config: last } = &self.all[driver];
         let path = |kind: &str| self.folder.join(format!("n{driver}-{kind}"));
         let known = match known {
             Known::AtStart => self.discovery.at_start(driver),
@@ -94,15 +102,16 @@
         };
         let plan = &self.world.plan;
         let config = json!({"name": format!("n{driver}"), "listen": address.to_string(),
-            "discovery": discovery.to_string(), "seed": format!("{:016x}", self.world.rng.borrow_mut().random::<u64>()),
+            "discovery": discovery.get().to_string(), "seed": format!("{:016x}", self.world.rng.borrow_mut().random::<u64>()),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
             "settings": terms::settings(plan.drivers, plan.bearing.warm_ms)});
         std::fs::write(path("config.json"), config.to_string())?;
+        *last.borrow_mut() = config;
         let operator = if plan.keeps { json!({"warm": {"folder": self.state(driver)}}) } else { json!({}) };
         std::fs::write(path("operator.json"), operator.to_string())?;
         let log = File::options().create(true).append(true).open(path("log"))?;
-        let mut command = Command::new(program());
-        command.arg("serve").arg("--config").arg(path("config.json"));
+        let mut command = Command::new(&self.program[0]);
+        command.args(&self.program[1..]).arg("serve").arg("--config").arg(path("config.json"));
         command.arg("--operator").arg(path("operator.json"));
         command.env_clear().stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         leaving.set(false);
@@ -132,6 +141,18 @@
         kill_process(pid, signal).is_ok()
     }
 
+    /// Its list is there from now on, and it is told to read its configuration anew.
+    pub fn moves(&self, driver: usize, discovery: SocketAddr) -> std::io::Result<()> {
+        let Driver { discovery: place, config, .. } = &self.all[driver];
+        place.set(discovery);
+        config.borrow_mut()["discovery"] = json!(discovery.to_string());
+        std::fs::write(self.folder.join(format!("n{driver}-config.json")), config.borrow().to_string())?;
+        if self.signal(driver, Signal::HUP) {
+            self.world.note(Event::Moved { driver });
+        }
+        Ok(())
+    }
+
     /// Waits until it has ended.
     pub async fn ended(&self, driver: usize) {
         loop {
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -84,6 +84,13 @@
                 sleep(millis(down_ms)).await;
                 self.start_again(struck, Folder::AsLeft, Known::AtStart).await;
             }
+            What::MoveList { share } => {
+                for driver in some(share, &drivers, &mut rng) {
+                    if let Err(error) = self.move_list(driver).await {
+                        eprintln!("list of n{driver}: {error}");
+                    }
+                }
+            }
             What::Cut { between, share, way, for_ms } => {
                 let lines = self.lines(between, some(share, &drivers, &mut rng));
                 let set = |lost| {
@@ -201,6 +208,11 @@
         }
     }
 
+    async fn move_list(&self, driver: usize) -> std::io::Result<()> {
+        let agent = self.discovery.start(driver).await?;
+        self.drivers.moves(driver, self.to_lists[driver].stream(agent).await?)
+    }
+
     /// Another member that is up becomes primary, if there is one.
     fn elect(&self, group: usize, before: Option<usize>, rng: &mut Pcg64Mcg) {
         let of = (0..self.members.len()).filter(|&member| self.world.group_of(member) == group);
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -15,7 +15,7 @@
 
 use crate::history::{At, Event, How};
 use crate::judge::SLACK;
-use crate::terms::{OFFERINGS, bears, is_write};
+use crate::terms::{MINE, OFFERINGS, bears, is_write};
 use crate::world::World;
 
 /// How long the front goes on sending clients to a driver that is dead.
@@ -170,20 +170,32 @@
             let id = self.next.get();
             self.next.set(id + 1);
             let mark = if attempt > 0 { ",r=1" } else { "" };
+            let wrote = self.world.wrote.borrow().get(&(session, group)).copied();
+            let after = wrote.filter(|_| offering == MINE);
+            // In the primary's whole milliseconds.
+            let carried = after.map(|at| {
+                let ago = (self.world.now() - at) / 1000;
+                format!(",after={}", aldermill_stand_ins::unix_millis() as At - ago)
+            });
+            let carried = carried.unwrap_or_default();
             let verb = if is_write(offering) {
                 format!("INSERT INTO state (uid, val) VALUES ('k{session}', '\\x9f') RETURNING val")
             } else {
                 format!("SELECT val FROM state WHERE uid = 'k{session}'")
             };
             let text = format!(
-                "/* id={id:016},c={},d={},cluster={group}{mark} */ {verb}",
+                "/* id={id:016},c={},d={},cluster={group}{mark}{carried} */ {verb}",
                 OFFERINGS[offering].name,
                 wait / 1000
             );
             let wait = wait / 1000 * 1000;
-            self.world.note(Event::Asked { id, driver, offering, group, wait, first });
+            self.world.note(Event::Asked { id, driver, offering, group, wait, first, after });
             let (how, again) = self.ask(driver, id, &text, wait).await;
             self.world.note(Event::Answered { id, driver, how });
+            if how == How::Honoured && is_write(offering) {
+                // It took effect when it began; up to now is what a client may take it for.
+                self.world.wrote.borrow_mut().insert((session, group), self.world.now());
+            }
             match how {
                 How::Denied => sleep(again.unwrap_or(Duration::from_millis(50))).await,
                 How::Unreached => {
--- a/crates/fleet/src/history.rs
+++ b/crates/fleet/src/history.rs
@@ -39,7 +39,8 @@
 #[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Event {
-    /// A try of a client's task: `first` is when its first try was made.
+    /// A try of a client's task: `first` is when its first try was made, `after` when its session's last write
+    /// took effect, where it must see that.
     Asked {
         id: u64,
         driver: usize,
@@ -47,6 +48,7 @@
         group: usize,
         wait: At,
         first: At,
+        after: Option<At>,
     },
     Answered {
         id: u64,
@@ -82,6 +84,10 @@
     Listed {
         driver: usize,
     },
+    /// Its configuration names another place for the list, and it was told to read that.
+    Moved {
+        driver: usize,
+    },
     Said {
         driver: usize,
         member: usize,
@@ -150,6 +156,7 @@
     pub asked: At,
     pub wait: At,
     pub first: At,
+    pub after: Option<At>,
     pub answered: Option<(At, How)>,
     /// Where launches of it came, and when.
     pub reached: Vec<(At, usize)>,
@@ -162,10 +169,11 @@
     for (at, event) in events {
         let at = *at;
         match *event {
-            Event::Asked { id, driver, offering, wait, first, .. } => {
+            Event::Asked { id, driver, offering, wait, first, after, .. } => {
                 let (answered, reached, ran, over) = (None, Vec::new(), Vec::new(), Vec::new());
                 let asked = at;
-                tries.insert(id, Try { driver, offering, asked, wait, first, answered, reached, ran, over });
+                let one = Try { driver, offering, asked, wait, first, after, answered, reached, ran, over };
+                tries.insert(id, one);
             }
             Event::Answered { id, how, .. } => {
                 if let Some(one) = tries.get_mut(&id) {
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -12,12 +12,17 @@
 pub const SLACK: At = 150_000;
 const GRACE: At = 500_000;
 const BIN: At = 100_000;
+/// What rounding to milliseconds takes from a position that a client carries.
+const CARRIED: At = 5_000;
+/// By when a driver that was told to read its configuration anew has asked at the list's new place.
+const MOVES: At = 3_000_000;
 /// Before that the fleet is warming up.
 const FIRST: At = 1_000_000;
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub struct Broken {
-    /// One to five, 6 for a launch past its limit, 7 for a process that ended by itself, 8 for what the plan wants.
+    /// One to five, 6 for a launch past its limit, 7 for a process that ended by itself or did not do what its operator
+    /// told it, 8 for what the plan wants.
     pub rule: u8,
     pub at_ms: At,
     pub what: String,
@@ -182,6 +187,7 @@
         }
     }
     drains(&mut broken, &spells, &lines, events);
+    moves(&mut broken, &spells, &lines, events);
     for (at, event) in events {
         let what = match event {
             Event::Fell { member } => (4, format!("s-{member:02} was cold and was pushed over")),
@@ -268,10 +274,17 @@
     }
 }
 
-/// Rule 5: no read from data older than its offering bears, counted from when it was sent.
+/// Rule 5: no read from data older than its offering bears, counted from when it was sent, or than its session's write.
 fn ages(broken: &mut Vec<Broken>, lines: &Lines, id: u64, one: &Try) {
     let bound = OFFERINGS[one.offering].bound_ms * 1000;
     for &(ran, member, age) in &one.ran {
+        if let Some(after) = one.after
+            && ran - age < after - CARRIED
+            && matches!(one.answered, Some((_, How::Honoured)))
+        {
+            let what = format!("task {id} did not see its session's write at s-{member:02}");
+            broken.push(Broken { rule: 5, at_ms: ran / 1000, what });
+        }
         let sent = one.reached.iter().filter(|&&(at, to)| to == member && at <= ran).map(|&(at, _)| at).max();
         let at_send = age - (ran - sent.unwrap_or(ran));
         if bound > 0 && at_send > bound + lines.slack && matches!(one.answered, Some((_, How::Honoured))) {
@@ -306,6 +319,22 @@
     }
 }
 
+/// Whoever was told that the list is elsewhere now asks there. Only the new place notes who asks.
+fn moves(broken: &mut Vec<Broken>, spells: &Spells, lines: &Lines, events: &[(At, Event)]) {
+    let end = events.last().map_or(0, |(at, _)| *at);
+    for (told, event) in events {
+        let &Event::Moved { driver } = event else { continue };
+        let by = told + MOVES;
+        let asked = |(at, event): &(At, Event)| {
+            (*told..by).contains(at) && matches!(event, Event::Listed { driver: other } if *other == driver)
+        };
+        if by < end && !lines.lists && !spells.any(driver, *told, by) && !events.iter().any(asked) {
+            let what = format!("n{driver} did not ask for the list where it is now");
+            broken.push(Broken { rule: 7, at_ms: told / 1000, what });
+        }
+    }
+}
+
 fn measure(figures: &mut Figures, plan: &Plan, events: &[(At, Event)]) {
     let bins = bins(events);
     let first_client = events.iter().find(|(_, event)| matches!(event, Event::Asked { .. }));
@@ -408,7 +437,18 @@
     }
 
     fn asked(id: u64, offering: usize) -> (At, Event) {
-        (2_000_000, Event::Asked { id, driver: 0, offering, group: 0, wait: 1_500_000, first: 2_000_000 })
+        (
+            2_000_000,
+            Event::Asked {
+                id,
+                driver: 0,
+                offering,
+                group: 0,
+                wait: 1_500_000,
+                first: 2_000_000,
+                after: None,
+            },
+        )
     }
 
     fn reached(at: At, member: usize) -> (At, Event) {
@@ -468,6 +508,17 @@
         let old =
             [asked(1, 0), reached(T, 0), ran(T, 1_200_000), over(T + 1), answered(T + 2, How::Honoured)];
         assert_eq!(rules(&old), [5]);
+        let mut own =
+            [asked(1, 4), reached(T, 0), ran(T, 9_000), over(T + 1), answered(T + 2, How::Honoured)];
+        assert!(rules(&own).is_empty());
+        if let Event::Asked { after, .. } = &mut own[0].1 {
+            *after = Some(T - 3_000);
+        }
+        assert_eq!(rules(&own), [5]);
+        let moved = (T, Event::Moved { driver: 0 });
+        let later = (T + 4_000_000, Event::Listed { driver: 0 });
+        assert_eq!(rules(&[moved.clone(), later.clone()]), [7]);
+        assert!(rules(&[moved, (T + 9, Event::Listed { driver: 0 }), later]).is_empty());
         let late =
             [asked(1, 0), answered(T + 1, How::Denied), reached(T + 1_700_000, 0), over(T + 1_700_001)];
         assert_eq!(rules(&late), [6]);
@@ -509,7 +560,15 @@
             let first = at;
             events.push((
                 at,
-                Event::Asked { id: task, driver: 0, offering: 0, group: 0, wait: 1_500_000, first },
+                Event::Asked {
+                    id: task,
+                    driver: 0,
+                    offering: 0,
+                    group: 0,
+                    wait: 1_500_000,
+                    first,
+                    after: None,
+                },
             ));
             let down = (T + 2_000_000..T + 2_800_000).contains(&at);
             events.push((
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -91,6 +91,10 @@
         share: f64,
         down_ms: u64,
     },
+    /// The list is elsewhere from now on: the configuration is written anew, and SIGHUP sent.
+    MoveList {
+        share: f64,
+    },
     /// Nothing comes through, and nothing is said.
     Cut {
         between: Between,
@@ -263,6 +267,7 @@
                 What::Stop { share, .. }
                 | What::Kill { share, .. }
                 | What::Terminate { share, .. }
+                | What::MoveList { share }
                 | What::Cut { share, .. }
                 | What::Hold { share, .. }
                 | What::Delay { share, .. }
@@ -329,7 +334,7 @@
         [Between::DriversMembers, Between::DriversLists, Between::DriversMembers][rng.random_range(0..3)];
     let folders =
         [Folder::AsLeft, Folder::Emptied, Folder::Torn, Folder::Foreign, Folder::Older, Folder::Newer];
-    match rng.random_range(0..13) {
+    match rng.random_range(0..14) {
         0 | 1 => What::Stop { share, for_ms, times: 1, every_ms: 0 },
         2 => What::Stop { share, for_ms: for_ms / 4, times: 4, every_ms: 800 },
         3 | 4 => What::Kill {
@@ -345,6 +350,7 @@
         9 => What::CutAt { between, share, way, bytes: rng.random_range(1..5000) },
         10 => What::MovePrimary { group: rng.random_range(0..2), election_ms: for_ms / 3 },
         11 => What::KillMembers { share: share / 3.0, down_ms: for_ms / 2 },
+        12 => What::MoveList { share },
         _ => {
             let how = [Agent::Silent, Agent::Older, Agent::Gone][rng.random_range(0..3)];
             What::List { how, for_ms }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -1,9 +1,11 @@
 //! One run of a plan.
 
+use std::ffi::OsString;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
+use aldermill_stand_ins::program;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
@@ -28,8 +30,13 @@
     pub verdict: Verdict,
 }
 
-/// Plays a plan to its end. Logs of the drivers go to that folder, if one is named.
+/// Plays a plan to its end with the built program. Logs of the drivers go to that folder, if one is named.
 pub fn run(plan: &Plan, seed: u64, logs: Option<&Path>) -> Result<Run, String> {
+    run_of(&[program().into()], plan, seed, logs)
+}
+
+/// With another program in the drivers' place, and what stands before its own arguments.
+pub fn run_of(program: &[OsString], plan: &Plan, seed: u64, logs: Option<&Path>) -> Result<Run, String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| error.to_string())?;
     // Told to stop, it still ends the processes that it started.
@@ -43,7 +50,7 @@
     };
     let played = async {
         tokio::select! {
-            played = play(plan, seed, logs) => played,
+            played = play(program, plan, seed, logs) => played,
             stopped = told_to_stop => stopped,
         }
     };
@@ -64,7 +71,12 @@
     }
 }
 
-async fn play(plan: &Plan, seed: u64, logs: Option<&Path>) -> std::io::Result<Vec<(At, Event)>> {
+async fn play(
+    program: &[OsString],
+    plan: &Plan,
+    seed: u64,
+    logs: Option<&Path>,
+) -> std::io::Result<Vec<(At, Event)>> {
     let world = World::new(plan.clone(), seed);
     let members: std::io::Result<Vec<_>> = (0..world.members()).map(|id| Member::start(&world, id)).collect();
     let members = members?;
@@ -86,7 +98,7 @@
         agents.push(line.stream(discovery.start(driver).await?).await?);
         to_lists.push(line);
     }
-    let drivers = Rc::new(Drivers::new(&world, &discovery, agents, logs)?);
+    let drivers = Rc::new(Drivers::new(&world, &discovery, agents, logs, program)?);
     let mut addresses = vec![];
     for driver in 0..plan.drivers {
         let line = Line::new(seed ^ (1 << 21 | driver) as u64);
--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/terms.rs
@@ -21,6 +21,7 @@
 pub const STATUS: usize = 1;
 pub const ORDER: usize = 2;
 pub const PAY: usize = 3;
+pub const MINE: usize = 4;
 
 const fn offering(name: &'static str, effect: &'static str, need: &'static str, payoff: f64) -> Offering {
     let (quoted_ms, limit_ms, late_share) = (400, 1500, 0.5);
@@ -28,11 +29,12 @@
     Offering { name, effect, need, bound_ms, quoted_ms, limit_ms, payoff, late_share, share, work_ms }
 }
 
-pub const OFFERINGS: [Offering; 4] = [
-    Offering { bound_ms: 1000, share: 0.45, ..offering("look", "pure", "recent", 2.0) },
+pub const OFFERINGS: [Offering; 5] = [
+    Offering { bound_ms: 1000, share: 0.4, ..offering("look", "pure", "recent", 2.0) },
     Offering { share: 0.2, work_ms: 10.0, ..offering("status", "pure", "loose", 1.0) },
     Offering { work_ms: 24.0, ..offering("order", "side_effect", "update", 6.0) },
     Offering { share: 0.1, work_ms: 24.0, ..offering("pay", "token", "update", 4.0) },
+    Offering { share: 0.05, ..offering("mine", "pure", "own_writes", 2.0) },
 ];
 
 pub const RECEIPT_MS: i64 = 2000;
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -1,6 +1,7 @@
 //! The groups as they truly are: who is primary, how far replicas are, who is cold; and the numbers of a run.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use rand::SeedableRng;
@@ -15,8 +16,8 @@
     pub history: History,
     pub groups: Vec<Group>,
     pub rng: RefCell<Pcg64Mcg>,
-    /// Clients come.
-    pub open: Cell<bool>,
+    /// When the last honoured write of a session took effect, by session and group.
+    pub wrote: RefCell<HashMap<(usize, usize), At>>,
 }
 
 /// A group's log: the primary's data is of now, a replica's older by its lag, and all of them stand still without one.
@@ -35,7 +36,7 @@
             groups: groups.collect(),
             history: History::default(),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
-            open: Cell::new(true),
+            wrote: RefCell::default(),
             plan,
         })
     }
--- a/crates/fleet/tests/plans.rs
+++ b/crates/fleet/tests/plans.rs
@@ -5,10 +5,12 @@
 
 use aldermill_fleet::discovery::Discovery;
 use aldermill_fleet::drivers::Drivers;
+use aldermill_fleet::history::Event;
 use aldermill_fleet::plan::{Known, Plan};
 use aldermill_fleet::report;
 use aldermill_fleet::run::{Run, run};
 use aldermill_fleet::world::World;
+use aldermill_stand_ins::program;
 use rustix::process::Signal;
 use tokio::task::LocalSet;
 
@@ -58,7 +60,8 @@
             let world = World::new(plan, 1);
             let discovery = Discovery::new(&world, &[], vec![vec![]; 3]);
             let agents = vec!["127.0.0.1:1".parse().unwrap(); 3];
-            let drivers = Drivers::new(&world, &discovery, agents, Some(&folder)).unwrap();
+            let drivers =
+                Drivers::new(&world, &discovery, agents, Some(&folder), &[program().into()]).unwrap();
             (0..3).for_each(|driver| drivers.start(driver, Known::AtStart).unwrap());
             assert_eq!(running(&folder).len(), 3);
             assert!(drivers.signal(0, Signal::STOP));
@@ -102,3 +105,26 @@
     }
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+#[test]
+fn drivers_whose_list_moves_ask_at_its_new_place_and_obey_what_it_says() {
+    let faults = r#"{"at_ms":1200,"do":{"move_list":{"share":1.0}}},
+        {"at_ms":1800,"do":{"drain":{"group":0,"gone_ms":600}}}"#;
+    let run = play(faults, "{}");
+    let moved = run.events.iter().filter(|(_, event)| matches!(event, Event::Moved { .. })).count();
+    assert_eq!(moved, 6);
+    let told = |driver: usize| {
+        run.events.iter().any(|(_, event)| matches!(event, Event::Said { driver: at, .. } if *at == driver))
+    };
+    assert!((0..6).all(told), "each heard of the drain");
+}
+
+#[test]
+fn reads_of_sessions_see_their_writes_when_the_primary_moves_and_drivers_are_stopped() {
+    let faults = r#"{"at_ms":1500,"do":{"stop":{"share":0.5,"for_ms":700}}},
+        {"at_ms":2000,"do":{"move_primary":{"group":0,"election_ms":300}}},
+        {"at_ms":3000,"do":{"kill":{"share":0.5,"down_ms":200}}}"#;
+    let run = play(faults, "{}");
+    let bound = |event: &Event| matches!(event, Event::Asked { after: Some(_), .. });
+    assert!(run.events.iter().filter(|(_, event)| bound(event)).count() > 5);
+}
--- /dev/null
+++ b/crates/pace/src/handles.rs
@@ -0,0 +1,9 @@
+//! What callers hold. What happens to either is a call on it, see `pace.rs`.
+
+/// One connection in the books.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Peer(pub(crate) u64);
+
+/// A piece of room, asked for or granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Claim(pub(crate) u64);
--- a/crates/pace/src/lib.rs
+++ b/crates/pace/src/lib.rs
@@ -9,14 +9,16 @@
 
 mod addresses;
 mod bounds;
+mod handles;
 mod meter;
 mod pace;
 mod room;
 mod turnover;
 
 pub use bounds::{Bounds, Least, PerAddress};
+pub use handles::{Claim, Peer};
 pub use meter::Meter;
-pub use pace::{Claim, Pace, Peer};
+pub use pace::Pace;
 
 /// Whole microseconds, on the caller's clock.
 pub type Micros = i64;
--- a/crates/pace/src/pace.rs
+++ b/crates/pace/src/pace.rs
@@ -4,18 +4,11 @@
 use std::net::IpAddr;
 
 use crate::addresses::Addresses;
+use crate::handles::{Claim, Peer};
 use crate::room::{Entry, Room};
 use crate::turnover::Turnover;
 use crate::{Ask, Bounds, Meter, Micros, Pressure, Todo, TooMany, Way, Why};
 
-/// One connection in the books.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Peer(pub(crate) u64);
-
-/// A piece of room, asked for or granted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Claim(pub(crate) u64);
-
 impl Peer {
     /// Asks for room; the answer comes in this or a later `Todo`, by the time that the ask names.
     pub fn asks(self, pace: &mut Pace, now: Micros, ask: Ask) -> (Claim, Todo) {
--- a/crates/pace/src/room.rs
+++ b/crates/pace/src/room.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
 
-use crate::pace::{Claim, Peer};
+use crate::handles::{Claim, Peer};
 use crate::{Ask, Micros};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/sites/src/crossing.rs
+++ b/crates/sites/src/crossing.rs
@@ -62,7 +62,9 @@
     pub handle: H,
     pub gate: GateId,
     pub offering: usize,
+    /// When it was sent, or last asked about; and when it was sent.
     pub at: Micros,
+    pub since: Micros,
     pub crossing: Crossing,
 }
 
@@ -92,7 +94,8 @@
     pub(crate) fn send(&mut self, now: Micros, handle: H, gate: GateId, offering: usize) -> u64 {
         let number = self.next;
         self.next += 1;
-        self.sent.insert(number, Sent { handle, gate, offering, at: now, crossing: Crossing::Out });
+        self.sent
+            .insert(number, Sent { handle, gate, offering, at: now, since: now, crossing: Crossing::Out });
         let numbers = self.gates.entry(gate).or_default();
         numbers.open.insert(number);
         numbers.highest = number;
--- a/crates/sites/src/sites.rs
+++ b/crates/sites/src/sites.rs
@@ -134,6 +134,8 @@
     /// Tasks that wait, in the order in which they came.
     held: Vec<Handle>,
     next_beat: Micros,
+    /// When the last standstill of this process ended.
+    woke: Micros,
     todo: Todo,
 }
 
@@ -149,6 +151,7 @@
             offers: Offers::start(&terms.offerings, terms.max_credit),
             held: Vec::new(),
             next_beat: now,
+            woke: Micros::MIN / 2,
             todo: Todo::default(),
             terms,
         }
@@ -204,6 +207,15 @@
         }
     }
 
+    /// This process stood still until now. What was out meanwhile says nothing of other gateways: neither how long
+    /// they take nor that they lose tasks.
+    ///
+    /// Protects gateways from a bar for what fell into a standstill here. Harms tasks by a gateway that loses them at
+    /// that moment: it is found out by those sent after it.
+    pub fn stood_still(&mut self, now: Micros) {
+        self.woke = now;
+    }
+
     /// Each group, where its primary is believed to be, and how many members it has here.
     pub fn homes(&self) -> Vec<(u64, Option<SiteId>, usize)> {
         let homes = &self.homes;
@@ -318,14 +330,16 @@
     /// Another gateway answered a task.
     pub fn answered(&mut self, now: Micros, number: u64, answer: Answer) -> Todo {
         if let Some(sent) = self.crossings.get_mut(number) {
-            let (id, handle, offering, at) = (sent.gate, sent.handle, sent.offering, sent.at);
+            let (id, handle, offering, at) = (sent.gate, sent.handle, sent.offering, sent.since);
             let settled = sent.crossing.answered(answer);
             let group = self.errands.get(&handle).map(|errand| errand.task.group);
             if let Some(gate) = self.gates.get_mut(&id) {
                 let site = gate.site;
                 match answer {
                     Answer::Honoured => {
-                        gate.took[offering].add(now - at, KEEP);
+                        if at >= self.woke {
+                            gate.took[offering].add(now - at, KEEP);
+                        }
                         gate.honoured = gate.honoured.saturating_add(1);
                         gate.failures.clear();
                         if let (Some(group), Need::Primary) = (group, self.terms.offerings[offering].need) {
@@ -616,7 +630,7 @@
         }
         let Some(sent) = self.uncross(number) else { return };
         let handle = sent.handle;
-        if settled == Settled::MayHaveRun {
+        if settled == Settled::MayHaveRun && sent.since >= self.woke {
             self.failed(now, sent.gate);
         }
         let site = self.gates.get(&sent.gate).map_or(OWN, |gate| gate.site);
--- a/crates/sites/tests/two_sites.rs
+++ b/crates/sites/tests/two_sites.rs
@@ -468,6 +468,29 @@
     assert!(sites.take(0, task(1, 1_000 * MS)).1.steps.is_empty());
 }
 
+#[test]
+fn what_fell_into_a_standstill_here_bars_no_gateway() {
+    let barred = |told: bool| {
+        let mut sites = Sites::start(terms(), 1, 0);
+        sites.links(0, GATE, FAR, 1, true);
+        sites.room(0, GATE, vec![50; 4], &[(GROUP, true)], false);
+        for _ in 0..9 {
+            sites.take(0, Task { offering: 1, group: GROUP, ttl: 1_000 * MS, visited: Vec::new() });
+        }
+        // Their answers came meanwhile, and nobody read them before their time was over.
+        let now = 3_000 * MS;
+        if told {
+            sites.stood_still(now);
+        }
+        let todo = sites.wake(now);
+        let ended = todo.steps.iter().filter(|(_, step)| matches!(step, Step::BreakOff)).count();
+        assert_eq!(ended, 9, "{todo:?}");
+        sites.view(now, GATE).barred
+    };
+    assert!(!barred(true));
+    assert!(barred(false), "gateways that lose tasks are barred");
+}
+
 #[test]
 fn a_task_is_never_sent_back_where_it_came_from() {
     let mut sites = Sites::start(terms(), 1, 0);
--- a/crates/stand-ins/src/program.rs
+++ b/crates/stand-ins/src/program.rs
@@ -78,7 +78,21 @@
 
     /// With an operator's own file.
     pub fn with(listen: SocketAddr, config: &str, operator: Option<&str>) -> Driver {
-        let (mut command, path) = aldermill(&["serve"], config);
+        let (command, path) = aldermill(&["serve"], config);
+        Driver::spawn(command, listen, path, operator)
+    }
+
+    /// On a disk that takes no more than so many blocks (of 512 or 1024 bytes) in any one file.
+    pub fn on_full_disk(blocks: u32, config: &str, operator: &str) -> Driver {
+        let path = file("config", config);
+        let mut command = Command::new("sh");
+        // Ignored signals stay so over exec: what is too much is an error, as with a full disk.
+        command.args(["-c", "trap '' XFSZ; ulimit -f $0; exec \"$@\"", &blocks.to_string()]);
+        command.arg(program()).arg("serve").env_clear().env("GW_CONFIG", &path);
+        Driver::spawn(command, "127.0.0.1:0".parse().unwrap(), path, Some(operator))
+    }
+
+    fn spawn(mut command: Command, listen: SocketAddr, path: PathBuf, operator: Option<&str>) -> Driver {
         command.env("GW_LISTEN", listen.to_string()).stderr(Stdio::piped());
         let operator = operator.map(|text| file("operator", text));
         if let Some(operator) = &operator {
