Drivers that know of one another: gossip between them, free of I/O (crates/fellows)

Need: how many drivers live, and who, is the ground of duties and of room that the dead leave.

Change: crates/fellows on foca (SWIM): identity by name and start, an own form of datagrams with fleet and version, patience that grows with doubt in oneself (Lifeguard's local health), calls to those named by the operator, asking around while new, an earlier start of one name that falls silent, and what may be concluded from it all (View). Not in the program yet. Failed tries: news alone left some of 300 unknown to others after 60 s when all start at once, so new ones ask around; an own miss stretched its own accusation to 17 s, now it counts from the next; two of one name called each other back without end.

--- /dev/null
+++ b/crates/fellows/src/fellows.rs
@@ -0,0 +1,417 @@
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::{IpAddr, SocketAddr};
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::rc::Rc;
+use std::time::Duration;
+
+use foca::{AccumulatingRuntime, Foca, NoCustomBroadcast, OwnedNotification, PeriodicParams, Timer};
+use ipnet::IpNet;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::frame::{self, Foreign, Form, Inner};
+use crate::view::{Counted, View};
+use crate::{Fellow, Health, Micros};
+
+/// How often somebody who is not known to live is called: what was divided finds together, and who started alone.
+const CALLING: Micros = 2_000_000;
+/// Called each time.
+const CALLS: usize = 2;
+/// After a start, or an absence, others are asked whom they know, so often and for so long: what was news while nobody
+/// listened here is told no more.
+const ASKING: Micros = 500_000;
+const NEW: Micros = 15_000_000;
+
+/// Times of the protocol, in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tempo {
+    /// One other driver is probed so often.
+    pub period: Micros,
+    /// A probe that is not answered by then goes by way of others.
+    pub trip: Micros,
+    /// Who is suspected and does not object is dead after so long.
+    pub suspicion: Micros,
+    /// News are passed on so often, where there are any.
+    pub gossip: Micros,
+}
+
+impl Tempo {
+    /// As fits so many drivers on one site: news need about the logarithm of their number in rounds.
+    pub fn usual(drivers: usize) -> Tempo {
+        let rounds = (drivers.max(2) as f64).log10().max(1.0);
+        let period = 1_000_000;
+        let suspicion = (3.0 * rounds * period as f64) as Micros;
+        Tempo { period, trip: 300_000, suspicion, gossip: 200_000 }
+    }
+}
+
+/// This driver, as it is told to the others.
+#[derive(Clone, Debug)]
+pub struct Own {
+    /// Drivers of other fleets are not heard.
+    pub fleet: String,
+    pub name: String,
+    pub address: SocketAddr,
+    /// When it started, in microseconds of Unix time: later than any start before.
+    pub start: u64,
+}
+
+/// Another driver, or only a place where one may be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    pub name: Option<String>,
+    pub address: SocketAddr,
+}
+
+/// Why datagrams were not taken, and how many.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Dropped {
+    /// From an address that the operator does not name.
+    pub stranger: u64,
+    pub not_ours: u64,
+    pub version: u64,
+    pub fleet: u64,
+    /// Of our fleet, and not to be read, or meant for another start.
+    pub unusable: u64,
+}
+
+/// What has become of others, or of this driver among them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    Up(Fellow),
+    Down(Fellow),
+    /// The name has a new start; the one before is gone.
+    Restarted(Fellow),
+    /// The others took this one for dead; it is back under a new turn.
+    Returned,
+    /// A later start has this name, so that this one is silent from now on.
+    Displaced(Fellow),
+}
+
+/// What the caller is to do now, and when to wake the books again.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Todo {
+    pub send: Vec<(SocketAddr, Vec<u8>)>,
+    pub changes: Vec<Change>,
+    pub wake_at: Option<Micros>,
+}
+
+type Swim = Foca<Fellow, Form, Pcg64Mcg, NoCustomBroadcast>;
+
+/// The other drivers, as this one knows of them.
+pub struct Fellows {
+    swim: Swim,
+    form: Form,
+    fleet: u64,
+    networks: Vec<IpNet>,
+    peers: Vec<Peer>,
+    /// Where those are whom the operator names.
+    routes: HashMap<String, SocketAddr>,
+    health: Health,
+    counted: Counted,
+    dropped: Dropped,
+    /// By when, in their order.
+    timers: BTreeMap<(Micros, u64), Timer<Fellow>>,
+    next_timer: u64,
+    call_at: Micros,
+    /// When it was last new here, and when others are next asked whom they know.
+    new_at: Micros,
+    ask_at: Micros,
+    rng: Pcg64Mcg,
+    /// It left, or a later start has its name.
+    silent: bool,
+    todo: Todo,
+}
+
+fn micros(duration: Duration) -> Micros {
+    duration.as_micros() as Micros
+}
+
+impl Fellows {
+    /// `drivers` is how many there may be; `networks` are those that others may come from.
+    pub fn start(
+        now: Micros,
+        own: Own,
+        peers: Vec<Peer>,
+        networks: Vec<IpNet>,
+        tempo: Tempo,
+        drivers: usize,
+        seed: u64,
+    ) -> (Fellows, Todo) {
+        let Own { fleet, name, address, start } = own;
+        let own = Fellow { name: name.as_str().into(), start, turn: 0, address };
+        let form = Form { own: Rc::new(RefCell::new(own.clone())), later_self: Rc::default() };
+        let time = |micros: Micros| Duration::from_micros(micros.max(1) as u64);
+        let few = |count| NonZeroUsize::new(count).expect("not zero");
+        // Each piece of news goes out as often as reaches all with near certainty.
+        let often = (4.0 * (drivers as f64 + 1.0).log10()).ceil().clamp(2.0, 40.0);
+        let terms = foca::Config {
+            probe_period: time(tempo.period),
+            probe_rtt: time(tempo.trip),
+            num_indirect_probes: few(3),
+            max_transmissions: NonZeroU8::new(often as u8).expect("not zero"),
+            suspect_to_down_after: time(tempo.suspicion),
+            remove_down_after: Duration::from_secs(3600),
+            max_packet_size: few(frame::MOST - frame::HEAD),
+            notify_down_members: true,
+            periodic_announce: Some(PeriodicParams {
+                frequency: Duration::from_secs(20),
+                num_members: few(1),
+            }),
+            periodic_announce_to_down_members: Some(PeriodicParams {
+                frequency: time(tempo.suspicion),
+                num_members: few(1),
+            }),
+            periodic_gossip: Some(PeriodicParams { frequency: time(tempo.gossip), num_members: few(3) }),
+        };
+        let swim = Foca::new(own, terms, Pcg64Mcg::seed_from_u64(seed), form.clone());
+        let routes = peers.iter().filter_map(|peer| Some((peer.name.clone()?, peer.address))).collect();
+        let peers = peers.into_iter().filter(|peer| peer.name.as_deref() != Some(&name)).collect();
+        let mut fellows = Fellows {
+            swim,
+            form,
+            fleet: frame::tag(&fleet),
+            networks,
+            peers,
+            routes,
+            health: Health::default(),
+            counted: Counted::start(now),
+            dropped: Dropped::default(),
+            timers: BTreeMap::new(),
+            next_timer: 0,
+            call_at: now,
+            new_at: now,
+            ask_at: now,
+            rng: Pcg64Mcg::seed_from_u64(seed.rotate_left(17)),
+            silent: false,
+            todo: Todo::default(),
+        };
+        let todo = fellows.wake(now);
+        (fellows, todo)
+    }
+
+    pub fn view(&self, now: Micros) -> View {
+        self.counted.view(now)
+    }
+
+    pub fn dropped(&self) -> Dropped {
+        self.dropped
+    }
+
+    /// This driver, under its present turn.
+    pub fn own(&self) -> &Fellow {
+        self.swim.identity()
+    }
+
+    /// Those that live as far as is known, without this one.
+    pub fn alive(&self) -> impl Iterator<Item = &Fellow> {
+        self.swim.iter_members().map(foca::Member::id)
+    }
+
+    /// A datagram came. Whatever it holds, it harms nothing beyond itself.
+    pub fn heard(&mut self, now: Micros, from: IpAddr, datagram: &[u8]) -> Todo {
+        if self.silent {
+            return Todo::default();
+        }
+        if !self.networks.iter().any(|network| network.contains(&from)) {
+            self.dropped.stranger += 1;
+            return self.settle(now);
+        }
+        let inner = match frame::open(self.fleet, datagram) {
+            Ok(inner) => inner,
+            Err(why) => {
+                *match why {
+                    Foreign::NotOurs => &mut self.dropped.not_ours,
+                    Foreign::Version => &mut self.dropped.version,
+                    Foreign::Fleet => &mut self.dropped.fleet,
+                } += 1;
+                return self.settle(now);
+            }
+        };
+        let (gossip, sender) = match inner {
+            Inner::Gossip(gossip, sender) => (gossip, sender),
+            Inner::LaterStart(later) => {
+                let own = self.swim.identity();
+                if later.name == own.name && later.start > own.start {
+                    self.displaced(later);
+                } else {
+                    self.dropped.unusable += 1;
+                }
+                return self.settle(now);
+            }
+        };
+        // An earlier start that still runs would be told that it is dead, and come back without end.
+        let supersedes = |at: &&Fellow| at.name == sender.name && at.start > sender.start;
+        let later = self.alive().find(supersedes).cloned();
+        if let Some(later) = later {
+            let word = frame::later_start(self.fleet, &later);
+            self.todo.send.push((sender.address, word));
+            return self.settle(now);
+        }
+        let mut out = AccumulatingRuntime::new();
+        match self.swim.handle_data(gossip, &mut out) {
+            Ok(()) => self.counted.heard(now),
+            Err(_) => self.dropped.unusable += 1,
+        }
+        self.carry_out(now, out);
+        let later = self.form.later_self.borrow_mut().take();
+        later.into_iter().for_each(|later| self.displaced(later));
+        self.settle(now)
+    }
+
+    /// Protects the fleet from two that call each other dead without end. Harms the wrong one of two where an operator
+    /// gave one name twice: the older falls silent, and says why.
+    fn displaced(&mut self, later: Fellow) {
+        self.silent = true;
+        self.todo.changes.push(Change::Displaced(later));
+    }
+
+    /// To be called at the time that was asked for, after all datagrams that are there.
+    pub fn wake(&mut self, now: Micros) -> Todo {
+        if self.silent {
+            return Todo::default();
+        }
+        self.call(now);
+        self.ask(now);
+        // Late ones in the order that the protocol wants: answers are counted before silence is.
+        let later = self.timers.split_off(&(now + 1, 0));
+        let mut due: Vec<Timer<Fellow>> = std::mem::replace(&mut self.timers, later).into_values().collect();
+        due.sort();
+        for timer in due {
+            let probes = matches!(timer, Timer::ProbeRandomMember(_));
+            let mut out = AccumulatingRuntime::new();
+            // What cannot be done any more concerns a fellow that is gone.
+            let done = self.swim.handle_timer(timer, &mut out);
+            let before = self.health;
+            if probes && done.is_ok() {
+                self.judge_probe(&mut out);
+            }
+            self.schedule(now, out, before);
+        }
+        self.counted.expire(now);
+        self.settle(now)
+    }
+
+    /// This process stood still for a time that `now` does not count.
+    pub fn stood_still(&mut self, now: Micros) {
+        self.counted.away(now);
+        self.health.absent();
+        (self.call_at, self.new_at, self.ask_at) = (now, now, now);
+    }
+
+    /// The others are told that it goes; nothing is sent after that.
+    pub fn leave(&mut self) -> Todo {
+        let mut out = AccumulatingRuntime::new();
+        if !self.silent && self.swim.leave_cluster(&mut out).is_ok() {
+            self.carry_out(0, out);
+        }
+        self.silent = true;
+        let mut todo = std::mem::take(&mut self.todo);
+        todo.changes.clear();
+        todo
+    }
+
+    /// A round of the probe is over. Where the one probed is accused, this driver doubts itself as well.
+    fn judge_probe(&mut self, out: &mut AccumulatingRuntime<Fellow>) {
+        let mut kept = Vec::new();
+        let mut accused = false;
+        while let Some((after, timer)) = out.to_schedule() {
+            accused |= matches!(timer, Timer::ChangeSuspectToDown { .. });
+            kept.push((after, timer));
+        }
+        for (after, timer) in kept {
+            foca::Runtime::submit_after(out, timer, after);
+        }
+        if accused { self.health.unheard() } else { self.health.heard() }
+    }
+
+    /// Calls some of those whom the operator names and who are not known to live.
+    fn call(&mut self, now: Micros) {
+        if now < self.call_at {
+            return;
+        }
+        self.call_at = now + CALLING + self.rng.random_range(0..CALLING / 4);
+        let known = |peer: &Peer| match &peer.name {
+            Some(name) => self.swim.iter_members().any(|member| *member.id().name == **name),
+            None => self.swim.iter_members().any(|member| member.id().address == peer.address),
+        };
+        let own = self.swim.identity().address;
+        let unknown = self.peers.iter().filter(|peer| peer.address != own && !known(peer));
+        let unknown: Vec<SocketAddr> = unknown.map(|peer| peer.address).collect();
+        let count = if self.swim.num_members() == 0 { unknown.len().min(8) } else { CALLS };
+        for at in rand::seq::index::sample(&mut self.rng, unknown.len(), count.min(unknown.len())) {
+            let nobody = Fellow { name: "".into(), start: 0, turn: 0, address: unknown[at] };
+            let mut out = AccumulatingRuntime::new();
+            if self.swim.announce(nobody, &mut out).is_ok() {
+                self.carry_out(now, out);
+            }
+        }
+    }
+
+    /// One that is new here asks whom others know.
+    fn ask(&mut self, now: Micros) {
+        if now < self.ask_at || now - self.new_at > NEW {
+            return;
+        }
+        self.ask_at = now + ASKING;
+        let known = self.swim.num_members();
+        let some = self.rng.random_range(0..known.max(1));
+        let asked = self.alive().nth(some).cloned();
+        let mut out = AccumulatingRuntime::new();
+        if asked.is_some_and(|asked| self.swim.announce(asked, &mut out).is_ok()) {
+            self.carry_out(now, out);
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, out: AccumulatingRuntime<Fellow>) {
+        self.schedule(now, out, self.health);
+    }
+
+    /// `before` is the doubt before what has just been found out: nobody waits longer with an accusation for its own sake.
+    fn schedule(&mut self, now: Micros, mut out: AccumulatingRuntime<Fellow>, before: Health) {
+        while let Some((to, inner)) = out.to_send() {
+            let address = self.routes.get(&*to.name).copied().unwrap_or(to.address);
+            self.todo.send.push((address, frame::gossip(self.fleet, &inner)));
+        }
+        while let Some((after, timer)) = out.to_schedule() {
+            // The patience with a probe and with one that is suspected is stretched by doubt; so is the pace, as what a
+            // probe needs must fit in its round.
+            let stretch = match timer {
+                Timer::ProbeRandomMember(_) | Timer::SendIndirectProbe { .. } => self.health.stretch(),
+                Timer::ChangeSuspectToDown { .. } => before.stretch(),
+                _ => 1,
+            };
+            let after = micros(after) * Micros::from(stretch);
+            self.timers.insert((now + after, self.next_timer), timer);
+            self.next_timer += 1;
+        }
+        while let Some(note) = out.to_notify() {
+            let change = match note {
+                OwnedNotification::MemberUp(fellow) => Change::Up(fellow),
+                OwnedNotification::MemberDown(fellow) => Change::Down(fellow),
+                OwnedNotification::Rename(_, after) => Change::Restarted(after),
+                OwnedNotification::Rejoin(own) => {
+                    *self.form.own.borrow_mut() = own;
+                    self.health.absent();
+                    self.counted.away(now);
+                    (self.new_at, self.ask_at) = (now, now);
+                    Change::Returned
+                }
+                _ => continue,
+            };
+            self.todo.changes.push(change);
+        }
+    }
+
+    fn settle(&mut self, now: Micros) -> Todo {
+        self.counted.alive(now, self.swim.num_members() + 1);
+        let first = self.timers.first_key_value().map(|(&(at, _), _)| at);
+        let asks = (now - self.new_at <= NEW).then_some(self.ask_at);
+        self.todo.wake_at = [first, Some(self.call_at), asks].into_iter().flatten().min();
+        if self.silent {
+            self.todo.wake_at = None;
+        }
+        std::mem::take(&mut self.todo)
+    }
+}
--- /dev/null
+++ b/crates/fellows/src/lib.rs
@@ -0,0 +1,22 @@
+//! Which drivers live, as each of them knows by gossip with the others.
+//!
+//! Membership is SWIM's, by the `foca` crate; what is our own here is who a driver is ([`Fellow`]), what its datagrams
+//! look like ([`frame`]), how patient it is with others when it is itself in doubt, and what it may conclude from what it
+//! knows ([`View`]). [`Fellows`] is asked with `now` on each call and returns what to send and what has changed. Nothing
+//! here does I/O or has a clock.
+//!
+//! `now` is the time that the process has lived: a driver that stood still accuses nobody for what fell into that.
+
+mod fellow;
+mod fellows;
+pub mod frame;
+mod health;
+mod view;
+
+pub use fellow::Fellow;
+pub use fellows::{Change, Dropped, Fellows, Own, Peer, Tempo, Todo};
+pub use health::Health;
+pub use view::{Counted, View};
+
+/// Whole microseconds, on the caller's clock.
+pub type Micros = i64;
