Drivers know which others live, and take over the room of the dead (off by default)

Need: survivors of a mass kill divided what members bear by the settings' number of drivers; duties need to know who lives.

Change: the actor fellows.rs carries crates/fellows' datagrams; fellows in the operator's file, aldermill fellows SOCKET, log lines. Router::fleet takes the number of living drivers; at cold members the larger of the settings' figure and of what was ever seen counts. Found on processes: all start at once, first calls go to nobody, the next came 2 s later; one that is alone now calls four times a second.

--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -257,6 +257,11 @@
                 }
                 self.parted.push(asked);
             }
+            Call::Fleet { living, at_cold } => {
+                let told = |router: &mut Router| (router.fleet(living, at_cold), Todo::default());
+                let ((), todo) = self.ask(told);
+                self.carry_out(todo);
+            }
             Call::Describe(asked) => {
                 let _ = asked.send(self.describe());
             }
--- /dev/null
+++ b/crates/driver/src/fellows.rs
@@ -0,0 +1,227 @@
+//! The actor that carries datagrams between this driver and the others of its fleet. What is said and believed is
+//! `crates/fellows`'; the desk is told how many live.
+
+use std::io::Read;
+use std::rc::Rc;
+
+use aldermill_fellows::{Change, Dropped, Fellow, Own, Peer, Tempo, Todo, View};
+use aldermill_operator::Fellows as Terms;
+use serde_json::{Value, json};
+use slog::{info, warn};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{UdpSocket, UnixListener, UnixStream};
+use tokio::time::{Instant, sleep_until};
+
+use crate::clock::unix_now;
+use crate::context::Context;
+use crate::words::Call;
+
+/// Datagrams read before it is looked whether anything is due.
+const TURN: usize = 64;
+
+pub struct Company {
+    context: Rc<Context>,
+    socket: UdpSocket,
+    status: Option<UnixListener>,
+    fellows: aldermill_fellows::Fellows,
+    /// The settings' figure.
+    told: usize,
+    /// What the desk was last told: by how many room is shared, and at cold members.
+    shared: (usize, usize),
+    wake_at: Option<i64>,
+    stood: i64,
+    /// Datagrams and bytes sent, and datagrams that could not be.
+    sent: (u64, u64),
+    unsent: u64,
+}
+
+impl Company {
+    pub async fn open(
+        context: Rc<Context>,
+        terms: Terms,
+        name: &str,
+        drivers: usize,
+        seed: u64,
+    ) -> Result<Company, String> {
+        let listen = terms.listen;
+        let socket =
+            UdpSocket::bind(listen).await.map_err(|error| format!("fellows.listen: {listen}: {error}"))?;
+        let own = Own {
+            fleet: terms.fleet,
+            name: name.to_owned(),
+            address: terms.address.unwrap_or(listen),
+            start: unix_now().max(1) as u64,
+        };
+        info!(context.log, "fellows"; "fleet" => &own.fleet, "listen" => %listen, "address" => %own.address);
+        let peers =
+            terms.peers.into_iter().map(|peer| Peer { name: peer.name, address: peer.address }).collect();
+        let status = terms.status.and_then(|path| {
+            // Left over from an earlier run.
+            let _ = std::fs::remove_file(&path);
+            let bound = UnixListener::bind(&path);
+            bound
+                .map_err(|error| warn!(context.log, "no status socket"; "path" => path, "why" => %error))
+                .ok()
+        });
+        let (tempo, now) = (Tempo::usual(drivers), context.lived.now());
+        let (fellows, todo) =
+            aldermill_fellows::Fellows::start(now, own, peers, terms.networks, tempo, drivers, seed);
+        let stood = context.lived.stood();
+        let (shared, told) = ((drivers, drivers), drivers);
+        let mut company = Company {
+            context,
+            socket,
+            status,
+            fellows,
+            told,
+            shared,
+            wake_at: None,
+            stood,
+            sent: (0, 0),
+            unsent: 0,
+        };
+        company.carry_out(todo).await;
+        Ok(company)
+    }
+
+    /// Until the driver is to stop; then the others are told.
+    pub async fn run(mut self) {
+        let mut stopping = self.context.stopping.clone();
+        let mut bytes = [0; 2048];
+        loop {
+            let wake_at = self.wake_at.map_or_else(Instant::now, |at| self.context.lived.instant(at));
+            let asked = async {
+                match &self.status {
+                    Some(listener) => listener.accept().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                Ok(()) = self.socket.readable() => {
+                    self.listens_up();
+                    for _ in 0..TURN {
+                        let Ok((count, from)) = self.socket.try_recv_from(&mut bytes) else { break };
+                        let now = self.context.lived.now();
+                        let todo = self.fellows.heard(now, from.ip(), &bytes[..count]);
+                        self.carry_out(todo).await;
+                    }
+                    // A flood of datagrams keeps nothing from what is due.
+                    if self.wake_at.is_some_and(|at| at <= self.context.lived.now()) {
+                        self.wake().await;
+                    }
+                }
+                () = sleep_until(wake_at), if self.wake_at.is_some() => {
+                    self.listens_up();
+                    self.wake().await;
+                }
+                Ok((stream, _)) = asked => self.describe(stream).await,
+                _ = stopping.wait_for(Option::is_some) => break,
+            }
+        }
+        let todo = self.fellows.leave();
+        self.carry_out(todo).await;
+    }
+
+    /// Before anything else that is done after a standstill.
+    fn listens_up(&mut self) {
+        let stood = self.context.lived.stood();
+        if std::mem::replace(&mut self.stood, stood) < stood {
+            self.fellows.stood_still(self.context.lived.now());
+        }
+    }
+
+    async fn wake(&mut self) {
+        let todo = self.fellows.wake(self.context.lived.now());
+        self.carry_out(todo).await;
+    }
+
+    async fn carry_out(&mut self, todo: Todo) {
+        for (to, datagram) in todo.send {
+            // What cannot be sent now is lost, as any datagram may be.
+            match self.socket.try_send_to(&datagram, to) {
+                Ok(bytes) => self.sent = (self.sent.0 + 1, self.sent.1 + bytes as u64),
+                Err(_) => self.unsent += 1,
+            }
+        }
+        for change in todo.changes {
+            let (what, of) = match &change {
+                Change::Up(fellow) => ("fellow up", Some(fellow)),
+                Change::Down(fellow) => ("fellow down", Some(fellow)),
+                Change::Restarted(fellow) => ("fellow restarted", Some(fellow)),
+                Change::Returned => ("taken for dead by the others, and back", None),
+                Change::Displaced(fellow) => {
+                    ("a later start has this name, silent from now on", Some(fellow))
+                }
+            };
+            let of = of.map(|of| format!("{} started {} at {}", of.name, of.start, of.address));
+            match change {
+                Change::Returned | Change::Displaced(_) => warn!(self.context.log, "{}", what; "by" => of),
+                _ => info!(self.context.log, "{}", what; "fellow" => of),
+            }
+        }
+        self.wake_at = todo.wake_at;
+        let view = self.fellows.view(self.context.lived.now());
+        let shared = (view.sharing(self.told), view.sharing_cold(self.told));
+        if shared != self.shared {
+            self.shared = shared;
+            // A desk that is gone ends the program by itself.
+            let _ = self.context.desk.send(Call::Fleet { living: shared.0, at_cold: shared.1 }).await;
+        }
+    }
+
+    /// Says what is known here, as one JSON object.
+    async fn describe(&self, mut stream: UnixStream) {
+        let view = self.fellows.view(self.context.lived.now());
+        let text = json!({"self": fellow(self.fellows.own()), "view": seen(view), "room_shared_by": self.shared.0,
+            "dropped": dropped(self.fellows.dropped()), "sent": {"datagrams": self.sent.0, "bytes": self.sent.1}, "not_sent": self.unsent,
+            "fellows": self.fellows.alive().map(fellow).collect::<Vec<_>>()});
+        let _ = stream.write_all(format!("{text}\n").as_bytes()).await;
+    }
+}
+
+fn fellow(of: &Fellow) -> Value {
+    json!({"name": &*of.name, "start": of.start, "turn": of.turn, "address": of.address.to_string()})
+}
+
+fn seen(view: View) -> Value {
+    let View { alive, seen, sure, may_be_smaller } = view;
+    json!({"alive": alive, "most_seen": seen, "sure": sure, "may_be_smaller": may_be_smaller})
+}
+
+fn dropped(of: Dropped) -> Value {
+    let Dropped { stranger, not_ours, version, fleet, unusable } = of;
+    json!({"stranger": stranger, "not_ours": not_ours, "version": version, "fleet": fleet, "unusable": unusable})
+}
+
+/// What the driver behind that socket knows of the others: a table, or its JSON as it comes.
+pub fn ask(path: &str, as_json: bool) -> Result<String, String> {
+    let mut stream =
+        std::os::unix::net::UnixStream::connect(path).map_err(|error| format!("{path}: {error}"))?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).map_err(|error| format!("{path}: {error}"))?;
+    if as_json {
+        return Ok(text);
+    }
+    let known: Value = serde_json::from_str(&text).map_err(|error| format!("{path}: {error}"))?;
+    let (view, own) = (&known["view"], &known["self"]);
+    let mut out = format!(
+        "{} knows of {} drivers, itself among them; {} at most{}{}\n",
+        own["name"].as_str().unwrap_or_default(),
+        view["alive"],
+        view["most_seen"],
+        if view["sure"] == true { "" } else { "; in doubt" },
+        if view["may_be_smaller"] == true { "; may be the smaller part" } else { "" },
+    );
+    for of in known["fellows"].as_array().into_iter().flatten() {
+        let word = |field: &str| of[field].as_str().unwrap_or_default().to_owned();
+        out += &format!(
+            "{:<24} {:<24} started {} turn {}\n",
+            word("name"),
+            word("address"),
+            of["start"],
+            of["turn"]
+        );
+    }
+    Ok(out)
+}
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod context;
 mod desk;
+mod fellows;
 mod gate;
 mod gateway;
 mod keep;
@@ -39,6 +40,7 @@
 use crate::clock::{Clock, Lived, duration};
 use crate::context::Context;
 use crate::desk::{Desk, Hub, Opening, Warmth};
+use crate::fellows::Company;
 use crate::gate::Gate;
 use crate::gateway::Yard;
 use crate::keep::{Folder, Keeper};
@@ -79,6 +81,16 @@
         #[bpaf(positional("SOCKET"))]
         socket: String,
     },
+    /// Say which other drivers a running one knows of
+    #[bpaf(command)]
+    Fellows {
+        /// As the JSON object that the driver gives
+        #[bpaf(long)]
+        json: bool,
+        /// The status socket that the operator's own file names
+        #[bpaf(positional("SOCKET"))]
+        socket: String,
+    },
     /// Look at what a driver keeps over a restart, or compact it
     #[bpaf(command)]
     Store {
@@ -122,6 +134,7 @@
             read(&Files { config, operator }).map(|start| describe(&start))
         }
         Command::Sites { socket } => gateway::ask(&socket).map(|text| print!("{text}")),
+        Command::Fellows { json, socket } => fellows::ask(&socket, json).map(|text| print!("{text}")),
         Command::Store { work: FolderWork::Check { folder } } => {
             keep::tools::check(&folder).and_then(|sound| {
                 sound.then_some(()).ok_or_else(|| format!("{folder}: damaged, what is left is read"))
@@ -198,6 +211,7 @@
         gateway,
         trial,
         warm,
+        fellows,
         memory,
         known,
         decoded,
@@ -283,6 +297,10 @@
         None => None,
     };
     let warmth = Warmth { recalled: recalled.beliefs, keeping };
+    if let Some(terms) = fellows {
+        let company = Company::open(context.clone(), terms, &name, drivers, seed.rotate_left(16)).await?;
+        spawn_local(company.run());
+    }
     let request = on_request.then_some(request);
     let desk = Desk::new(context.clone(), decoded, seed, hub, trial, warmth, ready, request);
     let deciding = spawn_local(desk.run(bulletins, calls));
--- a/crates/driver/src/start.rs
+++ b/crates/driver/src/start.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use aldermill_operator::{Gateway, Operator, Rate, SlowPeers, Warm};
+use aldermill_operator::{Fellows, Gateway, Operator, Rate, SlowPeers, Warm};
 use aldermill_pace::{Bounds, Least, PerAddress};
 use aldermill_terms::Decoded;
 use serde::Deserialize;
@@ -29,7 +29,7 @@
 }
 
 /// What the file says of that which cannot change while the program runs.
-pub type Fixed = [(&'static str, Value); 7];
+pub type Fixed = [(&'static str, Value); 8];
 
 /// Where the configuration is, and the operator's own file if there is one.
 pub struct Files {
@@ -48,6 +48,7 @@
     pub gateway: Option<Gateway>,
     pub trial: Option<Trial>,
     pub warm: Option<Warm>,
+    pub fellows: Option<Fellows>,
     pub memory: u64,
     pub known: Option<Catalog>,
     pub decoded: Decoded,
@@ -114,6 +115,7 @@
             ("gateway", serde_json::to_value(&operator.gateway).unwrap_or_default()),
             ("slow_peers.buffer_kib", operator.slow_peers.buffer_kib.into()),
             ("warm", serde_json::to_value(&operator.warm).unwrap_or_default()),
+            ("fellows", serde_json::to_value(&operator.fellows).unwrap_or_default()),
         ];
         Ok(Start {
             fixed,
@@ -126,6 +128,7 @@
             gateway: operator.gateway.clone(),
             trial: None,
             warm: operator.warm.clone(),
+            fellows: operator.fellows.clone(),
             memory: memory_mb as u64 * 1024 * 1024,
             known: form.known,
             decoded,
--- a/crates/driver/src/words.rs
+++ b/crates/driver/src/words.rs
@@ -37,6 +37,11 @@
     Parted(oneshot::Sender<()>),
     /// What is believed of sites and links, as JSON.
     Describe(oneshot::Sender<String>),
+    /// By how many drivers room at members is shared, and at cold ones.
+    Fleet {
+        living: usize,
+        at_cold: usize,
+    },
     /// This member found no descriptor free for a connection.
     Crowded(MemberId),
 }
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -331,7 +331,10 @@
         if now < self.call_at {
             return;
         }
-        self.call_at = now + CALLING + self.rng.random_range(0..CALLING / 4);
+        // One that is alone is in a hurry, while it is new.
+        let hurry = self.swim.num_members() == 0 && now - self.new_at < NEW;
+        let pause = if hurry { CALLING / 8 } else { CALLING };
+        self.call_at = now + pause + self.rng.random_range(0..pause / 4);
         let known = |peer: &Peer| match &peer.name {
             Some(name) => self.swim.iter_members().any(|member| *member.id().name == **name),
             None => self.swim.iter_members().any(|member| member.id().address == peer.address),
--- a/crates/fleet/src/cable.rs
+++ b/crates/fleet/src/cable.rs
@@ -204,6 +204,15 @@
 
     /// A datagram line to that party: datagrams to the address given back reach it as if from one address.
     pub async fn datagrams(self: &Rc<Line>, target: SocketAddr) -> std::io::Result<SocketAddr> {
+        self.datagrams_on(THERE, target).await
+    }
+
+    /// The same, where going to that party is the given way of the line.
+    pub async fn datagrams_on(
+        self: &Rc<Line>,
+        way: usize,
+        target: SocketAddr,
+    ) -> std::io::Result<SocketAddr> {
         let near = Rc::new(UdpSocket::bind("127.0.0.1:0").await?);
         let far = Rc::new(UdpSocket::bind("127.0.0.1:0").await?);
         let address = near.local_addr()?;
@@ -214,7 +223,7 @@
             let mut bytes = [0; 65_536];
             while let Ok((count, from)) = ours.recv_from(&mut bytes).await {
                 back.set(Some(from));
-                line.pass(THERE, bytes[..count].to_vec(), theirs.clone(), target);
+                line.pass(way, bytes[..count].to_vec(), theirs.clone(), target);
             }
         });
         let line = self.clone();
@@ -222,7 +231,7 @@
             let mut bytes = [0; 65_536];
             while let Ok((count, _)) = far.recv_from(&mut bytes).await {
                 if let Some(to) = back_to.get() {
-                    line.pass(BACK, bytes[..count].to_vec(), near.clone(), to);
+                    line.pass(1 - way, bytes[..count].to_vec(), near.clone(), to);
                 }
             }
         });
--- a/crates/fleet/src/drivers.rs
+++ b/crates/fleet/src/drivers.rs
@@ -29,6 +29,13 @@
     config: RefCell<Value>,
     /// SIGTERM was sent, or it was killed.
     leaving: Cell<bool>,
+    fellows: RefCell<Option<Introduced>>,
+}
+
+/// Where a driver hears others, and where it finds each of them.
+pub struct Introduced {
+    pub own: SocketAddr,
+    pub others: Vec<(usize, SocketAddr)>,
 }
 
 pub struct Drivers {
@@ -66,6 +73,7 @@
             discovery: Cell::new(discovery),
             config: RefCell::default(),
             leaving: Cell::default(),
+            fellows: RefCell::default(),
         });
         let (world, discovery) = (world.clone(), discovery.clone());
         let (all, program) = (all.collect(), program.to_vec());
@@ -88,13 +96,23 @@
         self.folder.join(format!("n{driver}-state"))
     }
 
+    /// Where it says what it knows of the others.
+    pub fn status(&self, driver: usize) -> PathBuf {
+        self.folder.join(format!("n{driver}-status"))
+    }
+
+    /// From its next start it knows of the others.
+    pub fn knows(&self, driver: usize, introduced: Introduced) {
+        *self.all[driver].fellows.borrow_mut() = Some(introduced);
+    }
+
     fn pid(&self, driver: usize) -> Option<Pid> {
         let child = self.all[driver].child.borrow();
         child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32))
     }
 
     pub fn start(&self, driver: usize, known: Known) -> std::io::Result<()> {
-        let Driver { child, address, discovery, leaving, config: last } = &self.all[driver];
+        let Driver { child, address, discovery, leaving, config: last, fellows } = &self.all[driver];
         let path = |kind: &str| self.folder.join(format!("n{driver}-{kind}"));
         let known = match known {
             Known::AtStart => self.discovery.at_start(driver),
@@ -107,7 +125,13 @@
             "settings": terms::settings(plan.drivers, plan.bearing.warm_ms)});
         std::fs::write(path("config.json"), config.to_string())?;
         *last.borrow_mut() = config;
-        let operator = if plan.keeps { json!({"warm": {"folder": self.state(driver)}}) } else { json!({}) };
+        let mut operator =
+            if plan.keeps { json!({"warm": {"folder": self.state(driver)}}) } else { json!({}) };
+        if let Some(Introduced { own, others }) = &*fellows.borrow() {
+            let peer = |(other, address): &(usize, SocketAddr)| json!({"name": format!("n{other}"), "address": address});
+            operator["fellows"] = json!({"fleet": "rig", "listen": own, "networks": ["127.0.0.0/8"],
+                "peers": others.iter().map(peer).collect::<Vec<_>>(), "status": self.status(driver)});
+        }
         std::fs::write(path("operator.json"), operator.to_string())?;
         let log = File::options().create(true).append(true).open(path("log"))?;
         let mut command = Command::new(&self.program[0]);
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -1,5 +1,6 @@
 //! Carries out the faults of a plan at their times.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,6 +31,8 @@
     pub to_members: Vec<Vec<Rc<Line>>>,
     pub to_lists: Vec<Rc<Line>>,
     pub from_clients: Vec<Rc<Line>>,
+    /// Between two drivers, the first of them being the one with the lower number.
+    pub fellows: HashMap<(usize, usize), Rc<Line>>,
 }
 
 fn millis(millis: u64) -> Duration {
@@ -94,8 +97,8 @@
             What::Cut { between, share, way, for_ms } => {
                 let lines = self.lines(between, some(share, &drivers, &mut rng));
                 let set = |lost| {
-                    for line in &lines {
-                        for (at, struck) in way.each().into_iter().enumerate() {
+                    for (line, turned) in &lines {
+                        for (at, struck) in seen(way, *turned).each().into_iter().enumerate() {
                             line.lost[at].set(lost && struck);
                         }
                     }
@@ -104,13 +107,14 @@
                 sleep(millis(for_ms)).await;
                 set(false);
                 // Once the way is back, what had stood is found to be gone.
-                lines.iter().for_each(|line| line.cut());
+                lines.iter().for_each(|(line, _)| line.cut());
             }
             What::Hold { between, share, way, for_ms } => {
                 let lines = self.lines(between, some(share, &drivers, &mut rng));
                 let set = |held: bool| {
-                    for line in &lines {
-                        [THERE, BACK].into_iter().for_each(|at| line.hold(at, held && way.each()[at]));
+                    for (line, turned) in &lines {
+                        let each = seen(way, *turned).each();
+                        [THERE, BACK].into_iter().for_each(|at| line.hold(at, held && each[at]));
                     }
                 };
                 set(true);
@@ -120,7 +124,7 @@
             What::Delay { between, share, ms, jitter_ms, for_ms } => {
                 let lines = self.lines(between, some(share, &drivers, &mut rng));
                 let set = |delay, jitter| {
-                    for line in &lines {
+                    for (line, _) in &lines {
                         line.delay.set(delay);
                         line.jitter.set(jitter);
                     }
@@ -130,13 +134,13 @@
                 set(Duration::ZERO, Duration::ZERO);
             }
             What::CutAt { between, share, way, bytes } => {
-                for line in self.lines(between, some(share, &drivers, &mut rng)) {
+                for (line, _) in self.lines(between, some(share, &drivers, &mut rng)) {
                     line.cut_after(if way == Way::Back { BACK } else { THERE }, bytes);
                 }
             }
             What::HalfOpen { between, share, for_ms } => {
                 let lines = self.lines(between, some(share, &drivers, &mut rng));
-                lines.iter().for_each(|line| line.half_open());
+                lines.iter().for_each(|(line, _)| line.half_open());
                 sleep(millis(for_ms)).await;
             }
             What::MovePrimary { group, election_ms } => {
@@ -223,12 +227,25 @@
         self.world.groups[group].primary.set(next);
     }
 
-    fn lines(&self, between: Between, drivers: Vec<usize>) -> Vec<Rc<Line>> {
+    /// Lines of these drivers, and whether 'there' on one of them is from the other side.
+    fn lines(&self, between: Between, drivers: Vec<usize>) -> Vec<(Rc<Line>, bool)> {
+        if between == Between::DriversDrivers {
+            let parted = |&(&(low, high), _): &(&(usize, usize), &Rc<Line>)| {
+                drivers.contains(&low) != drivers.contains(&high)
+            };
+            let parted = self.fellows.iter().filter(parted);
+            return parted.map(|(&(low, _), line)| (line.clone(), !drivers.contains(&low))).collect();
+        }
         let of = |driver: usize| match between {
             Between::DriversMembers => self.to_members[driver].clone(),
             Between::DriversLists => vec![self.to_lists[driver].clone()],
             Between::ClientsDrivers => vec![self.from_clients[driver].clone()],
+            Between::DriversDrivers => Vec::new(),
         };
-        drivers.into_iter().flat_map(of).collect()
+        drivers.into_iter().flat_map(of).map(|line| (line, false)).collect()
     }
 }
+
+fn seen(way: Way, turned: bool) -> Way {
+    if turned { way.turned() } else { way }
+}
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -28,6 +28,9 @@
     /// Whether each driver has a folder for what it keeps over a restart.
     #[serde(default)]
     pub keeps: bool,
+    /// Whether drivers know of one another.
+    #[serde(default)]
+    pub fellows: bool,
     #[serde(default)]
     pub faults: Vec<Fault>,
     #[serde(default)]
@@ -161,6 +164,8 @@
     DriversMembers,
     DriversLists,
     ClientsDrivers,
+    /// Some drivers and all others: what they say to each other.
+    DriversDrivers,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -172,6 +177,15 @@
 }
 
 impl Way {
+    /// The same, seen from the other side.
+    pub fn turned(self) -> Way {
+        match self {
+            Way::There => Way::Back,
+            Way::Back => Way::There,
+            Way::Both => Way::Both,
+        }
+    }
+
     pub fn each(self) -> [bool; 2] {
         [self != Way::Back, self != Way::There]
     }
@@ -320,6 +334,7 @@
             load: f64::from(rng.random_range(15..60)) / 100.0,
             seconds,
             keeps: rng.random_bool(0.5),
+            fellows: rng.random_bool(0.3),
             faults,
             wants: Wants::default(),
         }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -1,18 +1,20 @@
 //! One run of a plan.
 
+use std::collections::HashMap;
 use std::ffi::OsString;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
-use aldermill_stand_ins::program;
+use aldermill_stand_ins::{free_port, program};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
-use crate::cable::Line;
+use crate::cable::{BACK, Line, THERE};
 use crate::discovery::Discovery;
-use crate::drivers::Drivers;
+use crate::drivers::{Drivers, Introduced};
 use crate::faults::Stage;
 use crate::front::Front;
 use crate::history::{At, Event};
@@ -71,6 +73,24 @@
     }
 }
 
+/// A line between each two drivers, for what they say to each other.
+async fn introduce(drivers: &Drivers, seed: u64) -> std::io::Result<HashMap<(usize, usize), Rc<Line>>> {
+    let own: Vec<SocketAddr> = (0..drivers.len()).map(|_| free_port()).collect();
+    let (mut lines, mut ways) = (HashMap::new(), vec![Vec::new(); drivers.len()]);
+    for low in 0..drivers.len() {
+        for high in low + 1..drivers.len() {
+            let line = Line::new(seed ^ (1 << 22 | low << 8 | high) as u64);
+            ways[low].push((high, line.datagrams_on(THERE, own[high]).await?));
+            ways[high].push((low, line.datagrams_on(BACK, own[low]).await?));
+            lines.insert((low, high), line);
+        }
+    }
+    for (driver, others) in ways.into_iter().enumerate() {
+        drivers.knows(driver, Introduced { own: own[driver], others });
+    }
+    Ok(lines)
+}
+
 async fn play(
     program: &[OsString],
     plan: &Plan,
@@ -99,6 +119,7 @@
         to_lists.push(line);
     }
     let drivers = Rc::new(Drivers::new(&world, &discovery, agents, logs, program)?);
+    let fellows = if plan.fellows { introduce(&drivers, seed).await? } else { HashMap::new() };
     let mut addresses = vec![];
     for driver in 0..plan.drivers {
         let line = Line::new(seed ^ (1 << 21 | driver) as u64);
@@ -128,6 +149,7 @@
         to_members,
         to_lists,
         from_clients,
+        fellows,
     });
     let faults = spawn_local(stage.clone().play(seed));
     front.run().await;
--- /dev/null
+++ b/crates/operator/src/fellows.rs
@@ -0,0 +1,63 @@
+use std::net::SocketAddr;
+
+use ipnet::IpNet;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// Another driver of the fleet, or a place where one may be.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FellowAt {
+    /// Its name, as its configuration gives it. One that is named is always sent to at this address, whatever it says of
+    /// itself.
+    pub name: Option<String>,
+    pub address: SocketAddr,
+}
+
+/// Drivers that know of one another. Off by default. Read at the start only.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Fellows {
+    /// The fleet's name, the same at all its drivers.
+    #[schemars(length(min = 1, max = 64))]
+    pub fleet: String,
+    /// Where datagrams of the others are taken.
+    pub listen: SocketAddr,
+    /// Where the others reach this one; `listen` by default. Needed where that names no address.
+    pub address: Option<SocketAddr>,
+    /// The networks that others may come from.
+    #[schemars(with = "Vec<String>", length(min = 1))]
+    pub networks: Vec<IpNet>,
+    /// Some of the others, to begin with; those that they know are found.
+    #[serde(default)]
+    pub peers: Vec<FellowAt>,
+    /// A local socket's path, at which `aldermill fellows` asks what is known here.
+    pub status: Option<String>,
+}
+
+impl Fellows {
+    /// What cannot be meant, with its field's path.
+    pub(crate) fn check(&self) -> Result<(), String> {
+        if !(1..=64).contains(&self.fleet.len()) {
+            return Err("fellows.fleet: a name of 1 to 64 bytes is needed".to_owned());
+        }
+        if self.networks.is_empty() {
+            return Err("fellows.networks: at least one is needed".to_owned());
+        }
+        let reached = self.address.unwrap_or(self.listen);
+        if reached.ip().is_unspecified() || reached.port() == 0 {
+            return Err(
+                "fellows.address: needed, as fellows.listen does not say where this driver is".to_owned()
+            );
+        }
+        for (at, peer) in self.peers.iter().enumerate() {
+            if peer.name.as_ref().is_some_and(|name| !(1..=64).contains(&name.len())) {
+                return Err(format!("fellows.peers[{at}].name: a name of 1 to 64 bytes is needed"));
+            }
+            if peer.address.port() == 0 || peer.address.ip().is_unspecified() {
+                return Err(format!("fellows.peers[{at}].address: nobody can be there"));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every field may be left out. Unknown fields and wrong values are named by their path. The schema is made from
 //! the types below.
 
+mod fellows;
 mod gateway;
 mod slow_peers;
 mod trial;
@@ -11,6 +12,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+pub use fellows::{FellowAt, Fellows};
 pub use gateway::{Gateway, PeerSite};
 pub use ipnet::IpNet;
 pub use slow_peers::{Connections, Level, Rate, SlowPeers};
@@ -36,6 +38,9 @@
     /// What is kept over a restart. Off by default. Read at the start only.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub warm: Option<Warm>,
+    /// Drivers that know of one another. Off by default. Read at the start only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fellows: Option<Fellows>,
 }
 
 impl Operator {
@@ -51,6 +56,7 @@
         read.gateway.as_ref().map_or(Ok(()), Gateway::check)?;
         read.trial.as_ref().map_or(Ok(()), Trial::check)?;
         read.warm.as_ref().map_or(Ok(()), Warm::check)?;
+        read.fellows.as_ref().map_or(Ok(()), Fellows::check)?;
         Ok(read)
     }
 
@@ -104,6 +110,20 @@
         assert!(Operator::parse(&gateway(&format!(r#""peers":[{b}],"homes":{{"3":"b"}}"#))).is_ok());
     }
 
+    #[test]
+    fn fellows_that_cannot_be_meant_are_refused_with_their_path() {
+        let said = |more: &str| {
+            let text = format!(r#"{{"fellows":{{"fleet":"f","networks":["127.0.0.0/8"],{more}}}}}"#);
+            Operator::parse(&text).map(|_| ())
+        };
+        assert!(said(r#""listen":"127.0.0.1:7000""#).is_ok());
+        assert!(said(r#""listen":"0.0.0.0:7000""#).unwrap_err().starts_with("fellows.address: "));
+        assert!(said(r#""listen":"0.0.0.0:7000","address":"10.0.0.1:7000""#).is_ok());
+        let nobody = r#""listen":"127.0.0.1:7000","peers":[{"name":"a","address":"127.0.0.1:0"}]"#;
+        assert!(said(nobody).unwrap_err().starts_with("fellows.peers[0].address: "));
+        assert!(said(r#""listen":"127.0.0.1:7000","status":7"#).unwrap_err().starts_with("fellows.status: "));
+    }
+
     #[test]
     fn the_schema_knows_every_field_that_is_written() {
         let schema = Operator::schema();
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -298,6 +298,15 @@
         self.rush_until = self.rush_until.max(if long > 10 * BEAT { now + RUSH } else { 0 });
     }
 
+    /// So many drivers live: room of the dead is taken over, or given back, at once. Cold members are shared
+    /// by `at_cold`, whoever may come back. Harms members where drivers that live are taken for dead.
+    pub fn fleet(&mut self, living: usize, at_cold: usize) {
+        let part = self.terms.drivers as f64 / living as f64;
+        (self.terms.drivers, self.terms.drivers_at_cold) = (living, at_cold);
+        let least = if self.sparse() { 0.0 } else { 1.0 };
+        self.members.iter_mut().for_each(|member| member.window = (member.window * part).max(least));
+    }
+
     pub fn learnt(&self) -> Learnt {
         let primary = |group: &Group| group.primary.map(|id| (id, group.word));
         let took = |of: &Histogram| (of.quantile(0.5).unwrap_or(0), of.quantile(0.9).unwrap_or(0));
@@ -394,7 +403,7 @@
 
     /// A cold member's part is saved up for from a random start, so that not all drivers come at once.
     fn first_credit(&mut self) -> f64 {
-        self.rng.random::<f64>() + STAY / self.terms.drivers as f64
+        self.rng.random::<f64>() + STAY / self.terms.drivers_at_cold as f64
     }
 
     /// How long writes wait between walks. Protects members, cold ones most, from walks of many drivers at
@@ -482,9 +491,7 @@
         let mut rooms: Vec<(MemberId, f64)> = drawable.filter(|&(_, room)| room > 0.0).collect();
         let at_hand = rooms.iter().copied().filter(|&(id, _)| !self.remote(now, id, offering));
         let at_hand: Vec<(MemberId, f64)> = at_hand.collect();
-        if !at_hand.is_empty() {
-            rooms = at_hand;
-        }
+        rooms = if at_hand.is_empty() { rooms } else { at_hand };
         if need == Need::Loose && self.long(offering) {
             // All drivers alike: the last replica by sorted id that has room.
             let last = rooms.iter().rev().find(|&&(id, _)| Some(id) != primary);
@@ -523,8 +530,7 @@
     /// up nothing.
     fn long(&self, offering: usize) -> bool {
         let usual = |offering: usize| self.took[offering].quantile(0.5).unwrap_or(0);
-        let bound =
-            |offering: &Offering| if let Need::Recent(bound) = offering.need { Some(bound) } else { None };
+        let bound = |o: &Offering| if let Need::Recent(bound) = o.need { Some(bound) } else { None };
         let bound = self.terms.offerings.iter().filter_map(bound).min();
         let least = (0..self.took.len()).map(usual).min().unwrap_or(0);
         bound.is_some_and(|bound| usual(offering) > bound.max(3 * least))
@@ -699,8 +705,7 @@
                 }
             }
             Some(Role::Replica) if at >= group.word || group.primary != Some(id) => {
-                member.seen_primary = false;
-                member.demoted = member.demoted.max(at);
+                (member.seen_primary, member.demoted) = (false, member.demoted.max(at));
                 if group.primary == Some(id) {
                     (group.primary, group.word) = (None, at);
                 }
@@ -745,9 +750,7 @@
                 ListedRoles::AtStart => first && group.primary.is_none(),
                 ListedRoles::Never => false,
             };
-            if trusted {
-                group.primary = Some(id);
-            }
+            group.primary = if trusted { Some(id) } else { group.primary };
         }
     }
 
@@ -866,7 +869,7 @@
         // The part at the window's start.
         let age = (age - self.terms.overload_window).max(0) as f64 / self.terms.warm_within as f64;
         let part = self.terms.cold_from + (1.0 - self.terms.cold_from) * age;
-        let load = self.warm_load.max(STAY / self.terms.drivers as f64);
+        let load = self.warm_load.max(STAY / self.terms.drivers_at_cold as f64);
         self.terms.overload_factor * part * load * member.size
     }
 
@@ -909,9 +912,7 @@
     }
 
     fn beat(&mut self, now: Micros) {
-        if now >= self.rush_until {
-            self.usual += (self.launched - self.usual) * 0.02;
-        }
+        self.usual += if now < self.rush_until { 0.0 } else { (self.launched - self.usual) * 0.02 };
         let pace = (self.usual * RUSH_PACE).max(RUSH_LEAST);
         (self.launched, self.rush) = (0.0, (self.rush + pace).min((5.0 * pace).max(1.0)));
         // Only what was honoured counts as a warm member's load: misses and launches turned away are no work.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -63,6 +63,8 @@
 pub struct Terms {
     pub offerings: Vec<Offering>,
     pub drivers: usize,
+    /// The same, as far as cold members are concerned.
+    pub drivers_at_cold: usize,
     pub repeats_marked: bool,
     pub zone: usize,
     /// How many zones there are.
--- a/crates/routing/tests/router/cases.rs
+++ b/crates/routing/tests/router/cases.rs
@@ -260,7 +260,7 @@
 }
 
 fn many() -> Terms {
-    Terms { drivers: 150, list_on_request: false, ..terms() }
+    Terms { drivers: 150, drivers_at_cold: 150, list_on_request: false, ..terms() }
 }
 
 #[test]
@@ -626,7 +626,7 @@
 
 #[test]
 fn what_was_never_launched_among_many_is_denied_before_half_of_its_time_is_over() {
-    let mut world = World::new(Terms { drivers: 40, ..terms() }, 4);
+    let mut world = World::new(Terms { drivers: 40, drivers_at_cold: 40, ..terms() }, 4);
     world.primary = 9;
     world.positions.resize(10, 0);
     (0..4).for_each(|id| world.probe_answer(id, true));
@@ -644,7 +644,7 @@
 
 #[test]
 fn a_read_that_waited_for_a_replicas_word_is_held_to_the_standard_of_an_arrival() {
-    let mut terms = Terms { drivers: 40, ..terms() };
+    let mut terms = Terms { drivers: 40, drivers_at_cold: 40, ..terms() };
     // Launches are taken to last 30 ms: half come in time after a wait of 6 ms, 85 of a hundred do not.
     terms.offerings[READ].quoted = 60 * MS;
     let mut world = World::new(terms, 2);
@@ -668,3 +668,41 @@
     }
     assert!(world.launched.len() >= 8, "{} launched", world.launched.len());
 }
+
+#[test]
+fn room_of_the_dead_is_taken_over_and_given_back_but_not_at_cold_members() {
+    let mut world = heard(many());
+    // How many launches are out at once of what many tasks want, with so many drivers alive.
+    let mut at_once = |living: usize| {
+        world.router.fleet(living, 150);
+        world.pass(1_500 * MS);
+        world.hear_all();
+        let tasks: Vec<Handle> = (0..60).map(|_| world.take(LOOSE, 1_500 * MS)).collect();
+        let out = world.out().len();
+        for task in tasks {
+            if target(&world, task).is_some() {
+                world.end(task, Verdict::Honoured);
+            }
+        }
+        world.pass(1_500 * MS);
+        out
+    };
+    let all = at_once(150);
+    let few = at_once(3);
+    assert!(few >= 4 * all.max(1), "{few} with three alive, {all} with all");
+    assert!(at_once(150) <= all + 1, "given back at once");
+    let cold = |living: usize| {
+        let mut world = heard(many());
+        world.router.fleet(living, 150);
+        world.relist(3, Standing::Ready, Some(world.now));
+        for _ in 0..50 {
+            let task = world.take(LOOSE, 1_500 * MS);
+            if target(&world, task).is_some() {
+                world.end(task, Verdict::Honoured);
+            }
+            world.pass(20 * MS);
+        }
+        world.launched.iter().filter(|&&(_, id)| id == 3).count()
+    };
+    assert!(cold(3) <= cold(150).max(1), "{} and {}", cold(3), cold(150));
+}
--- a/crates/routing/tests/router/rules.rs
+++ b/crates/routing/tests/router/rules.rs
@@ -34,6 +34,8 @@
         }
         // The driver stands still, for a moment or for longer than any task lasts.
         12 if b % 4 == 0 => world.stand((1 + (a as i64 * b as i64) % 4_000) * MS),
+        // Others are taken for dead, rightly or not, and are back.
+        12 if b % 4 == 1 => world.router.fleet(1 + a % world.terms.drivers, world.terms.drivers),
         12 => world.pass((1 + b as i64 % 400) * MS),
         13 => world.pass((1 + b as i64 % 15) * MS),
         14 => world.positions[id] = world.positions[id].max(world.now - (b as i64 % 2) * 100 * MS),
@@ -76,6 +78,7 @@
         .run(&(script, roles, drivers), |(script, roles, drivers)| {
             let mut terms = terms();
             terms.drivers = [2, 30, 150][drivers];
+            terms.drivers_at_cold = terms.drivers;
             terms.listed_roles = [ListedRoles::Never, ListedRoles::Late, ListedRoles::AtStart][roles];
             let mut world = World::new(terms, if drivers == 2 { 9 } else { 4 });
             for (kind, a, b) in script {
--- a/crates/routing/tests/router/world.rs
+++ b/crates/routing/tests/router/world.rs
@@ -38,6 +38,7 @@
             },
         ],
         drivers: 2,
+        drivers_at_cold: 2,
         repeats_marked: true,
         zone: 0,
         zones: 1,
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -212,6 +212,7 @@
         let terms = Terms {
             offerings,
             drivers: message.balancers,
+            drivers_at_cold: message.balancers,
             repeats_marked: message.clients.marks_retry,
             zone: zone(&message.my_zone).unwrap_or(message.azs.len()),
             zones: message.azs.len(),
