Rig: faults that strike the same process or member twice end

Cause: of 200 plans by chance 7 never ended: two kills of one driver overlapped, and the second waited for the end of the process that the first had started anew (faults.rs, start_again); two deaths of one member, and the second start waited for addresses that the first held (member.rs, restart). Ruled out: drivers that do not end; none was running but those started anew. Change: a fault minds which start it struck; a member that is up is not started again.

--- a/crates/fleet/src/drivers.rs
+++ b/crates/fleet/src/drivers.rs
@@ -27,6 +27,8 @@
     discovery: Cell<SocketAddr>,
     /// As it was last written.
     config: RefCell<Value>,
+    /// How often it was started.
+    starts: Cell<u64>,
     /// SIGTERM was sent, or it was killed.
     leaving: Cell<bool>,
     fellows: RefCell<Option<Introduced>>,
@@ -72,6 +74,7 @@
             address: free_port(),
             discovery: Cell::new(discovery),
             config: RefCell::default(),
+            starts: Cell::default(),
             leaving: Cell::default(),
             fellows: RefCell::default(),
         });
@@ -112,7 +115,7 @@
     }
 
     pub fn start(&self, driver: usize, known: Known) -> std::io::Result<()> {
-        let Driver { child, address, discovery, leaving, config: last, fellows } = &self.all[driver];
+        let Driver { child, address, discovery, starts, leaving, config: last, fellows } = &self.all[driver];
         let path = |kind: &str| self.folder.join(format!("n{driver}-{kind}"));
         let known = match known {
             Known::AtStart => self.discovery.at_start(driver),
@@ -139,6 +142,7 @@
         command.arg("--operator").arg(path("operator.json"));
         command.env_clear().stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         leaving.set(false);
+        starts.set(starts.get() + 1);
         *child.borrow_mut() = Some(command.spawn()?);
         self.world.note(Event::Started { driver });
         Ok(())
@@ -177,9 +181,13 @@
         Ok(())
     }
 
-    /// Waits until it has ended.
-    pub async fn ended(&self, driver: usize) {
-        loop {
+    pub fn starts(&self, driver: usize) -> u64 {
+        self.all[driver].starts.get()
+    }
+
+    /// Waits until this start of it has ended. Another fault may have started it anew meanwhile.
+    pub async fn ended(&self, driver: usize, start: u64) {
+        while self.starts(driver) == start {
             {
                 let mut child = self.all[driver].child.borrow_mut();
                 let Some(running) = child.as_mut() else { return };
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -73,17 +73,18 @@
                 }
             }
             What::Kill { share, down_ms, folder, known } => {
-                let struck = some(share, &drivers, &mut rng);
-                self.signal(&struck, Signal::KILL);
+                let struck = self.starts(some(share, &drivers, &mut rng));
+                struck.iter().for_each(|&(driver, _)| self.signal(&[driver], Signal::KILL));
                 sleep(millis(down_ms)).await;
                 self.start_again(struck, folder, known).await;
             }
             What::Terminate { share, down_ms } => {
-                let struck = some(share, &drivers, &mut rng);
-                self.signal(&struck, Signal::TERM);
+                let struck = self.starts(some(share, &drivers, &mut rng));
+                struck.iter().for_each(|&(driver, _)| self.signal(&[driver], Signal::TERM));
                 // For a while clients still come.
                 sleep(millis(300)).await;
-                struck.iter().for_each(|&driver| self.front.dismiss(driver));
+                let same = struck.iter().filter(|&&(driver, start)| self.drivers.starts(driver) == start);
+                same.for_each(|&(driver, _)| self.front.dismiss(driver));
                 sleep(millis(down_ms)).await;
                 self.start_again(struck, Folder::AsLeft, Known::AtStart).await;
             }
@@ -195,15 +196,25 @@
         }
     }
 
-    async fn start_again(&self, struck: Vec<usize>, folder: Folder, known: Known) {
-        for &driver in &struck {
-            self.drivers.ended(driver).await;
-            if let Err(error) = self.drivers.change_folder(driver, folder) {
+    /// Which start of each a fault strikes.
+    fn starts(&self, drivers: Vec<usize>) -> Vec<(usize, u64)> {
+        drivers.into_iter().map(|driver| (driver, self.drivers.starts(driver))).collect()
+    }
+
+    /// Starts them once they have ended, but for those that another fault has started meanwhile.
+    async fn start_again(&self, struck: Vec<(usize, u64)>, folder: Folder, known: Known) {
+        for &(driver, start) in &struck {
+            self.drivers.ended(driver, start).await;
+            if self.drivers.starts(driver) == start
+                && let Err(error) = self.drivers.change_folder(driver, folder)
+            {
                 eprintln!("folder of n{driver}: {error}");
             }
         }
-        for driver in struck {
-            if let Err(error) = self.drivers.start(driver, known) {
+        for (driver, start) in struck {
+            if self.drivers.starts(driver) == start
+                && let Err(error) = self.drivers.start(driver, known)
+            {
                 eprintln!("start of n{driver}: {error}");
             }
             self.front.expect(driver);
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -112,7 +112,8 @@
 
     /// Its process starts anew, cold.
     pub async fn restart(self: &Rc<Member>) {
-        loop {
+        // Another fault may have started it meanwhile.
+        while !self.up.get() {
             let listeners: Result<Vec<_>, _> =
                 self.addresses.iter().map(|&address| listen(address)).collect();
             if let Ok(listeners) = listeners {
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -156,7 +156,7 @@
     // What the faults still hold is let go before the end.
     let _ = faults.await;
     for driver in drivers.crashed() {
-        drivers.ended(driver).await;
+        drivers.ended(driver, drivers.starts(driver)).await;
     }
     Ok(world.history.take())
 }
--- a/crates/fleet/tests/plans.rs
+++ b/crates/fleet/tests/plans.rs
@@ -128,3 +128,17 @@
     let bound = |event: &Event| matches!(event, Event::Asked { after: Some(_), .. });
     assert!(run.events.iter().filter(|(_, event)| bound(event)).count() > 5);
 }
+
+#[test]
+fn faults_that_strike_the_same_one_twice_end() {
+    let kill =
+        |at: u32, down: u32| format!(r#"{{"at_ms":{at},"do":{{"kill":{{"share":1.0,"down_ms":{down}}}}}}}"#);
+    let members = |at: u32, down: u32| {
+        format!(r#"{{"at_ms":{at},"do":{{"kill_members":{{"share":0.5,"down_ms":{down}}}}}}}"#)
+    };
+    let terminate = r#"{"at_ms":3400,"do":{"terminate":{"share":1.0,"down_ms":100}}}"#;
+    let faults = [kill(1200, 300), kill(1300, 100), members(2500, 700), members(2600, 500)].join(",");
+    let started = std::time::Instant::now();
+    play(&format!("{faults},{terminate},{}", terminate.replace("3400", "3450")), "{}");
+    assert!(started.elapsed().as_secs() < 40);
+}
