Suspensions of the machine count as standstills where the operator asks for it

Need: the monotonic clock stands still while a machine is suspended: tasks from before then look young, and are launched past their limit. Change: suspension in the operator's file; the router's clock then adds the boot clock less the monotonic one, read through uapi. Statements carry their arrival on the router's clock, so that one that waited for the desk over a suspension is as old as it is. Off by default, as the platform wants the standard library's clocks. Result: a test with a made suspension of 40 s: time passed, a standstill, none of it lived.

--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -340,7 +340,8 @@
         self.owed.push_back(Owed { task: client, key, answer: None, statement: large, rows: None });
         // The system tells when the last bytes came; a statement before these came at some time before.
         let old = self.old.map(|(first, last)| if self.buffer.is_empty() { last } else { first });
-        let (mailbox, arrived) = (self.address.clone(), old.unwrap_or_else(Instant::now));
+        let arrived = self.context.clock.at(old.unwrap_or_else(Instant::now));
+        let mailbox = self.address.clone();
         let order = Order {
             client,
             holder: self.presence.peer,
--- a/crates/driver/src/clock.rs
+++ b/crates/driver/src/clock.rs
@@ -8,16 +8,27 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// The router's clock: it starts at the Unix time of the start and never steps.
+/// Says how long the machine was suspended, since whenever.
+pub type Suspension = fn() -> Micros;
+
+/// The router's clock: it starts at the Unix time of the start and never steps. Where it is told of suspensions it counts
+/// them; an instant from before one is then taken for as long before now as the machine has run since.
 #[derive(Clone, Copy)]
 pub struct Clock {
     start: Instant,
     at_start: Micros,
+    /// Who says so, and what was said at the start.
+    suspension: Option<(Suspension, Micros)>,
 }
 
 impl Clock {
-    pub fn start() -> Clock {
-        Clock { start: Instant::now(), at_start: unix_now() }
+    pub fn start(suspension: Option<Suspension>) -> Clock {
+        let suspension = suspension.map(|told| (told, told()));
+        Clock { start: Instant::now(), at_start: unix_now(), suspension }
+    }
+
+    fn suspended(&self) -> Micros {
+        self.suspension.map_or(0, |(told, before)| (told() - before).max(0))
     }
 
     pub fn now(&self) -> Micros {
@@ -25,11 +36,12 @@
     }
 
     pub fn at(&self, instant: Instant) -> Micros {
-        self.at_start + instant.saturating_duration_since(self.start).as_micros() as Micros
+        let ran = instant.saturating_duration_since(self.start).as_micros() as Micros;
+        self.at_start + ran + self.suspended()
     }
 
     pub fn instant(&self, at: Micros) -> Instant {
-        self.start + duration(at - self.at_start)
+        self.start + duration(at - self.at_start - self.suspended())
     }
 
     /// A Unix time on this clock, whatever steps the system's clock has made since the start.
@@ -49,6 +61,19 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as Micros)
 }
 
+/// The machine's suspensions, by the system's two clocks, of which one counts them.
+pub fn suspended() -> Micros {
+    let read = |clock| {
+        let mut time = uapi::c::timespec { tv_sec: 0, tv_nsec: 0 };
+        let told =
+            uapi::clock_gettime(clock, &mut time).map(|()| time.tv_sec * 1_000_000 + time.tv_nsec / 1_000);
+        told.unwrap_or(0)
+    };
+    // In this order a pause between the two makes a suspension shorter, never one where there was none.
+    let counting = read(uapi::c::CLOCK_BOOTTIME);
+    counting - read(uapi::c::CLOCK_MONOTONIC)
+}
+
 /// The time that this process has lived: the router's clock, but for the standstills of the process. What is
 /// measured of others is measured in it.
 #[derive(Clone)]
@@ -120,3 +145,33 @@
     let length = uapi::getsockopt(stream.as_raw_fd(), level, name, &mut info).ok()?;
     (length == std::mem::size_of_val(&info)).then(|| Micros::from(info[AT]) * 1000 + TICK)
 }
+
+#[cfg(test)]
+mod tests {
+    use std::sync::atomic::{AtomicI64, Ordering};
+
+    use super::*;
+
+    static SUSPENDED: AtomicI64 = AtomicI64::new(7_000_000);
+
+    #[test]
+    fn a_suspension_is_time_that_passed_and_a_standstill() {
+        let clock = Clock::start(Some(|| SUSPENDED.load(Ordering::SeqCst)));
+        let lived = Lived::start(clock);
+        let (before, began) = (clock.now(), lived.now());
+        let due = clock.instant(before + 60_000_000);
+        SUSPENDED.fetch_add(40_000_000, Ordering::SeqCst);
+        assert!((40_000_000..50_000_000).contains(&(clock.now() - before)));
+        assert!(due.saturating_duration_since(clock.instant(before + 60_000_000)) >= duration(39_000_000));
+        assert!((40_000_000..50_000_000).contains(&lived.stood()) && lived.now() - began < 10_000_000);
+        // Both ways are each other's.
+        let at = clock.now() + 5_000_000;
+        assert!((clock.at(clock.instant(at)) - at).abs() < 10);
+    }
+
+    #[test]
+    fn the_systems_word_on_suspensions_never_falls() {
+        let first = suspended();
+        assert!(first > -1_000 && suspended() >= first - 1_000);
+    }
+}
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -305,7 +305,7 @@
         }
         // The wait has run since the statement arrived.
         let clock = self.context.clock;
-        let waited = clock.now() - clock.at(order.arrived);
+        let waited = clock.now() - order.arrived;
         let ttl = Micros::from(order.comment.wait) * 1000 - waited;
         let (client, id) = (order.client, order.comment.id.clone());
         let mailbox = Some((client, order.mailbox.clone()));
@@ -334,7 +334,7 @@
             offering,
             group: order.comment.group,
             ttl,
-            waited: now - clock.at(order.arrived),
+            waited: now - order.arrived,
             session,
             last_write: written_ago,
             repeat: order.comment.repeat,
--- a/crates/driver/src/desk/hub.rs
+++ b/crates/driver/src/desk/hub.rs
@@ -288,7 +288,7 @@
     /// A client's task where there is a gateway: to the module here, or to another site.
     pub(crate) fn dispatch(&mut self, order: Order, offering: usize) {
         let now = self.context.clock.now();
-        let ttl = Micros::from(order.comment.wait) * 1000 - (now - self.context.clock.at(order.arrived));
+        let ttl = Micros::from(order.comment.wait) * 1000 - (now - order.arrived);
         let client = Some((order.client, order.mailbox.clone()));
         self.set_out(order, offering, ttl, client, None, Vec::new());
     }
@@ -551,7 +551,7 @@
         let denied = kind == OutcomeKind::Denied;
         frame.kind = kind.into();
         frame.hint = elsewhere.flatten().map_or(String::new(), |site| hub.names[site].clone());
-        frame.took_us = trip.order.arrived.elapsed().as_micros() as u64;
+        frame.took_us = (self.context.clock.now() - trip.order.arrived).max(0) as u64;
         // Nobody asks about what may simply be sent again.
         let fate = if effectful { fate } else { Fate::BrokenOff };
         let kept = match &fate {
@@ -889,7 +889,7 @@
         let client = hub.next_guest;
         // Its answer goes over the link; this mailbox is nobody's.
         let (mailbox, _) = mpsc::channel(1);
-        let arrived = Instant::now();
+        let arrived = self.context.clock.now();
         let order = Order { client, holder, mailbox, arrived, statement, comment, written_ago };
         let guest = Guest { gate, number, link, origin };
         self.set_out(order, offering, ttl.min(MOST), None, Some(guest), task.visited);
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -212,6 +212,7 @@
         trial,
         warm,
         fellows,
+        suspension,
         memory,
         known,
         decoded,
@@ -221,7 +222,7 @@
     let (log, _guard) = logger(&limits);
     let [mut terminate, mut interrupt] = ends;
     let (address, discovery) = notice::channel(discovery);
-    let clock = Clock::start();
+    let clock = Clock::start(suspension.then_some(clock::suspended));
     let lived = Lived::start(clock);
     let gate = Gate::new(lived.clone(), log.clone(), bounds);
     spawn_local(gate.clone().run());
--- a/crates/driver/src/start.rs
+++ b/crates/driver/src/start.rs
@@ -29,7 +29,7 @@
 }
 
 /// What the file says of that which cannot change while the program runs.
-pub type Fixed = [(&'static str, Value); 8];
+pub type Fixed = [(&'static str, Value); 9];
 
 /// Where the configuration is, and the operator's own file if there is one.
 pub struct Files {
@@ -49,6 +49,7 @@
     pub trial: Option<Trial>,
     pub warm: Option<Warm>,
     pub fellows: Option<Fellows>,
+    pub suspension: bool,
     pub memory: u64,
     pub known: Option<Catalog>,
     pub decoded: Decoded,
@@ -115,6 +116,7 @@
             ("gateway", serde_json::to_value(&operator.gateway).unwrap_or_default()),
             ("slow_peers.buffer_kib", operator.slow_peers.buffer_kib.into()),
             ("warm", serde_json::to_value(&operator.warm).unwrap_or_default()),
+            ("suspension", operator.suspension.into()),
             ("fellows", serde_json::to_value(&operator.fellows).unwrap_or_default()),
         ];
         Ok(Start {
@@ -129,6 +131,7 @@
             trial: None,
             warm: operator.warm.clone(),
             fellows: operator.fellows.clone(),
+            suspension: operator.suspension,
             memory: memory_mb as u64 * 1024 * 1024,
             known: form.known,
             decoded,
--- a/crates/driver/src/words.rs
+++ b/crates/driver/src/words.rs
@@ -66,7 +66,8 @@
     /// For whom room is asked for what comes back.
     pub holder: Peer,
     pub mailbox: mpsc::Sender<Mail>,
-    pub arrived: Instant,
+    /// On the router's clock.
+    pub arrived: Micros,
     pub statement: Vec<u8>,
     pub comment: Comment,
     /// How long ago the session's last write was committed, where another gateway says so.
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -38,6 +38,9 @@
     /// What is kept over a restart. Off by default. Read at the start only.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub warm: Option<Warm>,
+    /// Whether time in which the machine is suspended counts as time. Off by default. Read at the start only.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub suspension: bool,
     /// Drivers that know of one another. Off by default. Read at the start only.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub fellows: Option<Fellows>,
