A flood of datagrams keeps a driver neither from saying that it goes nor from its status

Cause: the fellows' actor looked at its socket before the stop and the status socket (fellows.rs, run): as long as datagrams came without a pause, neither was seen. Found by reading; the program itself ended all the same. Change: both come first. Result: the cases of crates/driver/tests/fellows.rs hold; no case floods it.

--- a/crates/driver/src/fellows.rs
+++ b/crates/driver/src/fellows.rs
@@ -98,6 +98,9 @@
             };
             tokio::select! {
                 biased;
+                // Seldom, and before what may never end.
+                _ = stopping.wait_for(Option::is_some) => break,
+                Ok((stream, _)) = asked => self.describe(stream).await,
                 Ok(()) = self.socket.readable() => {
                     self.listens_up();
                     for _ in 0..TURN {
@@ -115,8 +118,6 @@
                     self.listens_up();
                     self.wake().await;
                 }
-                Ok((stream, _)) = asked => self.describe(stream).await,
-                _ = stopping.wait_for(Option::is_some) => break,
             }
         }
         let todo = self.fellows.leave();
