Read again: one status socket, one write to the folder, one word on standstills, less state

Need: the change on many processes, read as a whole, wrote some things twice and kept what could be derived.

Change, behaviour as before but where said: status.rs serves gateway and fellows; Folder::write serves keeper and book; Fate::map takes the place of three copies of its cases; Promise::settled of two equal calls; keep::start holds what stood in main; paced (stand-ins) serves both examples; fnv instead of two own hashes; Fellows looks at new timers once instead of taking them out and putting them back. Gone: Counted.heard and expire, Lived.start, unused offering numbers, an arm that Earlier::ask never gives. Otherwise than before, three faults found by reading: sites were not told of a standstill that was first noticed while the router was asked (desk.rs, ask); a guest that waits for its record was dated by a clock that stands still with the machine (hub.rs, Coming); one that asks for the fellows' status and does not read held up the gossip (fellows.rs, describe). None of them has a case of its own.

The two examples were built and not run.

--- a/crates/driver/src/clock.rs
+++ b/crates/driver/src/clock.rs
@@ -79,14 +79,13 @@
 #[derive(Clone)]
 pub struct Lived {
     clock: Clock,
-    start: Instant,
     vigil: Rc<RefCell<Vigil>>,
 }
 
 impl Lived {
     pub fn start(clock: Clock) -> Lived {
         let vigil = Rc::new(RefCell::new(Vigil::start(clock.now())));
-        Lived { clock, start: Instant::now(), vigil }
+        Lived { clock, vigil }
     }
 
     /// All time spent standing until now. To be asked at the beginning of whatever rests on time.
@@ -125,7 +124,7 @@
     /// The connection was last read at `last`; `None` is the first time.
     pub fn came(&self, stream: &TcpStream, last: Option<Instant>) -> Option<(Instant, Instant)> {
         self.stood();
-        let (vigil, last) = (self.vigil.borrow(), self.clock.at(last.unwrap_or(self.start)));
+        let (vigil, last) = (self.vigil.borrow(), self.clock.at(last.unwrap_or(self.clock.start)));
         if !vigil.stood_since(last) {
             return None;
         }
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -98,7 +98,7 @@
     warmth: Warmth,
     lines: warmth::Lines,
     wake_at: Micros,
-    /// Of the time spent standing, what the router knows of.
+    /// Of the time spent standing, what router and sites know of.
     stood: Micros,
     ready: watch::Sender<bool>,
     requests: Option<mpsc::Sender<()>>,
@@ -168,7 +168,7 @@
             let stood = self.context.lived.stood() - self.stood;
             if stood > 0 {
                 warn!(self.context.log, "stood still"; "ms" => stood / 1000);
-                self.sites_stood_still();
+                self.tell_of_standstills();
                 // What the list said meanwhile comes before what it forbids: the list's actor reads it first.
                 for _ in 0..TURNS {
                     yield_now().await;
@@ -202,13 +202,19 @@
         }
     }
 
-    /// Asks the router, and, for a sample, a copy of it under the settings on trial, whose answer is only counted.
-    pub(crate) fn ask<T>(&mut self, decide: impl Fn(&mut Router) -> (T, Todo)) -> (T, Todo) {
+    /// Whoever decides hears of a standstill before anything that fell into it.
+    fn tell_of_standstills(&mut self) {
         let stood = self.context.lived.stood();
         let long = stood - std::mem::replace(&mut self.stood, stood);
         if long > 0 {
             self.router.stood_still(self.context.clock.now(), long);
+            self.sites_stood_still();
         }
+    }
+
+    /// Asks the router, and, for a sample, a copy of it under the settings on trial, whose answer is only counted.
+    pub(crate) fn ask<T>(&mut self, decide: impl Fn(&mut Router) -> (T, Todo)) -> (T, Todo) {
+        self.tell_of_standstills();
         let Some(trial) = &mut self.trial else { return decide(&mut self.router) };
         let asked = trial.ask(&mut self.router, decide);
         trial.tell(&self.context.log, false);
--- a/crates/driver/src/desk/book.rs
+++ b/crates/driver/src/desk/book.rs
@@ -58,7 +58,7 @@
             match *space {
                 space::BOOK => {
                     if let Some((own, origin, number)) = read_key(key) {
-                        earlier.record(own, origin, number, shared(read_value(value)));
+                        earlier.record(own, origin, number, read_value(value).map(Rc::new));
                     }
                 }
                 space::PROMISES => {
@@ -83,7 +83,7 @@
             let over = until.saturating_add(3_600_000_000);
             batch.put(space::PROMISES, &self.start.to_be_bytes(), &until.to_be_bytes(), Some(over));
             if !self.hand_over(now, batch, Wait::Promise) {
-                self.promise.unsure();
+                self.promise.settled();
             }
         }
     }
@@ -116,12 +116,7 @@
         if !self.keeping.hands_over(now, true) {
             return false;
         }
-        let told = self.told.clone();
-        let done = move |well| {
-            // The channel holds as many as may wait.
-            let _ = told.try_send(well);
-        };
-        if self.folder.committer.write(batch, Box::new(done)).is_err() {
+        if !self.folder.write(batch, &self.told) {
             self.keeping.failed(now);
             return false;
         }
@@ -139,8 +134,7 @@
         }
         match wait {
             Wait::Record(token) => return Some((token, well)),
-            Wait::Promise if well => self.promise.confirmed(),
-            Wait::Promise => self.promise.unsure(),
+            Wait::Promise => self.promise.settled(),
             Wait::Over => {}
         }
         None
@@ -155,7 +149,7 @@
         for wait in &mut self.waiting {
             match std::mem::replace(wait, Wait::Over) {
                 Wait::Record(token) => tokens.push(token),
-                Wait::Promise => self.promise.unsure(),
+                Wait::Promise => self.promise.settled(),
                 Wait::Over => {}
             }
         }
@@ -171,14 +165,3 @@
         matches!(self.keeping.state(), State::Without { .. })
     }
 }
-
-fn shared(fate: Fate<Vec<u8>>) -> Fate<Rc<Vec<u8>>> {
-    match fate {
-        Fate::Honoured(bytes) => Fate::Honoured(Rc::new(bytes)),
-        Fate::NeverTaken => Fate::NeverTaken,
-        Fate::UnderWay => Fate::UnderWay,
-        Fate::Denied { cool_down } => Fate::Denied { cool_down },
-        Fate::BrokenOff => Fate::BrokenOff,
-        Fate::Unknown => Fate::Unknown,
-    }
-}
--- a/crates/driver/src/desk/hub.rs
+++ b/crates/driver/src/desk/hub.rs
@@ -19,7 +19,6 @@
 use serde_json::json;
 use slog::{info, warn};
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 use super::book::{Book, Taking, Token};
 use super::{Desk, Holder};
@@ -119,7 +118,8 @@
     gate: GateId,
     origin: Origin,
     number: u64,
-    came: Instant,
+    /// On the router's clock.
+    came: Micros,
     task: TaskFrame,
     statement: Vec<u8>,
 }
@@ -388,7 +388,6 @@
         self.carry_out_sites(todo, None);
     }
 
-    /// Before anything else that is done with what fell into a standstill.
     pub(crate) fn sites_stood_still(&mut self) {
         let now = self.context.clock.now();
         if let Some(hub) = &mut self.hub {
@@ -554,11 +553,7 @@
         frame.took_us = (self.context.clock.now() - trip.order.arrived).max(0) as u64;
         // Nobody asks about what may simply be sent again.
         let fate = if effectful { fate } else { Fate::BrokenOff };
-        let kept = match &fate {
-            Fate::Honoured(kept) => Fate::Honoured(&kept.bytes[..]),
-            Fate::Denied { cool_down } => Fate::Denied { cool_down: *cool_down },
-            _ => Fate::BrokenOff,
-        };
+        let kept = fate.as_ref().map(|kept| &kept.bytes[..]);
         let until = now + Micros::from(trip.order.comment.wait) * 1000 + SLACK;
         let book = hub.book.as_mut().filter(|_| effectful);
         let token = book.and_then(|book| book.settle(now, &guest.origin, guest.number, until, &kept));
@@ -719,13 +714,8 @@
                 let fate = match &hub.book {
                     // What an earlier start took is in what was kept of it.
                     Some(book) if ask.receiver_start != own => {
-                        match book.earlier.ask(&origin, ask.number, ask.receiver_start) {
-                            Fate::Honoured(bytes) => Fate::Honoured(Kept { bytes, _room: None }),
-                            Fate::NeverTaken => Fate::NeverTaken,
-                            Fate::Denied { cool_down } => Fate::Denied { cool_down },
-                            Fate::BrokenOff | Fate::UnderWay => Fate::BrokenOff,
-                            Fate::Unknown => Fate::Unknown,
-                        }
+                        let fate = book.earlier.ask(&origin, ask.number, ask.receiver_start);
+                        fate.map(|bytes| Kept { bytes, _room: None })
                     }
                     _ => hub.fates.ask(now, &origin, ask.number, ask.receiver_start, own),
                 };
@@ -803,7 +793,7 @@
             // Another copy, or one that was asked about before it came: no news to the sender.
             Err(_) => return,
         }
-        let coming = Coming { link, gate, origin, number, came: Instant::now(), task, statement };
+        let coming = Coming { link, gate, origin, number, came: now, task, statement };
         let offering = self.decoded.offering(&coming.task.offering).ok();
         let effect = offering.map(|offering| self.decoded.terms.offerings[offering].effect);
         let until = now + left + SLACK;
@@ -864,7 +854,7 @@
     fn guest_goes_on(&mut self, coming: Coming) {
         let Some(hub) = &mut self.hub else { return };
         let Coming { link, gate, number, ref task, ref statement, .. } = coming;
-        let left = micros(task.left_us) - coming.came.elapsed().as_micros() as Micros;
+        let left = micros(task.left_us) - (self.context.clock.now() - coming.came);
         let offering = hub.offerings.iter().position(|name| *name == task.offering);
         let comment = Comment::parse(statement).ok().filter(|comment| comment.group == task.group);
         let circle = task.visited.contains(&hub.own.site);
--- a/crates/driver/src/fellows.rs
+++ b/crates/driver/src/fellows.rs
@@ -1,19 +1,20 @@
 //! The actor that carries datagrams between this driver and the others of its fleet. What is said and believed is
 //! `crates/fellows`'; the desk is told how many live.
 
-use std::io::Read;
 use std::rc::Rc;
 
-use aldermill_fellows::{Change, Dropped, Fellow, Own, Peer, Tempo, Todo, View};
+use aldermill_fellows::{Change, Dropped, Fellow, Micros, Own, Peer, Tempo, Todo, View};
 use aldermill_operator::Fellows as Terms;
 use serde_json::{Value, json};
 use slog::{info, warn};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{UdpSocket, UnixListener, UnixStream};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
 use crate::clock::unix_now;
 use crate::context::Context;
+use crate::status;
 use crate::words::Call;
 
 /// Datagrams read before it is looked whether anything is due.
@@ -28,8 +29,8 @@
     told: usize,
     /// What the desk was last told: by how many room is shared, and at cold members.
     shared: (usize, usize),
-    wake_at: Option<i64>,
-    stood: i64,
+    wake_at: Option<Micros>,
+    stood: Micros,
     /// Datagrams and bytes sent, and datagrams that could not be.
     sent: (u64, u64),
     unsent: u64,
@@ -55,14 +56,7 @@
         info!(context.log, "fellows"; "fleet" => &own.fleet, "listen" => %listen, "address" => %own.address);
         let peers =
             terms.peers.into_iter().map(|peer| Peer { name: peer.name, address: peer.address }).collect();
-        let status = terms.status.and_then(|path| {
-            // Left over from an earlier run.
-            let _ = std::fs::remove_file(&path);
-            let bound = UnixListener::bind(&path);
-            bound
-                .map_err(|error| warn!(context.log, "no status socket"; "path" => path, "why" => %error))
-                .ok()
-        });
+        let status = terms.status.and_then(|path| status::listen(&path, &context.log));
         let (tempo, now) = (Tempo::usual(drivers), context.lived.now());
         let (fellows, todo) =
             aldermill_fellows::Fellows::start(now, own, peers, terms.networks, tempo, drivers, seed);
@@ -100,7 +94,7 @@
                 biased;
                 // Seldom, and before what may never end.
                 _ = stopping.wait_for(Option::is_some) => break,
-                Ok((stream, _)) = asked => self.describe(stream).await,
+                Ok((stream, _)) = asked => self.describe(stream),
                 Ok(()) = self.socket.readable() => {
                     self.listens_up();
                     for _ in 0..TURN {
@@ -172,12 +166,15 @@
     }
 
     /// Says what is known here, as one JSON object.
-    async fn describe(&self, mut stream: UnixStream) {
+    fn describe(&self, mut stream: UnixStream) {
         let view = self.fellows.view(self.context.lived.now());
         let text = json!({"self": fellow(self.fellows.own()), "view": seen(view), "room_shared_by": self.shared.0,
             "dropped": dropped(self.fellows.dropped()), "sent": {"datagrams": self.sent.0, "bytes": self.sent.1}, "not_sent": self.unsent,
             "fellows": self.fellows.alive().map(fellow).collect::<Vec<_>>()});
-        let _ = stream.write_all(format!("{text}\n").as_bytes()).await;
+        // Whoever asked and does not read keeps nobody waiting.
+        spawn_local(async move {
+            let _ = stream.write_all(format!("{text}\n").as_bytes()).await;
+        });
     }
 }
 
@@ -197,10 +194,7 @@
 
 /// What the driver behind that socket knows of the others: a table, or its JSON as it comes.
 pub fn ask(path: &str, as_json: bool) -> Result<String, String> {
-    let mut stream =
-        std::os::unix::net::UnixStream::connect(path).map_err(|error| format!("{path}: {error}"))?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text).map_err(|error| format!("{path}: {error}"))?;
+    let text = status::ask(path)?;
     if as_json {
         return Ok(text);
     }
--- a/crates/driver/src/gateway/mod.rs
+++ b/crates/driver/src/gateway/mod.rs
@@ -2,7 +2,6 @@
 
 mod link;
 mod meeting;
-mod status;
 
 use std::cell::Cell;
 use std::net::IpAddr;
@@ -10,11 +9,14 @@
 
 use aldermill_link::{Bounds, Identity};
 use aldermill_operator::{Gateway, IpNet};
+use tokio::io::AsyncWriteExt;
+use tokio::sync::oneshot;
 
 pub use meeting::{accept, start};
-pub use status::{ask, serve};
 
-use crate::words::LinkId;
+use crate::context::Context;
+use crate::status;
+use crate::words::{Call, LinkId};
 
 /// What the actors of links share.
 pub struct Yard {
@@ -59,3 +61,17 @@
         }
     }
 }
+
+/// Says what is believed of sites and links to everybody who connects to the socket at that path.
+pub async fn serve(context: Rc<Context>, path: String) {
+    let Some(listener) = status::listen(&path, &context.log) else { return };
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let (sender, answer) = oneshot::channel();
+        if context.desk.send(Call::Describe(sender)).await.is_err() {
+            return;
+        }
+        if let Ok(text) = answer.await {
+            let _ = stream.write_all(text.as_bytes()).await;
+        }
+    }
+}
--- a/crates/driver/src/keep.rs
+++ b/crates/driver/src/keep.rs
@@ -5,11 +5,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use aldermill_operator::Warm;
 use aldermill_routing::Micros;
 use aldermill_store::{Batch, Bounds, Committer, Disk, Keeping, Snapshot, State, Store};
 use aldermill_warm::{Beliefs, Change, Kept, Recalled, recall};
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout};
 
 use crate::clock::{Clock, unix_now};
@@ -25,13 +27,26 @@
 /// An open folder.
 pub struct Folder {
     /// Never waited for, not even at the end: a disk may stand still.
-    pub committer: ManuallyDrop<Committer>,
+    committer: ManuallyDrop<Committer>,
     /// What it held: space, key and value.
     pub read: Vec<(u32, Vec<u8>, Vec<u8>)>,
 }
 
+impl Folder {
+    /// Hands a batch to the disk's thread, unless that takes nothing more. `told` then hears whether it was kept; it
+    /// must have room for as many words as there are batches under way.
+    pub fn write(&self, batch: Batch, told: &mpsc::Sender<bool>) -> bool {
+        let told = told.clone();
+        let done = move |well| {
+            // One that is gone needs no word.
+            let _ = told.try_send(well);
+        };
+        self.committer.write(batch, Box::new(done)).is_ok()
+    }
+}
+
 /// Opens the folder and reads it back, on a thread of its own. A folder that is refused is left as it is.
-pub async fn open(path: &str, name: &str, memory: u64) -> Result<(Folder, Recalled), String> {
+async fn open(path: &str, name: &str, memory: u64) -> Result<(Folder, Recalled), String> {
     let (sender, opened) = oneshot::channel();
     let (path, name) = (PathBuf::from(path), name.to_owned());
     std::thread::spawn(move || {
@@ -61,18 +76,42 @@
     Ok((Folder { committer, read }, recalled))
 }
 
-pub struct Keeper {
-    pub clock: Clock,
-    pub log: Logger,
+/// An open folder, what was recalled from it, and who keeps what is believed from now on.
+pub struct Warmed {
     pub folder: Rc<Folder>,
-    pub kept: Kept,
+    pub recalled: Recalled,
+    pub keeping: watch::Sender<Option<Beliefs>>,
+}
+
+/// Opens the folder and starts its keeper; `None` where it is refused, which the log then says.
+pub async fn start(warm: &Warm, name: &str, memory: u64, clock: Clock, log: &Logger) -> Option<Warmed> {
+    let opened = open(&warm.folder, name, memory).await;
+    let refused =
+        |why| warn!(log, "warm state refused, started without"; "folder" => &warm.folder, "why" => why);
+    let (folder, recalled) = opened.map_err(refused).ok()?;
+    info!(log, "warm state"; "revision" => recalled.beliefs.revision,
+        "primaries" => recalled.beliefs.primaries.len(), "left_out" => recalled.left_out,
+        "newest_word_ms_ago" => recalled.age.map(|age| age / 1000));
+    let folder = Rc::new(folder);
+    let (keeping, beliefs) = watch::channel(None);
+    let kept = Kept::start(name, folder.read.iter().map(|(space, key, _)| (*space, key.clone())));
+    let keeper = Keeper { clock, log: log.clone(), folder: folder.clone(), kept, beliefs };
+    spawn_local(keeper.run());
+    Some(Warmed { folder, recalled, keeping })
+}
+
+struct Keeper {
+    clock: Clock,
+    log: Logger,
+    folder: Rc<Folder>,
+    kept: Kept,
     /// What is believed; the newest counts.
-    pub beliefs: watch::Receiver<Option<Beliefs>>,
+    beliefs: watch::Receiver<Option<Beliefs>>,
 }
 
 impl Keeper {
     /// Hands what has changed to the disk's thread, as long as the disk does well; says so when it does not.
-    pub async fn run(mut self) {
+    async fn run(mut self) {
         let (done, mut confirmed) = mpsc::channel(WAITING * 2);
         let mut keeping = Keeping::start(PATIENCE, WAITING);
         let mut told = State::Well;
@@ -139,12 +178,7 @@
         if batch.is_empty() {
             return keeping.confirmed(now);
         }
-        let done = done.clone();
-        let told = move |well| {
-            // A keeper that is gone needs no word.
-            let _ = done.try_send(well);
-        };
-        if self.folder.committer.write(batch, Box::new(told)).is_err() {
+        if !self.folder.write(batch, done) {
             self.failed(keeping);
         }
     }
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -14,6 +14,7 @@
 mod member;
 mod reload;
 mod start;
+mod status;
 mod trial;
 mod watch;
 mod words;
@@ -26,11 +27,10 @@
 use aldermill_operator::{Gateway, Operator};
 use aldermill_terms::Decoded;
 use aldermill_vigil::apart;
-use aldermill_warm::{Kept, Recalled};
 use bpaf::Bpaf;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use slog::{Drain, Logger, info, o, warn};
+use slog::{Drain, Logger, info, o};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch as notice};
 use tokio::task::{LocalSet, spawn_local};
@@ -43,7 +43,7 @@
 use crate::fellows::Company;
 use crate::gate::Gate;
 use crate::gateway::Yard;
-use crate::keep::{Folder, Keeper};
+use crate::keep::Folder;
 use crate::limits::Limits;
 use crate::reload::Reload;
 use crate::start::{Files, Start};
@@ -133,7 +133,7 @@
         Command::Check { config, operator } => {
             read(&Files { config, operator }).map(|start| describe(&start))
         }
-        Command::Sites { socket } => gateway::ask(&socket).map(|text| print!("{text}")),
+        Command::Sites { socket } => status::ask(&socket).map(|text| print!("{text}")),
         Command::Fellows { json, socket } => fellows::ask(&socket, json).map(|text| print!("{text}")),
         Command::Store { work: FolderWork::Check { folder } } => {
             keep::tools::check(&folder).and_then(|sound| {
@@ -258,30 +258,14 @@
     let address = listener.local_addr().unwrap_or(listen);
     info!(log, "serving"; "name" => &name, "listen" => %address, "version" => env!("CARGO_PKG_VERSION"));
 
-    let mut recalled = Recalled::default();
-    let (mut keeping, mut kept_in) = (None, None);
-    if let Some(warm) = &warm {
-        match keep::open(&warm.folder, &name, memory).await {
-            Ok((folder, read)) => {
-                let folder = Rc::new(folder);
-                info!(log, "warm state"; "revision" => read.beliefs.revision,
-                    "primaries" => read.beliefs.primaries.len(), "left_out" => read.left_out,
-                    "newest_word_ms_ago" => read.age.map(|age| age / 1000));
-                let (beliefs, believed) = notice::channel(None);
-                let (kept, clock, log) = (
-                    Kept::start(&name, folder.read.iter().map(|(space, key, _)| (*space, key.clone()))),
-                    clock,
-                    log.clone(),
-                );
-                let keeper = Keeper { clock, log, folder: folder.clone(), kept, beliefs: believed };
-                spawn_local(keeper.run());
-                (keeping, recalled, kept_in) = (Some(beliefs), read, Some(folder));
-            }
-            Err(why) => {
-                warn!(log, "warm state refused, started without"; "folder" => &warm.folder, "why" => why)
-            }
-        }
-    }
+    let warmed = match &warm {
+        Some(warm) => keep::start(warm, &name, memory, clock, &log).await,
+        None => None,
+    };
+    let (kept_in, mut recalled, keeping) = match warmed {
+        Some(keep::Warmed { folder, recalled, keeping }) => (Some(folder), recalled, Some(keeping)),
+        None => Default::default(),
+    };
     // Of two lists the one of the later revision is the later one.
     let kept = Catalog::kept(&recalled.beliefs);
     let known = known.into_iter().chain(kept).max_by_key(|list| list.revision);
--- a/crates/duties/src/candidates.rs
+++ b/crates/duties/src/candidates.rs
@@ -1,4 +1,7 @@
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::Hasher;
+
+use fnv::FnvHasher;
 
 use crate::{Grants, Micros};
 
@@ -59,10 +62,10 @@
     }
 }
 
-/// FNV-1a of both names, mixed once more: names that differ in their last letter are far apart.
+/// Both names hashed, and mixed once more: names that differ in their last letter are far apart.
 fn draw(duty: &str, name: &str) -> u64 {
-    let bytes = duty.bytes().chain([0]).chain(name.bytes());
-    let hash = bytes
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3u64));
+    let mut hasher = FnvHasher::default();
+    [duty.as_bytes(), &[0], name.as_bytes()].into_iter().for_each(|part| hasher.write(part));
+    let hash = hasher.finish();
     (hash ^ hash >> 29).wrapping_mul(0xbf58_476d_1ce4_e5b9)
 }
--- a/crates/duties/src/tenure.rs
+++ b/crates/duties/src/tenure.rs
@@ -14,7 +14,11 @@
 impl Tenure {
     /// Granted for so long; `asked` is when the asking left.
     pub fn granted(term: Term, asked: Micros, lasts: Micros) -> Tenure {
-        Tenure { term, lasts, ends: asked + lasts - Tenure::margin(lasts) }
+        Tenure { term, lasts, ends: Tenure::end(asked, lasts) }
+    }
+
+    fn end(asked: Micros, lasts: Micros) -> Micros {
+        asked + lasts - Tenure::margin(lasts)
     }
 
     /// What clocks that run apart may make of a lease.
@@ -26,7 +30,7 @@
 
     /// The same term goes on. An answer that comes behind a later one changes nothing.
     pub fn renewed(&mut self, asked: Micros) {
-        self.ends = self.ends.max(asked + self.lasts - Tenure::margin(self.lasts));
+        self.ends = self.ends.max(Tenure::end(asked, self.lasts));
     }
 
     /// To be asked immediately before each act, which carries the term. A holder that is stopped between this and the
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -283,13 +283,16 @@
             let mut out = AccumulatingRuntime::new();
             // What cannot be done any more concerns a fellow that is gone.
             let done = self.swim.handle_timer(timer, &mut out);
+            let timers: Vec<_> = std::iter::from_fn(|| out.to_schedule()).collect();
             let before = self.health;
             if probes && done.is_ok() {
-                self.judge_probe(&mut out);
+                // A round is over. Where the one probed is accused, this driver doubts itself as well.
+                let accuses = |(_, timer): &_| matches!(timer, Timer::ChangeSuspectToDown { .. });
+                if timers.iter().any(accuses) { self.health.unheard() } else { self.health.heard() }
             }
-            self.schedule(now, out, before);
+            self.schedule(now, timers, before);
+            self.carry_out(now, out);
         }
-        self.counted.expire(now);
         self.settle(now)
     }
 
@@ -312,20 +315,6 @@
         todo
     }
 
-    /// A round of the probe is over. Where the one probed is accused, this driver doubts itself as well.
-    fn judge_probe(&mut self, out: &mut AccumulatingRuntime<Fellow>) {
-        let mut kept = Vec::new();
-        let mut accused = false;
-        while let Some((after, timer)) = out.to_schedule() {
-            accused |= matches!(timer, Timer::ChangeSuspectToDown { .. });
-            kept.push((after, timer));
-        }
-        for (after, timer) in kept {
-            foca::Runtime::submit_after(out, timer, after);
-        }
-        if accused { self.health.unheard() } else { self.health.heard() }
-    }
-
     /// Calls some of those whom the operator names and who are not known to live.
     fn call(&mut self, now: Micros) {
         if now < self.call_at {
@@ -367,28 +356,12 @@
         }
     }
 
-    fn carry_out(&mut self, now: Micros, out: AccumulatingRuntime<Fellow>) {
-        self.schedule(now, out, self.health);
-    }
-
-    /// `before` is the doubt before what has just been found out: nobody waits longer with an accusation for its own sake.
-    fn schedule(&mut self, now: Micros, mut out: AccumulatingRuntime<Fellow>, before: Health) {
+    fn carry_out(&mut self, now: Micros, mut out: AccumulatingRuntime<Fellow>) {
         while let Some((to, inner)) = out.to_send() {
             let address = self.routes.get(&*to.name).copied().unwrap_or(to.address);
             self.todo.send.push((address, frame::gossip(self.fleet, &inner)));
         }
-        while let Some((after, timer)) = out.to_schedule() {
-            // The patience with a probe and with one that is suspected is stretched by doubt; so is the pace, as what a
-            // probe needs must fit in its round.
-            let stretch = match timer {
-                Timer::ProbeRandomMember(_) | Timer::SendIndirectProbe { .. } => self.health.stretch(),
-                Timer::ChangeSuspectToDown { .. } => before.stretch(),
-                _ => 1,
-            };
-            let after = micros(after) * Micros::from(stretch);
-            self.timers.insert((now + after, self.next_timer), timer);
-            self.next_timer += 1;
-        }
+        self.schedule(now, std::iter::from_fn(|| out.to_schedule()), self.health);
         while let Some(note) = out.to_notify() {
             let change = match note {
                 OwnedNotification::MemberUp(fellow) => Change::Up(fellow),
@@ -407,6 +380,27 @@
         }
     }
 
+    /// `before` is the doubt before what has just been found out: nobody waits longer with an accusation for its own sake.
+    fn schedule(
+        &mut self,
+        now: Micros,
+        timers: impl IntoIterator<Item = (Duration, Timer<Fellow>)>,
+        before: Health,
+    ) {
+        for (after, timer) in timers {
+            // The patience with a probe and with one that is suspected is stretched by doubt; so is the pace, as what a
+            // probe needs must fit in its round.
+            let stretch = match timer {
+                Timer::ProbeRandomMember(_) | Timer::SendIndirectProbe { .. } => self.health.stretch(),
+                Timer::ChangeSuspectToDown { .. } => before.stretch(),
+                _ => 1,
+            };
+            let after = micros(after) * Micros::from(stretch);
+            self.timers.insert((now + after, self.next_timer), timer);
+            self.next_timer += 1;
+        }
+    }
+
     fn settle(&mut self, now: Micros) -> Todo {
         self.counted.alive(now, self.swim.num_members() + 1);
         let first = self.timers.first_key_value().map(|(&(at, _), _)| at);
--- a/crates/fellows/src/frame.rs
+++ b/crates/fellows/src/frame.rs
@@ -20,10 +20,12 @@
 //! whose name is empty is whoever listens there: so is one asked that is known by its address alone.
 
 use std::cell::RefCell;
+use std::hash::Hasher;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
 use bytes::{Buf, BufMut};
+use fnv::FnvHasher;
 use foca::{Header, Member, Message, State};
 
 use crate::Fellow;
@@ -46,9 +48,9 @@
 /// The fleet's name as it stands in datagrams: FNV-1a. It tells fleets apart that were given each other's addresses by
 /// mistake; it protects from nobody who means harm.
 pub fn tag(fleet: &str) -> u64 {
-    fleet
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
+    let mut hasher = FnvHasher::default();
+    hasher.write(fleet.as_bytes());
+    hasher.finish()
 }
 
 /// What a datagram holds.
--- a/crates/fellows/src/view.rs
+++ b/crates/fellows/src/view.rs
@@ -41,11 +41,10 @@
 pub struct Counted {
     alive: usize,
     seen: usize,
-    /// The numbers that were higher than all later ones, and until when they were so.
+    /// The numbers that were higher than all later ones, and until when they were so: no more than the highest of them.
     lately: VecDeque<(Micros, usize)>,
     /// Since when nothing was heard that can be trusted; `None` while all is well.
     doubt: Option<Micros>,
-    heard: Option<Micros>,
 }
 
 impl Counted {
@@ -65,7 +64,6 @@
     }
 
     pub fn heard(&mut self, now: Micros) {
-        self.heard = Some(now);
         // What is heard first may have waited since before; what comes a while later is of now.
         if self.doubt.is_some_and(|since| now - since >= SETTLING) {
             self.doubt = None;
@@ -82,15 +80,8 @@
         View {
             alive: self.alive,
             seen: self.seen,
-            sure: self.doubt.is_none() && self.heard.is_some() && self.alive > 1,
+            sure: self.doubt.is_none() && self.alive > 1,
             may_be_smaller: 2 * self.alive <= before,
         }
     }
-
-    /// Forgets what is too old to count.
-    pub fn expire(&mut self, now: Micros) {
-        while self.lately.front().is_some_and(|&(at, _)| now - at > MEMORY) {
-            self.lately.pop_front();
-        }
-    }
 }
--- a/crates/fleet/examples/gateway.rs
+++ b/crates/fleet/examples/gateway.rs
@@ -8,7 +8,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use aldermill_stand_ins::{BACK, Cable, Client, Ledger, Site, THERE, named, new_id, order, quantile, until};
+use aldermill_stand_ins::{
+    BACK, Cable, Client, Ledger, Site, THERE, named, new_id, order, paced, quantile, until,
+};
 
 const CLIENTS: usize = 60;
 const EVERY: Duration = Duration::from_millis(200);
@@ -39,54 +41,41 @@
 
 /// Renewals at a fixed pace, each under an id of its own.
 fn load(address: SocketAddr, way: Way, long: Duration, ledger: &Ledger) -> Seen {
-    let seen = Arc::<Mutex<Seen>>::default();
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|number| {
-            let (seen, ledger) = (seen.clone(), ledger.clone());
-            thread::spawn(move || {
-                let mut client = None;
-                let start = Instant::now() + EVERY / CLIENTS as u32 * number as u32;
-                for turn in 0..(long.as_millis() / EVERY.as_millis()) as u32 {
-                    let due = start + EVERY * turn;
-                    thread::sleep(due.saturating_duration_since(Instant::now()));
-                    let (id, began) = (new_id(), Instant::now());
-                    let statement = named(&order(3000), &id);
-                    let mut said = None;
-                    while said.is_none() && began.elapsed() < Duration::from_secs(3) {
-                        client = client.or_else(|| Client::bare(address).greeted());
-                        let Some(open) = client.as_mut() else {
-                            thread::sleep(Duration::from_millis(20));
-                            continue;
-                        };
-                        said = open.offer(&statement).then(|| open.answer()).flatten();
-                        if said.is_none() {
-                            client = None;
-                            if way == Way::Once && ledger.runs(&id) > 0 {
-                                break;
-                            }
-                        }
-                    }
-                    let code = said.as_ref().map_or("none", |said| match &said.value {
-                        Some(_) => "honoured",
-                        None => said.code.as_str(),
-                    });
-                    let runs = ledger.runs(&id);
-                    let mut seen = seen.lock().unwrap();
-                    seen.asked += 1;
-                    *seen.by_code.entry(code.to_owned()).or_default() += 1;
-                    seen.late += usize::from(began.elapsed() > Duration::from_millis(3050));
-                    // Denied although it ran, or honoured though it did not.
-                    seen.untrue +=
-                        usize::from(code == "53300" && runs > 0 || code == "honoured" && runs == 0);
-                    if code == "honoured" {
-                        seen.took.push(began.elapsed());
-                    }
+    let seen = Mutex::<Seen>::default();
+    paced(CLIENTS, EVERY, long, |_, _, client| {
+        let (id, began) = (new_id(), Instant::now());
+        let statement = named(&order(3000), &id);
+        let mut said = None;
+        while said.is_none() && began.elapsed() < Duration::from_secs(3) {
+            *client = client.take().or_else(|| Client::bare(address).greeted());
+            let Some(open) = client.as_mut() else {
+                thread::sleep(Duration::from_millis(20));
+                continue;
+            };
+            said = open.offer(&statement).then(|| open.answer()).flatten();
+            if said.is_none() {
+                *client = None;
+                if way == Way::Once && ledger.runs(&id) > 0 {
+                    break;
                 }
-            })
-        })
-        .collect();
-    clients.into_iter().for_each(|client| client.join().unwrap());
-    std::mem::take(&mut seen.lock().unwrap())
+            }
+        }
+        let code = said.as_ref().map_or("none", |said| match &said.value {
+            Some(_) => "honoured",
+            None => said.code.as_str(),
+        });
+        let runs = ledger.runs(&id);
+        let mut seen = seen.lock().unwrap();
+        seen.asked += 1;
+        *seen.by_code.entry(code.to_owned()).or_default() += 1;
+        seen.late += usize::from(began.elapsed() > Duration::from_millis(3050));
+        // Denied although it ran, or honoured though it did not.
+        seen.untrue += usize::from(code == "53300" && runs > 0 || code == "honoured" && runs == 0);
+        if code == "honoured" {
+            seen.took.push(began.elapsed());
+        }
+    });
+    seen.into_inner().unwrap()
 }
 
 /// Cuts the line at least once a second, at a byte by chance one way or the other, or all of it at once.
--- a/crates/fleet/examples/slow_peers.rs
+++ b/crates/fleet/examples/slow_peers.rs
@@ -5,10 +5,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use aldermill_stand_ins::{
-    Client, Discovery, Driver, Member, config, drip, honour, honour_with, list, look, order, quantile,
+    Client, Discovery, Driver, Member, config, drip, honour, honour_with, list, look, order, paced, quantile,
     refuse, whole,
 };
 
@@ -28,40 +28,28 @@
 
 /// Ten tasks a second from each client, a quarter of them effectful, counted from when they were due.
 fn usual(address: SocketAddr, long: Duration) -> Seen {
-    let seen = Arc::<Mutex<Seen>>::default();
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|number| {
-            let seen = seen.clone();
-            thread::spawn(move || {
-                let mut client = None;
-                let start = Instant::now() + EVERY / CLIENTS as u32 * number as u32;
-                for turn in 0..(long.as_millis() / EVERY.as_millis()) as u32 {
-                    let due = start + EVERY * turn;
-                    thread::sleep(due.saturating_duration_since(Instant::now()));
-                    let statement = if turn % 4 == 3 { order(2000) } else { look(2000) };
-                    let mut said = None;
-                    for _ in 0..2 {
-                        client = client.or_else(|| Client::bare(address).greeted());
-                        said = client
-                            .as_mut()
-                            .and_then(|client| client.offer(&statement).then(|| client.answer()).flatten());
-                        if said.is_some() {
-                            break;
-                        }
-                        client = None;
-                    }
-                    let mut seen = seen.lock().unwrap();
-                    seen.asked += 1;
-                    if said.is_some_and(|said| said.value.is_some()) {
-                        seen.took.push(due.elapsed());
-                        if due.elapsed() <= QUOTED { seen.in_time += 1 } else { seen.late += 1 }
-                    }
-                }
-            })
-        })
-        .collect();
-    clients.into_iter().for_each(|client| client.join().unwrap());
-    std::mem::take(&mut seen.lock().unwrap())
+    let seen = Mutex::<Seen>::default();
+    paced(CLIENTS, EVERY, long, |turn, due, client| {
+        let statement = if turn % 4 == 3 { order(2000) } else { look(2000) };
+        let mut said = None;
+        for _ in 0..2 {
+            *client = client.take().or_else(|| Client::bare(address).greeted());
+            said = client
+                .as_mut()
+                .and_then(|client| client.offer(&statement).then(|| client.answer()).flatten());
+            if said.is_some() {
+                break;
+            }
+            *client = None;
+        }
+        let mut seen = seen.lock().unwrap();
+        seen.asked += 1;
+        if said.is_some_and(|said| said.value.is_some()) {
+            seen.took.push(due.elapsed());
+            if due.elapsed() <= QUOTED { seen.in_time += 1 } else { seen.late += 1 }
+        }
+    });
+    seen.into_inner().unwrap()
 }
 
 /// What the system's TCP holds in all, in KiB, and how many connections that no program has any more.
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -73,14 +73,16 @@
                 }
             }
             What::Kill { share, down_ms, folder, known } => {
-                let struck = self.starts(some(share, &drivers, &mut rng));
-                struck.iter().for_each(|&(driver, _)| self.signal(&[driver], Signal::KILL));
+                let struck = some(share, &drivers, &mut rng);
+                self.signal(&struck, Signal::KILL);
+                let struck = self.starts(struck);
                 sleep(millis(down_ms)).await;
                 self.start_again(struck, folder, known).await;
             }
             What::Terminate { share, down_ms } => {
-                let struck = self.starts(some(share, &drivers, &mut rng));
-                struck.iter().for_each(|&(driver, _)| self.signal(&[driver], Signal::TERM));
+                let struck = some(share, &drivers, &mut rng);
+                self.signal(&struck, Signal::TERM);
+                let struck = self.starts(struck);
                 // For a while clients still come.
                 sleep(millis(300)).await;
                 let same = struck.iter().filter(|&&(driver, start)| self.drivers.starts(driver) == start);
@@ -240,20 +242,24 @@
 
     /// Lines of these drivers, and whether 'there' on one of them is from the other side.
     fn lines(&self, between: Between, drivers: Vec<usize>) -> Vec<(Rc<Line>, bool)> {
-        if between == Between::DriversDrivers {
-            let parted = |&(&(low, high), _): &(&(usize, usize), &Rc<Line>)| {
-                drivers.contains(&low) != drivers.contains(&high)
-            };
-            let parted = self.fellows.iter().filter(parted);
-            return parted.map(|(&(low, _), line)| (line.clone(), !drivers.contains(&low))).collect();
+        let of = |lines: Vec<Rc<Line>>| lines.into_iter().map(|line| (line, false));
+        let drivers = drivers.into_iter();
+        match between {
+            Between::DriversMembers => drivers.flat_map(|at| of(self.to_members[at].clone())).collect(),
+            Between::DriversLists => drivers.flat_map(|at| of(vec![self.to_lists[at].clone()])).collect(),
+            Between::ClientsDrivers => {
+                drivers.flat_map(|at| of(vec![self.from_clients[at].clone()])).collect()
+            }
+            // Those between one that is struck and one that is not.
+            Between::DriversDrivers => {
+                let struck: Vec<usize> = drivers.collect();
+                let ends = self
+                    .fellows
+                    .iter()
+                    .map(|(&(low, high), line)| (struck.contains(&low), struck.contains(&high), line));
+                ends.filter(|(low, high, _)| low != high).map(|(low, _, line)| (line.clone(), !low)).collect()
+            }
         }
-        let of = |driver: usize| match between {
-            Between::DriversMembers => self.to_members[driver].clone(),
-            Between::DriversLists => vec![self.to_lists[driver].clone()],
-            Between::ClientsDrivers => vec![self.from_clients[driver].clone()],
-            Between::DriversDrivers => Vec::new(),
-        };
-        drivers.into_iter().flat_map(of).map(|line| (line, false)).collect()
     }
 }
 
--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/terms.rs
@@ -17,10 +17,6 @@
     pub work_ms: f64,
 }
 
-pub const LOOK: usize = 0;
-pub const STATUS: usize = 1;
-pub const ORDER: usize = 2;
-pub const PAY: usize = 3;
 pub const MINE: usize = 4;
 
 const fn offering(name: &'static str, effect: &'static str, need: &'static str, payoff: f64) -> Offering {
--- a/crates/sites/src/earlier.rs
+++ b/crates/sites/src/earlier.rs
@@ -32,13 +32,8 @@
         self.asked
     }
 
-    /// What was handed over last is on the disk.
-    pub fn confirmed(&mut self) {
-        self.until = self.until.max(self.asked.take().unwrap_or(self.until));
-    }
-
-    /// It may be on the disk or not: it binds, and is no promise that anybody else could count on longer.
-    pub fn unsure(&mut self) {
+    /// What was handed over last is on the disk, or may be there: it binds all the same.
+    pub fn settled(&mut self) {
         self.until = self.until.max(self.asked.take().unwrap_or(self.until));
     }
 
@@ -184,11 +179,11 @@
         let until = promise.renew(10).expect("due");
         assert!(!promise.lets_go_without(11), "it may be on the disk already");
         assert_eq!(promise.renew(11), None);
-        promise.confirmed();
+        promise.settled();
         assert_eq!(promise.renew(11), None);
         assert!(!promise.lets_go_without(until) && promise.lets_go_without(until + 1));
         let next = promise.renew(until - 1).expect("due again");
-        promise.unsure();
+        promise.settled();
         assert!(!promise.lets_go_without(next) && promise.lets_go_without(next + 1));
     }
 
--- a/crates/sites/src/fates.rs
+++ b/crates/sites/src/fates.rs
@@ -37,6 +37,30 @@
     Unknown,
 }
 
+impl<V> Fate<V> {
+    pub fn as_ref(&self) -> Fate<&V> {
+        match self {
+            Fate::NeverTaken => Fate::NeverTaken,
+            Fate::UnderWay => Fate::UnderWay,
+            Fate::Denied { cool_down } => Fate::Denied { cool_down: *cool_down },
+            Fate::Honoured(value) => Fate::Honoured(value),
+            Fate::BrokenOff => Fate::BrokenOff,
+            Fate::Unknown => Fate::Unknown,
+        }
+    }
+
+    pub fn map<W>(self, of: impl FnOnce(V) -> W) -> Fate<W> {
+        match self {
+            Fate::NeverTaken => Fate::NeverTaken,
+            Fate::UnderWay => Fate::UnderWay,
+            Fate::Denied { cool_down } => Fate::Denied { cool_down },
+            Fate::Honoured(value) => Fate::Honoured(of(value)),
+            Fate::BrokenOff => Fate::BrokenOff,
+            Fate::Unknown => Fate::Unknown,
+        }
+    }
+}
+
 /// Why a task is not taken. Only where the book is full does the sender hear so: a copy of what may have run before
 /// is no news to it, and must never be called one that did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/sites/tests/crossing.rs
+++ b/crates/sites/tests/crossing.rs
@@ -128,7 +128,7 @@
         let mut promise = Promise::default();
         if self.disk {
             promise.renew(now);
-            promise.confirmed();
+            promise.settled();
         }
         promise
     }
--- a/crates/stand-ins/src/client.rs
+++ b/crates/stand-ins/src/client.rs
@@ -2,6 +2,8 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use aldermill_wire::{Buffer, pg};
 
@@ -98,3 +100,27 @@
 pub fn honoured(said: &Said) -> bool {
     said.value.as_deref() == Some(b"the value") && said.code.is_empty()
 }
+
+/// Clients that ask at a fixed pace whatever becomes of what they asked, spread over it, each with its connection if one
+/// stands: when a turn was due is told.
+pub fn paced(
+    clients: usize,
+    every: Duration,
+    long: Duration,
+    turn: impl Fn(u32, Instant, &mut Option<Client>) + Sync,
+) {
+    thread::scope(|scope| {
+        for number in 0..clients as u32 {
+            let turn = &turn;
+            scope.spawn(move || {
+                let mut client = None;
+                let start = Instant::now() + every / clients as u32 * number;
+                for at in 0..(long.as_millis() / every.as_millis()) as u32 {
+                    let due = start + every * at;
+                    thread::sleep(due.saturating_duration_since(Instant::now()));
+                    turn(at, due, &mut client);
+                }
+            });
+        }
+    });
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub use cable::{BACK, Cable, THERE};
-pub use client::{Client, Said, honoured};
+pub use client::{Client, Said, honoured, paced};
 pub use discovery::{Discovery, list};
 pub use member::{Act, Member, honour, honour_with, refuse, sound, whole};
 pub use program::{Driver, TERMS, aldermill, config, file, program};
--- a/crates/warm/src/kept.rs
+++ b/crates/warm/src/kept.rs
@@ -38,11 +38,10 @@
     /// After a write that was not confirmed, nothing is known again: the disk may hold all that it was ever given.
     pub fn lost(&mut self) {
         let last = self.last.take().unwrap_or_default();
-        let mut given = Vec::new();
-        compare(&mut given, space::LIST, &BTreeMap::new(), &last.members, |id| id.clone().into(), |_| vec![]);
-        compare(&mut given, space::PRIMARIES, &BTreeMap::new(), &last.primaries, group, |_| vec![]);
-        compare(&mut given, space::HOMES, &BTreeMap::new(), &last.homes, group, |_| vec![]);
-        self.held.extend(given.into_iter().map(|change| (change.space, change.key)));
+        let members = last.members.into_keys().map(|id| (space::LIST, id.into_bytes()));
+        let primaries = last.primaries.keys().map(|of| (space::PRIMARIES, group(of)));
+        let homes = last.homes.keys().map(|of| (space::HOMES, group(of)));
+        self.held.extend(members.chain(primaries).chain(homes));
         self.held.append(&mut self.gone);
         self.paces_at = None;
     }
