--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,12 +1,12 @@
 //! The routing decisions of aldermill and the types they are asked and answered in.
 //!
-//! [`Router`] in `decide.rs` holds every decision. This file holds the interface: what a driver
+//! [`Router`] in `policy` holds every decision. This file holds the interface: what a driver
 //! is told once ([`Terms`]), what it takes ([`Task`]), what it hears ([`Listed`], [`Outcome`],
 //! [`Told`]) and what it is to do next ([`Todo`]).
 
-mod decide;
+mod policy;
 
-pub use decide::{Handle, Router};
+pub use policy::{Handle, Router};
 
 /// Whole microseconds, on the caller's clock.
 pub type Micros = i64;
--- /dev/null
+++ b/crates/routing/src/policy/mod.rs
@@ -0,0 +1,329 @@
+//! Every decision of the router.
+//!
+//! A driver starts one [`Router`] with its terms and a seed, hands it lists and probe answers, and
+//! wakes it at the time last asked for. `take` gives a [`Handle`] for a task; what happens to the task
+//! later is a call on that handle. Each call brings `now` and returns a [`Todo`]. The interface types are
+//! in `lib.rs`; a task's way is `place`, from top to bottom.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use aldermill_measured::Histogram;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{
+    Effect, Learnt, Listed, ListedRoles, MemberId, Micros, Need, Offering, Outcome, Role, Scope, Standing,
+    Step, Task, Terms, Todo, Told, Verdict,
+};
+
+mod decide;
+mod fresh;
+mod members;
+
+const MS: Micros = 1_000;
+const BEAT: Micros = 20 * MS; // how often the router looks at what no event brings
+const HOLD: Micros = 500 * MS; // the design's, of a write after a round of misses
+const BAR: Micros = 5_000 * MS;
+const FAILURES: usize = 5;
+const FAILURE_WINDOW: Micros = 10_000 * MS;
+const PROBE_MISSES: u32 = 3;
+const PROBE_EVERY: Micros = 1_000 * MS;
+/// Probes of members whose proof of freshness has run out, and of a group without a primary.
+const PROBE_NEEDED: Micros = 100 * MS;
+const PROBES_A_TASK: f64 = 0.7; // that a task taken pays for: the allowance
+const PROBES_AT_START: f64 = 4.0;
+const KEEP: u32 = 32;
+const SESSIONS: usize = 10_000; // remembered before older ones are forgotten
+/// Launches at a member that windows start with and stay at, all drivers together.
+const START: f64 = 10.0;
+const STAY: f64 = 4.0;
+const MOST: f64 = 100.0;
+/// After a standstill: how long launches are paced, at how many times the usual, and a beat's least.
+const RUSH: Micros = 2_000 * MS;
+const RUSH_PACE: f64 = 1.6;
+const RUSH_LEAST: f64 = 0.2;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Handle(u64);
+
+impl Handle {
+    /// The task's launch has ended.
+    pub fn ended(self, router: &mut Router, now: Micros, outcome: Outcome) -> Todo {
+        router.launch_ended(now, self, outcome);
+        router.take_todo()
+    }
+
+    /// The client has left; nothing more is owed.
+    pub fn left(self, router: &mut Router, now: Micros) -> Todo {
+        router.close(self);
+        router.pump_all(now);
+        router.take_todo()
+    }
+}
+
+#[derive(Clone, Default)]
+struct Errand {
+    task: Task,
+    group: usize,
+    arrived: Micros,
+    quoted_by: Micros,
+    repeat: bool,
+    launches: u32,
+    out: Option<(MemberId, Micros)>, // where a launch is out, and since when
+    waits_from: Micros,              // the same, without the time in which the driver stood still
+    may_have_run: Option<(Micros, usize)>, // when first, and in which zone
+    misses: usize,
+    asked: bool, // it has waited for a replica's word
+    last: Option<MemberId>,
+    closed: bool,
+}
+
+#[derive(Clone, Default)]
+struct Member {
+    name: String,
+    group: usize,
+    zone: usize,
+    standing: Standing,
+    since: Option<Micros>,
+    size: f64,
+    position: Micros,
+    seen_primary: bool, // by its own word, and not since seen as replica
+    demoted: Micros,    // the time of its newest word that it is a replica
+    heard: Micros,
+    answered: Micros,
+    overtaken: Micros,    // when the newest launch that it answered was sent
+    lost_until: Micros,   // it could not be reached; believed until then, or until it is heard
+    fell: Option<Micros>, // since when its process seems dead; taken for cold when it is heard again
+    barred_until: Micros,
+    failures: VecDeque<Micros>,
+    spoilt: usize, // launches spoilt or dropped since the last honoured one
+    probe_misses: u32,
+    probe_out: bool,
+    probed: Micros,
+    out: Vec<Handle>,
+    window: f64, // launches that may be out at once; below one, the part of the time that one may be
+    credit: f64, // launches saved up at `credited`, where window or a cold part is below one
+    credited: Micros,
+    took: Histogram,
+    sent: VecDeque<Micros>,
+    honoured: f64, // launches in one window of the overload rule, as of late
+}
+
+#[derive(Clone, Default)]
+struct Group {
+    members: Vec<MemberId>,
+    primary: Option<MemberId>,
+    word: Micros, // the time of the newest word on the primary
+    listed: Option<MemberId>,
+    walk_after: Micros,
+    owed: f64, // launches due to the primary by its size and window, beyond those it had
+    held: Vec<Handle>,
+}
+
+impl Member {
+    /// Protects a process that died and came back from the crowd that waits for it. Should also cover
+    /// starts that no list tells. Harms a member that only refused: it gets a cold part until it must be
+    /// warm, unless it is heard sooner than any process comes back.
+    fn hear(&mut self, now: Micros, credit: f64) {
+        (self.heard, self.lost_until) = (now, now);
+        if self.fell.take().is_some_and(|at| now - at > 4 * HOLD) {
+            (self.since, self.credit, self.credited) = (Some(now), credit, now);
+        }
+    }
+}
+
+#[derive(Clone)]
+pub struct Router {
+    terms: Terms,
+    rng: Pcg64Mcg,
+    members: Vec<Member>,
+    groups: Vec<Group>,
+    group_ids: HashMap<u64, usize>,
+    errands: HashMap<Handle, Errand>,
+    next_handle: u64,
+    sessions: HashMap<String, Micros>,
+    forgotten: Option<Micros>, // a write of a session not found may be as new as that
+    took: Vec<Histogram>,
+    ways: BTreeMap<usize, (Micros, Micros)>, // there and back by zone, and when last heard
+    any_took: Histogram,                     // of launches of all offerings together
+    usual_wait: Vec<(Micros, i32)>,          // that most tasks of an offering bring, and how sure that is
+    warm_load: f64,
+    mean_size: f64,
+    allowance: f64,
+    tight_until: Micros, // a member lately had no connection to spare
+    next_beat: Micros,
+    usual: f64,    // launches in a beat, as of late
+    launched: f64, // in this beat
+    rush_until: Micros,
+    rush: f64, // launches due until then
+    ask_at: Micros,
+    ask_wait: Micros,
+    todo: Todo,
+}
+
+impl Router {
+    pub fn start(terms: Terms, seed: u64, now: Micros) -> Router {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        // All drivers ask at their start: the window grows with their number.
+        let ask_at =
+            now + rng.random_range(0..(30 * MS * terms.drivers as Micros).clamp(200 * MS, 1_200 * MS));
+        Router {
+            rng,
+            members: Vec::new(),
+            groups: Vec::new(),
+            group_ids: HashMap::new(),
+            errands: HashMap::new(),
+            next_handle: 0,
+            sessions: HashMap::new(),
+            forgotten: None,
+            // Until launches tell better, most are taken to last half of the quoted time.
+            took: terms.offerings.iter().map(|offering| Histogram::of(offering.quoted / 2, 4)).collect(),
+            ways: BTreeMap::new(),
+            any_took: Histogram::of(terms.offerings.iter().map(|o| o.quoted / 2).min().unwrap_or(0), 4),
+            usual_wait: vec![(0, 0); terms.offerings.len()],
+            warm_load: 0.0,
+            mean_size: 1.0,
+            allowance: PROBES_AT_START,
+            tight_until: now,
+            next_beat: now,
+            usual: STAY,
+            launched: 0.0,
+            rush_until: now,
+            rush: 0.0,
+            ask_at,
+            ask_wait: 500 * MS,
+            todo: Todo::default(),
+            terms,
+        }
+    }
+
+    /// A copy that goes on under other terms, to see how it would decide.
+    pub fn under(&self, terms: &Terms) -> Router {
+        Router { terms: terms.clone(), ..self.clone() }
+    }
+
+    pub fn knows(&self, handle: Handle) -> bool {
+        self.errands.contains_key(&handle)
+    }
+
+    /// The driver stood still for so long, until now: what it measures of members goes on where it stopped.
+    pub fn stood_still(&mut self, now: Micros, long: Micros) {
+        self.errands.values_mut().for_each(|errand| errand.waits_from += long);
+        for member in &mut self.members {
+            let Member { heard, answered, overtaken, probed, credited, .. } = member;
+            for at in [heard, answered, overtaken, probed, credited] {
+                *at = (*at + long).min(now);
+            }
+        }
+        (self.next_beat, self.rush) = (now, 1.0);
+        self.rush_until = self.rush_until.max(if long > 10 * BEAT { now + RUSH } else { 0 });
+    }
+
+    /// So many drivers live: room of the dead is taken over, or given back, at once. Cold members are shared
+    /// by `at_cold`, whoever may come back. Harms members where drivers that live are taken for dead.
+    pub fn fleet(&mut self, living: usize, at_cold: usize) {
+        let part = self.terms.drivers as f64 / living as f64;
+        (self.terms.drivers, self.terms.drivers_at_cold) = (living, at_cold);
+        let least = if self.sparse() { 0.0 } else { 1.0 };
+        self.members.iter_mut().for_each(|member| member.window = (member.window * part).max(least));
+    }
+
+    pub fn learnt(&self) -> Learnt {
+        let primary = |group: &Group| group.primary.map(|id| (id, group.word));
+        let took = |of: &Histogram| (of.quantile(0.5).unwrap_or(0), of.quantile(0.9).unwrap_or(0));
+        let window = |id: MemberId| (id, self.members[id].window.log2().floor() as i32);
+        Learnt {
+            primaries: self.groups.iter().filter_map(primary).collect(),
+            took: self.took.iter().map(took).collect(),
+            windows: (0..self.members.len()).map(window).collect(),
+        }
+    }
+
+    /// Takes in what an earlier start learnt. Protects members from walks of those that come back:
+    /// primaries are guesses, as the list's are, windows are narrower. Harms by a miss where they moved.
+    pub fn recall(&mut self, learnt: &Learnt) {
+        for &(id, word) in &learnt.primaries {
+            let group = &mut self.groups[self.members[id].group];
+            if self.members[id].standing == Standing::Ready && group.primary.is_none() {
+                (group.primary, group.word) = (Some(id), word);
+            }
+        }
+        for (took, &(usual, _)) in self.took.iter_mut().zip(&learnt.took).filter(|(_, of)| of.0 > 0) {
+            *took = Histogram::of(usual, 8);
+        }
+        for &(id, power) in &learnt.windows {
+            let member = &mut self.members[id];
+            member.window = member.window.min(2f64.powi(power).max(STAY / self.terms.drivers as f64));
+        }
+    }
+
+    pub fn wake(&mut self, now: Micros) -> Todo {
+        if now >= self.next_beat {
+            self.next_beat = now + BEAT;
+            self.beat(now);
+        }
+        self.take_todo()
+    }
+
+    fn take_todo(&mut self) -> Todo {
+        self.todo.wake_at = Some(self.next_beat);
+        std::mem::take(&mut self.todo)
+    }
+
+    /// How long writes wait between walks. Protects members, cold ones most, from walks of many drivers at
+    /// once. Harms where probes are untrue: a sparse driver then learns of a new primary late.
+    fn hold(&self) -> Micros {
+        HOLD.max(HOLD * self.terms.drivers as Micros * 2 / 50)
+    }
+
+    /// A driver among so many that it is not due one launch at a time at each member.
+    fn sparse(&self) -> bool {
+        self.terms.drivers as f64 > 1.5 * START
+    }
+
+    fn group(&mut self, name: u64) -> usize {
+        *self.group_ids.entry(name).or_insert_with(|| {
+            self.groups.push(Group { word: Micros::MIN / 2, walk_after: Micros::MIN, ..Group::default() });
+            self.groups.len() - 1
+        })
+    }
+
+    fn beat(&mut self, now: Micros) {
+        self.usual += if now < self.rush_until { 0.0 } else { (self.launched - self.usual) * 0.02 };
+        let pace = (self.usual * RUSH_PACE).max(RUSH_LEAST);
+        (self.launched, self.rush) = (0.0, (self.rush + pace).min((5.0 * pace).max(1.0)));
+        // Only what was honoured counts as a warm member's load: misses and launches turned away are no work.
+        let window = self.terms.overload_window;
+        let (mut load, mut warm) = (0.0, 0.0);
+        for member in &mut self.members {
+            member.sent.retain(|&at| at > now - window);
+            let cold = member.since.is_some_and(|since| now - since < self.terms.warm_within);
+            if member.standing == Standing::Ready && !cold {
+                (load, warm) = (load + member.honoured, warm + member.size);
+            }
+            member.honoured *= if cold { 0.0 } else { 1.0 - 0.1 * BEAT as f64 / window as f64 };
+        }
+        self.warm_load = if warm > 0.0 { load / warm } else { self.warm_load };
+        for id in 0..self.members.len() {
+            let member = &self.members[id];
+            let Group { primary, held, .. } = &self.groups[member.group];
+            let wanted = !held.is_empty()
+                && (now < member.lost_until || primary.is_none_or(|id| self.silent(now, id)));
+            let spare = !self.sparse() && self.allowance > self.members.len() as f64 * 0.5;
+            if wanted || spare && now - member.heard > PROBE_EVERY {
+                let gap = if self.sparse() { HOLD } else { PROBE_NEEDED };
+                self.probe(now, id, if wanted { gap } else { PROBE_EVERY });
+            }
+        }
+        if self.sessions.len() > SESSIONS {
+            self.forgotten = Some(now - FAILURE_WINDOW);
+            self.sessions.retain(|_, &mut at| Some(at) > self.forgotten);
+        }
+        if self.terms.list_on_request && now >= self.ask_at {
+            self.todo.subscribe = true;
+            self.ask_at = now + 10_000 * MS;
+        }
+        self.pump_all(now);
+    }
+}
