Sparse drivers use a cold member's part to the full: by saved launches, at the window's middle

Two losses in `room` and `bearable`: a part of 1.9 launches a window was cut to one (floor), and the part was that at the window's start, though the rule's budget is the whole window's.

Change: a driver among many holds to the part by its saved launches alone, which reach to half a window's part, two at the most; the part is reckoned at the middle of the window.

Ruled out: denials for want of connections (few launches ended so), crowded windows (at their most).

--- a/crates/routing/src/policy/members.rs
+++ b/crates/routing/src/policy/members.rs
@@ -155,8 +155,9 @@
         let out = (member.out.len() - lost) as f64;
         let mut room = member.window.floor() - out;
         if self.sparse() {
+            // Of a cold member's part none is lost to whole numbers: many drivers' launches add up to it.
             let free = out < 1.0 && self.credit(now, id) >= 1.0;
-            room = if free { member.window } else { 0.0 };
+            return if free { member.window } else { 0.0 };
         } else if self.mute(now, id) {
             room = room.max(1.0);
         }
@@ -175,8 +176,8 @@
         if age >= self.terms.warm_within {
             return f64::INFINITY;
         }
-        // The part at the window's start.
-        let age = (age - self.terms.overload_window).max(0) as f64 / self.terms.warm_within as f64;
+        // The part at the middle of the window that ends now: capacity grows about evenly.
+        let age = (age - self.terms.overload_window / 2).max(0) as f64 / self.terms.warm_within as f64;
         let part = self.terms.cold_from + (1.0 - self.terms.cold_from) * age;
         let load = self.warm_load.max(STAY / self.terms.drivers_at_cold as f64);
         self.terms.overload_factor * part * load * member.size
@@ -189,7 +190,7 @@
         let bearable_pace = bearable / self.terms.overload_window as f64;
         let usual = self.any_took.quantile(0.9).unwrap_or(0).max(100 * MS) / 2;
         let pace = bearable_pace.min(member.window / usual as f64);
-        let most = if bearable < 1.0 { 1.0 } else { 2.0 };
+        let most = (bearable / 2.0).clamp(1.0, 2.0);
         (member.credit + (now - member.credited) as f64 * pace).min(most)
     }
 
