Silence by rest is kept as a running share, and shrinks no window where rest accounts for it

Change: one running share for each rest (three tenths of each outcome, fading over half a minute); a silence that the pattern of rests accounts for is neither a failure nor a crowd.

--- a/crates/routing/src/policy/decide.rs
+++ b/crates/routing/src/policy/decide.rs
@@ -129,6 +129,7 @@
     }
 
     pub(super) fn launch_ended(&mut self, now: Micros, handle: Handle, outcome: Outcome) {
+        let Outcome { verdict, told, .. } = outcome;
         let errand = self.errands.get(&handle);
         let out = errand.and_then(|errand| errand.out.map(|(id, _)| (id, errand.task.offering)));
         let mute = out.is_some_and(|(id, _)| self.mute(now, id));
@@ -136,21 +137,20 @@
         let (sparse, drivers) = (self.sparse(), self.terms.drivers as f64);
         let credit = self.first_credit();
         let usual_took = out.and_then(|(_, offering)| self.took[offering].quantile(0.5)).unwrap_or(0);
+        let rested = self.errands.get(&handle).and_then(|errand| errand.rested);
+        let reaped = verdict == Verdict::TimedOut && rested.is_some_and(|rest| self.reaped(rest));
         let way = out.map_or(0, |(id, _)| self.way(now, id));
         let Some(errand) = self.errands.get_mut(&handle) else { return };
         let Some((id, sent)) = errand.out.take() else { return };
-        let Outcome { verdict, told, .. } = outcome;
         let (group, offering, waits_from) = (errand.group, errand.task.offering, errand.waits_from);
         let member = &mut self.members[id];
         member.out.retain(|&out| out != handle);
         let ran = (!verdict.never_ran()).then_some((sent, member.zone));
         errand.may_have_run = errand.may_have_run.or(ran);
         let mut refusal = false;
-        let reaped =
-            verdict == Verdict::TimedOut && errand.rested.is_some_and(|rest| self.rests[rest].1 > 0.0);
         if let Some(rest) = errand.rested.filter(|_| verdict.heard() || verdict == Verdict::TimedOut) {
-            let (well, ill) = &mut self.rests[rest];
-            *(if verdict.heard() { well } else { ill }) += 1.0;
+            let silent = &mut self.rests[rest];
+            *silent += (f64::from(!verdict.heard()) - *silent) * 0.3;
         }
         if verdict.heard() {
             (member.answered, member.overtaken) = (now, member.overtaken.max(waits_from));
@@ -167,7 +167,7 @@
         let shrunk = (member.window * step.min(0.7)).max(least.min(1.0));
         let crowded = verdict == Verdict::TimedOut && outcome.took < patience;
         let unseen = verdict == Verdict::Unseen;
-        let seen = !verdict.never_ran() && !unseen && verdict != Verdict::Error;
+        let seen = !verdict.never_ran() && !unseen && !reaped && verdict != Verdict::Error;
         if verdict == Verdict::Honoured || crowded || sparse && seen {
             member.took.add(outcome.took, KEEP / 4);
             let usual = member.took.quantile(0.6).unwrap_or(0);
--- a/crates/routing/src/policy/members.rs
+++ b/crates/routing/src/policy/members.rs
@@ -128,9 +128,8 @@
     /// silence, and those less rested do not. Should also cover idle limits shorter than the settings say. Harms
     /// by handshakes where members fall silent at random.
     pub(super) fn reaped(&self, rest: usize) -> bool {
-        let sum = |of: &[(f64, f64)]| of.iter().fold((0.0, 0.0), |sum, of| (sum.0 + of.0, sum.1 + of.1));
-        let ((well, ill), (before, ill_before)) = (self.rests[rest], sum(&self.rests[..rest]));
-        ill > 1.0 && ill > well && ill_before * 4.0 < before.max(1.0)
+        let least = self.rests.iter().position(|&silent| silent > 0.5).unwrap_or(0);
+        least > 0 && rest >= least && self.rests[..least].iter().all(|&silent| silent < 0.25)
     }
 
     /// When each launch out at the member was sent, and of which offering it is.
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -169,8 +169,7 @@
     }
 
     fn beat(&mut self, now: Micros) {
-        let fades = 1.0 - BEAT as f64 / FAILURE_WINDOW as f64;
-        self.rests.iter_mut().for_each(|(well, ill)| (*well, *ill) = (*well * fades, *ill * fades));
+        self.rests.iter_mut().for_each(|silent| *silent *= 1.0 - BEAT as f64 / (3 * FAILURE_WINDOW) as f64);
         self.usual += if now < self.rush_until { 0.0 } else { (self.launched - self.usual) * 0.02 };
         let pace = (self.usual * RUSH_PACE).max(RUSH_LEAST);
         (self.launched, self.rush) = (0.0, (self.rush + pace).min((5.0 * pace).max(1.0)));
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -90,8 +90,8 @@
     pub(crate) warm_load: f64,
     pub(crate) mean_size: f64,
     pub(crate) allowance: f64,
-    pub(crate) rests: [(f64, f64); 6], // of launches by their connection's rest: answered, and met by silence
-    pub(crate) tight_until: Micros,    // a member lately had no connection to spare
+    pub(crate) rests: [f64; 6], // the share met by silence of late, by how long the launch's connection had rested
+    pub(crate) tight_until: Micros, // a member lately had no connection to spare
     pub(crate) next_beat: Micros,
     pub(crate) usual: f64,    // launches in a beat, as of late
     pub(crate) launched: f64, // in this beat
