Windows among many grow slower than they shrink where a driver hears many answers

Windows shrank and grew by the same step, so they settled where every second answer is slow, and under processor sharing what times out has used the members up. Ruled out: connections (few failed), one member (times and silences alike at all), retries (0.45 launches a task).

Change: the step up is the step down to the power weight/16, weight being how much an answer counts for a driver among so many: with 24 drivers a third, from 64 on the whole step, as before, since there a driver hears too few answers.

--- a/crates/routing/src/policy/decide.rs
+++ b/crates/routing/src/policy/decide.rs
@@ -162,7 +162,8 @@
             refusal = refused && sparse;
         }
         // A driver among many hears of few answers of a member: each then counts for more.
-        let step = 0.92f64.powf(if sparse { (drivers / 4.0).min(16.0) } else { 1.0 });
+        let weight = if sparse { (drivers / 4.0).min(16.0) } else { 1.0 };
+        let step = 0.92f64.powf(weight);
         let least = if sparse { STAY / drivers } else { (STAY / drivers).max(1.0) };
         let shrunk = (member.window * step.min(0.7)).max(least.min(1.0));
         let crowded = verdict == Verdict::TimedOut && outcome.took < patience;
@@ -177,7 +178,7 @@
             if typical > self.terms.offerings[offering].quoted * share / 100 {
                 member.window = (member.window * step).max(least);
             } else if sparse {
-                member.window = (member.window / step).min(MOST / drivers * member.size);
+                member.window = (member.window / step.powf(weight / 16.0)).min(MOST / drivers * member.size);
             } else if member.out.len() as f64 >= member.window - 2.0 {
                 member.window += 1.0 / member.window;
             }
