Among many, reads have no resort to a primary whose window says that it is crowded

Protects writes; harms reads of a group whose replicas all lag, which are denied sooner, with when to come back.

--- a/crates/routing/src/policy/fresh.rs
+++ b/crates/routing/src/policy/fresh.rs
@@ -60,7 +60,10 @@
         let proven: Vec<(MemberId, f64)> = rooms.iter().copied().filter(|&(id, _)| fresh(self, id)).collect();
         let drawn = if sparse && !asked { self.draw(&rooms) } else { None };
         let target = drawn.filter(|&id| fresh(self, id)).or_else(|| self.draw(&proven));
-        let mut resort = seen.filter(|&id| self.room(now, id) > self.members[id].window.floor() * 0.3);
+        let uncrowded =
+            |id: &MemberId| !sparse || self.members[*id].window * 3.0 > MOST / self.terms.drivers as f64;
+        let mut resort =
+            seen.filter(|&id| self.room(now, id) > self.members[id].window.floor() * 0.3).filter(uncrowded);
         if self.terms.members_check && resort.is_none() {
             let behind = replicas.iter().copied().filter(|&id| self.room(now, id) > 0.0);
             resort = behind.max_by_key(|&id| self.members[id].position);
