--- a/crates/routing/tests/router/cases.rs
+++ b/crates/routing/tests/router/cases.rs
@@ -286,32 +286,6 @@
     assert!((1..=3).contains(&met), "{met}");
 }
 
-#[test]
-fn sessions_forgotten_leave_a_bound_on_what_they_may_have_written() {
-    let mut world = heard(Terms { members_check: true, ..terms() });
-    let writes = |world: &mut World, from: u32| {
-        for number in from..from + 10_100 {
-            let write = world.take_session(WRITE, 1_000 * MS, &number.to_string());
-            world.end(write, Verdict::Honoured);
-        }
-    };
-    writes(&mut world, 0);
-    let first = world.now;
-    world.pass(10_500 * MS);
-    world.hear_all();
-    // Positions from before those writes do not do for a session that may have been one of them.
-    world.positions.iter_mut().for_each(|position| *position = first - 50 * MS);
-    world.probes.clear();
-    let read = world.take_session(OWN, 1_000 * MS, "17");
-    for asked in 0.. {
-        if target(&world, read).is_some() {
-            break;
-        }
-        world.probe_answer(world.probes[asked], true);
-    }
-    assert_eq!(target(&world, read), Some(0));
-}
-
 #[test]
 fn a_member_is_mute_by_the_pace_of_what_is_out_there() {
     let mut world = heard(terms());
--- /dev/null
+++ b/crates/routing/tests/router/fresh.rs
@@ -0,0 +1,46 @@
+//! What makes a read's member fresh enough, where no position proves it.
+
+use crate::world::{BOUND, MS, OWN, READ, WRITE, World, heard, target, terms};
+use aldermill_routing::{Terms, Verdict};
+
+#[test]
+fn sessions_forgotten_leave_a_bound_on_what_they_may_have_written() {
+    let mut world = heard(terms());
+    let writes = |world: &mut World, from: u32| {
+        for number in from..from + 10_100 {
+            let write = world.take_session(WRITE, 1_000 * MS, &number.to_string());
+            world.end(write, Verdict::Honoured);
+        }
+    };
+    writes(&mut world, 0);
+    let first = world.now;
+    world.pass(10_500 * MS);
+    world.hear_all();
+    // Positions from before those writes do not do for a session that may have been one of them.
+    world.positions.iter_mut().for_each(|position| *position = first - 50 * MS);
+    world.probes.clear();
+    let read = world.take_session(OWN, 1_000 * MS, "17");
+    for asked in 0.. {
+        if target(&world, read).is_some() {
+            break;
+        }
+        world.probe_answer(world.probes[asked], true);
+    }
+    assert_eq!(target(&world, read), Some(0));
+}
+
+#[test]
+fn where_members_check_a_read_goes_to_the_least_behind_replica_and_a_miss_sends_it_on() {
+    let mut world = heard(Terms { members_check: true, ..terms() });
+    world.positions[2] = world.now + 200 * MS;
+    world.pass(200 * MS);
+    world.probe_answer(2, true);
+    world.pass(BOUND + 20 * MS);
+    world.probes.clear();
+    let read = world.take(READ, 1_000 * MS);
+    while target(&world, read).is_none() {
+        let asked = world.probes.pop().expect("one is asked at a time");
+        world.probe_answer(asked, true);
+    }
+    assert_eq!(target(&world, read), Some(2));
+}
--- a/crates/routing/tests/router/main.rs
+++ b/crates/routing/tests/router/main.rs
@@ -1,5 +1,6 @@
 mod among_many;
 mod cases;
+mod fresh;
 mod givens;
 mod in_time;
 mod rules;
