Lists may come indented, and discovery that was away is asked within the grace of drains

Change: lines are gathered until the JSON value is whole (wire::json, free of I/O), an empty line in the middle of one means that its end is lost and all is asked for anew; the pause grows to half of the grace at the most; after silence the next call is made at once.

The list's cases stand in a file of their own.

--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -157,7 +157,11 @@
             idle: duration(decoded.idle * 4 / 5),
             sweep: Duration::from_secs(1),
             list_silence: Duration::from_secs(5),
-            list_retry: (Duration::from_millis(100), Duration::from_secs(2)),
+            // What discovery has counts as told when it is back, and the grace after drains runs from then.
+            list_retry: {
+                let least = Duration::from_millis(100);
+                (least, (duration(decoded.drain_grace) / 2).clamp(least, Duration::from_secs(2)))
+            },
             links: (sockets / 32).clamp(4, 64),
             link_retry: (Duration::from_millis(50), Duration::from_secs(2)),
             fates: (memory / 16 / SMALL).clamp(256, 65_536),
--- a/crates/driver/src/watch.rs
+++ b/crates/driver/src/watch.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use aldermill_vigil::apart;
-use aldermill_wire::{Buffer, http};
+use aldermill_wire::{Buffer, http, json};
 use rand_pcg::Pcg64Mcg;
 use slog::{info, warn};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -18,6 +18,8 @@
 use crate::context::Context;
 use crate::words::Bulletin;
 
+const SILENCE: &str = "silence";
+
 pub struct Watch {
     pub context: Rc<Context>,
     pub desk: mpsc::Sender<Bulletin>,
@@ -64,12 +66,15 @@
             }
             if !std::mem::replace(&mut silent, true) {
                 warn!(self.context.log, "list lost, the last one stays in force";
-                    "peer" => %peer, "why" => why, "revision" => self.revision);
+                    "peer" => %peer, "why" => &why, "revision" => self.revision);
             }
             if self.requests.is_some() {
                 if self.desk.send(Bulletin::Unavailable).await.is_err() {
                     return;
                 }
+            } else if why == SILENCE {
+                // It was silent for long enough: what it has to tell counts at once when it speaks again.
+                wait = least;
             } else {
                 let pause = apart::again(wait.as_micros() as i64, &mut self.rng);
                 let moved = timeout(duration(pause), moves.changed()).await.is_ok();
@@ -84,7 +89,7 @@
         let limits = &context.limits;
         let mut stream = timeout(limits.list_silence, TcpStream::connect(peer))
             .await
-            .map_err(|_| "no connection".to_owned())?
+            .map_err(|_| SILENCE.to_owned())?
             .map_err(|error| error.to_string())?;
         let index = self.revision.map_or(String::new(), |revision| format!("&index={revision}"));
         let mut request = Vec::new();
@@ -94,10 +99,11 @@
 
         let mut buffer = Buffer::default();
         let mut lines: Option<http::Lines> = None;
+        let mut whole = json::Whole::default();
         loop {
             let read = timeout(limits.list_silence, stream.read_buf(buffer.tail()));
             match read.await {
-                Err(_) => return Err("silence".to_owned()),
+                Err(_) => return Err(SILENCE.to_owned()),
                 Ok(Err(error)) => return Err(error.to_string()),
                 Ok(Ok(0)) => return Err("closed".to_owned()),
                 Ok(Ok(_)) => {}
@@ -123,7 +129,19 @@
                     info!(context.log, "list back"; "peer" => %peer);
                 }
                 *told = true;
-                if !line.trim_ascii().is_empty() && !self.tell(&line).await? {
+                // An empty line stands between lists: one that it cuts in two has lost its end.
+                if line.trim_ascii().is_empty() {
+                    if whole.is_open() {
+                        self.revision = None;
+                        return Err("a list without its end".to_owned());
+                    }
+                    continue;
+                }
+                // Lists may come indented, on many lines.
+                let list = whole.add(&line, limits.list_line).map_err(|bad| bad.to_string())?;
+                if let Some(list) = list
+                    && !self.tell(&list).await?
+                {
                     return Ok(());
                 }
             }
--- /dev/null
+++ b/crates/driver/tests/list.rs
@@ -0,0 +1,99 @@
+//! The member list at discovery: silence, pieces, and its return, over loopback.
+
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use aldermill_stand_ins::{Client, Discovery, Driver, config, honoured, list, look, sound, until};
+
+#[test]
+fn the_list_is_followed_through_changes_nonsense_and_silence() {
+    let (old, new, newer) = (sound("writer"), sound("writer"), sound("writer"));
+    let discovery = Discovery::default();
+    discovery.mute.store(true, Ordering::SeqCst);
+    // Silent discovery: what was known at the start serves.
+    let driver = Driver::start(&discovery, 256, &list(1, true, &[("a", &old, "in_service")]));
+    let mut client = Client::connect(driver.address);
+    assert!(client.ask("").empty);
+    assert!(honoured(&client.ask(&look(15000))));
+    // A silent watch is opened again, from the revision held.
+    until("another watch", || discovery.requests.lock().unwrap().len() >= 2);
+    let mut client = Client::connect(driver.address);
+    assert!(discovery.requests.lock().unwrap().iter().all(|request| request.contains("index=1")));
+    discovery.say(list(2, false, &[("a", &old, "terminating"), ("b", &new, "in_service")]));
+    discovery.mute.store(false, Ordering::SeqCst);
+    until("a task at the new member", || {
+        assert!(honoured(&client.ask(&look(15000))));
+        !new.tasks().is_empty()
+    });
+    // Once told of the drain, nothing more goes there.
+    let before = old.tasks().len();
+    for _ in 0..5 {
+        assert!(honoured(&client.ask(&look(15000))));
+    }
+    assert_eq!(old.tasks().len(), before);
+    // Nonsense is logged and the list asked for anew, whole.
+    let watches = discovery.requests.lock().unwrap().len();
+    discovery.say("{\"revision\":3,\"members\":[{".to_owned());
+    until("a new watch", || discovery.requests.lock().unwrap().len() > watches);
+    assert!(driver.logged("list lost"));
+    // The member moves: same id, other address.
+    discovery.lines.lock().unwrap().clear();
+    discovery.say(list(4, true, &[("b", &newer, "in_service")]));
+    until("a task at the new address", || {
+        assert!(honoured(&client.ask(&look(15000))));
+        !newer.tasks().is_empty()
+    });
+    let requests = discovery.requests.lock().unwrap();
+    assert!(!requests[watches].contains("index="), "{}", requests[watches]);
+}
+
+#[test]
+fn a_list_may_come_indented_and_one_cut_in_two_is_asked_for_anew() {
+    let (old, new) = (sound("writer"), sound("writer"));
+    let discovery = Discovery::default();
+    let driver = Driver::start(&discovery, 256, &list(1, true, &[("a", &old, "in_service")]));
+
+    // Braces within names are none of the list's.
+    let told =
+        list(2, false, &[("a}", &old, "in_service"), ("a", &old, "terminating"), ("b", &new, "in_service")]);
+    let told = told.replace(",\"", ",\n    \"").replace(":[{", ":\n[\n {");
+    assert!(told.lines().count() > 10);
+    discovery.say(told);
+    until("the list", || driver.logged("revision: 2"));
+    assert!(!driver.logged("list lost"));
+    let mut client = Client::connect(driver.address);
+    assert!(honoured(&client.ask(&look(15000))));
+    // Half of one, and what comes between lists: the other half is not waited for.
+    let watches = discovery.requests.lock().unwrap().len();
+    discovery.say("{\"revision\":3,\n\"complete\":false,".to_owned());
+    until("a new watch", || discovery.requests.lock().unwrap().len() > watches);
+    assert!(!discovery.requests.lock().unwrap()[watches].contains("index="));
+}
+
+#[test]
+fn discovery_that_was_away_is_asked_within_the_grace_of_drains() {
+    let member = sound("writer");
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let driver = Driver::of(&config(address, 256, &list(1, true, &[("a", &member, "in_service")])));
+    // It breaks the watch off, and refuses connections for three seconds.
+    drop(listener.accept().unwrap());
+    drop(listener);
+    until("the loss", || driver.logged("list lost"));
+    thread::sleep(Duration::from_secs(3));
+    let back = Instant::now();
+    let listener = TcpListener::bind(address).unwrap();
+    let (mut stream, _) = listener.accept().unwrap();
+    let waited = back.elapsed();
+    assert!(waited < Duration::from_millis(400), "{waited:?}");
+    // Silence after the request: the next one comes at once when it is over, six seconds after at the latest.
+    let _ = stream.read(&mut [0; 512]);
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+    let silent = Instant::now();
+    let _next = listener.accept().unwrap();
+    let waited = silent.elapsed();
+    assert!(waited < Duration::from_secs(6), "{waited:?}");
+}
--- a/crates/driver/tests/sockets.rs
+++ b/crates/driver/tests/sockets.rs
@@ -608,48 +608,6 @@
     assert_eq!(member.tasks().len(), 6);
 }
 
-#[test]
-fn the_list_is_followed_through_changes_nonsense_and_silence() {
-    let (old, new, newer) = (sound("writer"), sound("writer"), sound("writer"));
-    let discovery = Discovery::default();
-    discovery.mute.store(true, Ordering::SeqCst);
-    // Silent discovery: what was known at the start serves.
-    let driver = Driver::start(&discovery, 256, &list(1, true, &[("a", &old, "in_service")]));
-    let mut client = Client::connect(driver.address);
-    assert!(client.ask("").empty);
-    assert!(honoured(&client.ask(&look(15000))));
-    // A silent watch is opened again, from the revision held.
-    until("another watch", || discovery.requests.lock().unwrap().len() >= 2);
-    let mut client = Client::connect(driver.address);
-    assert!(discovery.requests.lock().unwrap().iter().all(|request| request.contains("index=1")));
-    discovery.say(list(2, false, &[("a", &old, "terminating"), ("b", &new, "in_service")]));
-    discovery.mute.store(false, Ordering::SeqCst);
-    until("a task at the new member", || {
-        assert!(honoured(&client.ask(&look(15000))));
-        !new.tasks().is_empty()
-    });
-    // Once told of the drain, nothing more goes there.
-    let before = old.tasks().len();
-    for _ in 0..5 {
-        assert!(honoured(&client.ask(&look(15000))));
-    }
-    assert_eq!(old.tasks().len(), before);
-    // Nonsense is logged and the list asked for anew, whole.
-    let watches = discovery.requests.lock().unwrap().len();
-    discovery.say("{\"revision\":3,\"members\":[{".to_owned());
-    until("a new watch", || discovery.requests.lock().unwrap().len() > watches);
-    assert!(driver.logged("list lost"));
-    // The member moves: same id, other address.
-    discovery.lines.lock().unwrap().clear();
-    discovery.say(list(4, true, &[("b", &newer, "in_service")]));
-    until("a task at the new address", || {
-        assert!(honoured(&client.ask(&look(15000))));
-        !newer.tasks().is_empty()
-    });
-    let requests = discovery.requests.lock().unwrap();
-    assert!(!requests[watches].contains("index="), "{}", requests[watches]);
-}
-
 #[test]
 fn told_to_stop_it_answers_what_it_took_and_ends_well() {
     let member = Member::start(|text, stream| {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 mod buffer;
 mod exchange;
 pub mod http;
+pub mod json;
 pub mod pg;
 pub mod statement;
 
