--- a/crates/routing/src/policy/fresh.rs
+++ b/crates/routing/src/policy/fresh.rs
@@ -64,9 +64,9 @@
             |id: &MemberId| !sparse || self.members[*id].window * 3.0 > MOST / self.terms.drivers as f64;
         let mut resort =
             seen.filter(|&id| self.room(now, id) > self.members[id].window.floor() * 0.3).filter(uncrowded);
-        if self.terms.members_check {
+        if self.terms.members_check && resort.is_none() {
             let behind = replicas.iter().copied().filter(|&id| self.room(now, id) > 0.0);
-            resort = behind.max_by_key(|&id| self.members[id].position).or(resort);
+            resort = behind.max_by_key(|&id| self.members[id].position);
         }
         let stale: Vec<MemberId> = replicas.iter().copied().filter(|&id| !fresh(self, id)).collect();
         let crowded = |id| self.room(now, id) < self.members[id].window.floor() * 0.7;
