--- a/crates/routing/tests/router/among_many.rs
+++ b/crates/routing/tests/router/among_many.rs
@@ -262,3 +262,23 @@
     }
     assert!(at_cold.iter().filter(|&&at| at < 3_000).count() > 20, "and it is used: {at_cold:?}");
 }
+
+#[test]
+fn reads_keep_off_a_member_whose_own_way_is_long() {
+    let mut world = heard(many());
+    let met = |world: &mut World| {
+        let met = (0..40).filter(|_| {
+            world.pass(100 * MS);
+            let read = world.take(LOOSE, 1_000 * MS);
+            let met = target(world, read);
+            met.into_iter().for_each(|_| world.end(read, Verdict::Honoured));
+            met == Some(3)
+        });
+        met.count()
+    };
+    assert!(met(&mut world) > 3);
+    // Its neighbours in the zone answer as ever.
+    (0..6).for_each(|_| world.probe_took(3, 300 * MS));
+    (0..3).for_each(|id| (0..6).for_each(|_| world.probe_answer(id, true)));
+    assert_eq!(met(&mut world), 0);
+}
--- a/crates/routing/tests/router/fresh.rs
+++ b/crates/routing/tests/router/fresh.rs
@@ -1,6 +1,6 @@
 //! What makes a read's member fresh enough, where no position proves it.
 
-use crate::world::{BOUND, MS, OWN, READ, WRITE, World, heard, target, terms};
+use crate::world::{BOUND, MS, OWN, READ, RECEIPTED, WRITE, World, heard, many, target, terms};
 use aldermill_routing::{Terms, Verdict};
 
 #[test]
@@ -45,3 +45,32 @@
     }
     assert_eq!(target(&world, read), Some(2));
 }
+
+#[test]
+fn reads_keep_off_a_crowded_primary_and_writes_do_not() {
+    let mut world = heard(many());
+    let resort = |world: &mut World| {
+        world.pass(BOUND + 3_000 * MS);
+        world.probe_answer(0, true);
+        world.probes.clear();
+        let read = world.take(READ, 1_000 * MS);
+        for asked in 0..3 {
+            if let Some(&id) = world.probes.get(asked) {
+                world.probe_answer(id, true);
+            }
+        }
+        let met = target(world, read);
+        world.leave(read);
+        met
+    };
+    assert_eq!(resort(&mut world), Some(0));
+    // A write that times out shrinks its window; what it was barred for is over when the next read comes.
+    world.pass(2_000 * MS);
+    let write = world.take(RECEIPTED, 600 * MS);
+    assert_eq!(target(&world, write), Some(0));
+    world.pass(6_000 * MS);
+    assert_eq!(resort(&mut world), None);
+    let write = world.take(WRITE, 2_000 * MS);
+    world.pass(100 * MS);
+    assert_eq!(target(&world, write), Some(0));
+}
--- a/crates/routing/tests/router/world.rs
+++ b/crates/routing/tests/router/world.rs
@@ -179,6 +179,12 @@
         self.carry_out(todo);
     }
 
+    /// It answers a probe, after so long.
+    pub fn probe_took(&mut self, id: MemberId, took: Micros) {
+        let todo = self.router.probed(self.now, id, Verdict::Honoured, took, self.told(id));
+        self.carry_out(todo);
+    }
+
     pub fn probe_ends(&mut self, id: MemberId, verdict: Verdict) {
         let took = if verdict == Verdict::TimedOut { 250 * MS } else { MS };
         let told = if verdict == Verdict::Honoured { self.told(id) } else { Told::default() };
