Duties in the program: leases by a majority of voters, decrees and reports over gossip

Need: what the fleet decides in common needs one driver at a time that decides it, and a way to tell the others (crates/duties was modelled and not in the program).

PaxosLease as published, with terms: voters, seekers and both together are crates/duties; the parts that a log would have needed (grants, warden, voters' epochs, candidates) go. crates/decrees is new: decrees by (term, number) with a life, told by gossip and made good by digests, reports with their ledger. The driver's part is council.rs; its words go over the fellows' datagrams (kind 2). Terms are kept where there is a folder. `council` in the operator's file, off by default. crates/fellows and the rig's judge and plan are split by job.

Rig: zones, voters, faults that strike a duty's holder, judges 9 (two hold one duty) and 10 (decrees out of order), which are shown to bite on planted histories; processes are asked ten times a second what they hold and have taken.

--- a/crates/driver/src/fellows.rs
+++ b/crates/driver/src/fellows.rs
@@ -1,19 +1,24 @@
 //! The actor that carries datagrams between this driver and the others of its fleet. What is said and believed is
 //! `crates/fellows`'; the desk is told how many live.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
+use aldermill_duties::Driver;
 use aldermill_fellows::{Change, Dropped, Fellow, Micros, Own, Peer, Tempo, Todo, View};
-use aldermill_operator::Fellows as Terms;
+use aldermill_operator::{Council as Wanted, Fellows as Terms};
 use serde_json::{Value, json};
 use slog::{info, warn};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{UdpSocket, UnixListener, UnixStream};
+use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
 use crate::clock::unix_now;
 use crate::context::Context;
+use crate::council::{Council, Moment};
+use crate::keep::Folder;
 use crate::status;
 use crate::words::Call;
 
@@ -31,6 +36,10 @@
     shared: (usize, usize),
     wake_at: Option<Micros>,
     stood: Micros,
+    /// How long what is read now may have waited unread.
+    age: Micros,
+    /// What is decided in common, where that is wanted, and word of each of its writes to the disk.
+    council: Option<(Council, mpsc::Receiver<bool>)>,
     /// Datagrams and bytes sent, and datagrams that could not be.
     sent: (u64, u64),
     unsent: u64,
@@ -40,6 +49,8 @@
     pub async fn open(
         context: Rc<Context>,
         terms: Terms,
+        wanted: Option<Wanted>,
+        folder: Option<Rc<Folder>>,
         name: &str,
         drivers: usize,
         seed: u64,
@@ -58,6 +69,15 @@
             terms.peers.into_iter().map(|peer| Peer { name: peer.name, address: peer.address }).collect();
         let status = terms.status.and_then(|path| status::listen(&path, &context.log));
         let (tempo, now) = (Tempo::usual(drivers), context.lived.now());
+        let start = own.start;
+        let council = match wanted {
+            Some(wanted) => {
+                let (own, log) = (Driver { name: name.to_owned(), start }, context.log.clone());
+                let opened = Council::open(wanted, own, folder, moment(&context), seed.rotate_left(3), log);
+                Some(opened.map_err(|why| format!("council.{why}"))?)
+            }
+            None => None,
+        };
         let (fellows, todo) =
             aldermill_fellows::Fellows::start(now, own, peers, terms.networks, tempo, drivers, seed);
         let stood = context.lived.stood();
@@ -71,6 +91,8 @@
             shared,
             wake_at: None,
             stood,
+            age: 0,
+            council,
             sent: (0, 0),
             unsent: 0,
         };
@@ -84,6 +106,8 @@
         let mut bytes = [0; 2048];
         loop {
             let wake_at = self.wake_at.map_or_else(Instant::now, |at| self.context.lived.instant(at));
+            let council_at =
+                self.council.as_ref().map(|(council, _)| self.context.clock.instant(council.wake_at()));
             let asked = async {
                 match &self.status {
                     Some(listener) => listener.accept().await,
@@ -95,14 +119,18 @@
                 // Seldom, and before what may never end.
                 _ = stopping.wait_for(Option::is_some) => break,
                 Ok((stream, _)) = asked => self.describe(stream),
+                Some(well) = confirmed(&mut self.council) => {
+                    self.counsel(|council, at, others| council.told(at, well, others));
+                }
+                () = sleep_until(council_at.unwrap_or_else(Instant::now)), if council_at.is_some() => {
+                    self.listens_up();
+                    // What came before is heard before it is acted on.
+                    self.read(&mut bytes).await;
+                    self.counsel(|council, at, others| council.wake(at, others));
+                }
                 Ok(()) = self.socket.readable() => {
                     self.listens_up();
-                    for _ in 0..TURN {
-                        let Ok((count, from)) = self.socket.try_recv_from(&mut bytes) else { break };
-                        let now = self.context.lived.now();
-                        let todo = self.fellows.heard(now, from.ip(), &bytes[..count]);
-                        self.carry_out(todo).await;
-                    }
+                    self.read(&mut bytes).await;
                     // A flood of datagrams keeps nothing from what is due.
                     if self.wake_at.is_some_and(|at| at <= self.context.lived.now()) {
                         self.wake().await;
@@ -114,6 +142,7 @@
                 }
             }
         }
+        self.counsel(|council, at, _| council.leave(at));
         let todo = self.fellows.leave();
         self.carry_out(todo).await;
     }
@@ -121,25 +150,62 @@
     /// Before anything else that is done after a standstill.
     fn listens_up(&mut self) {
         let stood = self.context.lived.stood();
-        if std::mem::replace(&mut self.stood, stood) < stood {
+        let long = stood - std::mem::replace(&mut self.stood, stood);
+        if long > 0 {
+            self.age += long;
             self.fellows.stood_still(self.context.lived.now());
         }
     }
 
+    /// What has come, up to a turn's worth of it.
+    async fn read(&mut self, bytes: &mut [u8]) {
+        for _ in 0..TURN {
+            let Ok((count, from)) = self.socket.try_recv_from(bytes) else {
+                // All that waited has been read.
+                self.age = 0;
+                return;
+            };
+            let now = self.context.lived.now();
+            let todo = self.fellows.heard(now, from.ip(), &bytes[..count]);
+            self.carry_out(todo).await;
+        }
+    }
+
+    /// Asks the council, where there is one, and sends what it says.
+    fn counsel(&mut self, ask: impl FnOnce(&mut Council, Moment, &[Rc<str>])) {
+        let Some((council, _)) = &mut self.council else { return };
+        let others: Vec<Rc<str>> = self.fellows.alive().map(|fellow| fellow.name.clone()).collect();
+        ask(council, moment(&self.context), &others);
+        for (to, words) in council.take_out() {
+            if let Some((address, datagram)) = self.fellows.say(&to, &words) {
+                self.send(address, &datagram);
+            }
+        }
+    }
+
+    fn send(&mut self, to: SocketAddr, datagram: &[u8]) {
+        // What cannot be sent now is lost, as any datagram may be.
+        match self.socket.try_send_to(datagram, to) {
+            Ok(bytes) => self.sent = (self.sent.0 + 1, self.sent.1 + bytes as u64),
+            Err(_) => self.unsent += 1,
+        }
+    }
+
     async fn wake(&mut self) {
         let todo = self.fellows.wake(self.context.lived.now());
         self.carry_out(todo).await;
     }
 
     async fn carry_out(&mut self, todo: Todo) {
-        for (to, datagram) in todo.send {
-            // What cannot be sent now is lost, as any datagram may be.
-            match self.socket.try_send_to(&datagram, to) {
-                Ok(bytes) => self.sent = (self.sent.0 + 1, self.sent.1 + bytes as u64),
-                Err(_) => self.unsent += 1,
-            }
+        todo.send.into_iter().for_each(|(to, datagram)| self.send(to, &datagram));
+        let age = self.age;
+        for (from, words) in todo.words {
+            self.counsel(|council, at, others| council.hear(at, age, &from, &words, others));
         }
         for change in todo.changes {
+            if let (Change::Down(gone), Some((council, _))) = (&change, &mut self.council) {
+                council.gone(&gone.name);
+            }
             let (what, of) = match &change {
                 Change::Up(fellow) => ("fellow up", Some(fellow)),
                 Change::Down(fellow) => ("fellow down", Some(fellow)),
@@ -169,7 +235,8 @@
     fn describe(&self, mut stream: UnixStream) {
         let view = self.fellows.view(self.context.lived.now());
         let text = json!({"self": fellow(self.fellows.own()), "view": seen(view), "room_shared_by": self.shared.0,
-            "dropped": dropped(self.fellows.dropped()), "sent": {"datagrams": self.sent.0, "bytes": self.sent.1}, "not_sent": self.unsent,
+            "council": self.council.as_ref().map(|(council, _)| council.describe(self.context.clock.now())),
+            "at_ms": unix_now() / 1000, "dropped": dropped(self.fellows.dropped()), "sent": {"datagrams": self.sent.0, "bytes": self.sent.1}, "not_sent": self.unsent,
             "fellows": self.fellows.alive().map(fellow).collect::<Vec<_>>()});
         // Whoever asked and does not read keeps nobody waiting.
         spawn_local(async move {
@@ -178,6 +245,18 @@
     }
 }
 
+fn moment(context: &Context) -> Moment {
+    Moment { now: context.clock.now(), wall: (unix_now() / 1000).max(1) as u64 }
+}
+
+/// The next word on a write of the council's, where there is one.
+async fn confirmed(council: &mut Option<(Council, mpsc::Receiver<bool>)>) -> Option<bool> {
+    match council {
+        Some((_, confirmed)) => confirmed.recv().await,
+        None => None,
+    }
+}
+
 fn fellow(of: &Fellow) -> Value {
     json!({"name": &*of.name, "start": of.start, "turn": of.turn, "address": of.address.to_string()})
 }
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod clock;
 mod context;
+mod council;
 mod desk;
 mod fellows;
 mod gate;
@@ -212,6 +213,7 @@
         trial,
         warm,
         fellows,
+        council,
         suspension,
         memory,
         known,
@@ -277,13 +279,15 @@
     let hub = match gateway {
         Some(mut gateway) => {
             gateway.homes.extend(std::mem::take(&mut recalled.beliefs.homes));
-            Some(open_gateway(&context, &decoded, gateway, &name, seed, room, kept_in).await?)
+            Some(open_gateway(&context, &decoded, gateway, &name, seed, room, kept_in.clone()).await?)
         }
         None => None,
     };
     let warmth = Warmth { recalled: recalled.beliefs, keeping };
     if let Some(terms) = fellows {
-        let company = Company::open(context.clone(), terms, &name, drivers, seed.rotate_left(16)).await?;
+        let company =
+            Company::open(context.clone(), terms, council, kept_in, &name, drivers, seed.rotate_left(16))
+                .await?;
         spawn_local(company.run());
     }
     let request = on_request.then_some(request);
--- a/crates/driver/src/start.rs
+++ b/crates/driver/src/start.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use aldermill_operator::{Fellows, Gateway, Operator, Rate, SlowPeers, Warm};
+use aldermill_operator::{Council, Fellows, Gateway, Operator, Rate, SlowPeers, Warm};
 use aldermill_pace::{Bounds, Least, PerAddress};
 use aldermill_terms::Decoded;
 use serde::Deserialize;
@@ -29,7 +29,7 @@
 }
 
 /// What the file says of that which cannot change while the program runs.
-pub type Fixed = [(&'static str, Value); 9];
+pub type Fixed = [(&'static str, Value); 10];
 
 /// Where the configuration is, and the operator's own file if there is one.
 pub struct Files {
@@ -49,6 +49,7 @@
     pub trial: Option<Trial>,
     pub warm: Option<Warm>,
     pub fellows: Option<Fellows>,
+    pub council: Option<Council>,
     pub suspension: bool,
     pub memory: u64,
     pub known: Option<Catalog>,
@@ -118,6 +119,7 @@
             ("warm", serde_json::to_value(&operator.warm).unwrap_or_default()),
             ("suspension", operator.suspension.into()),
             ("fellows", serde_json::to_value(&operator.fellows).unwrap_or_default()),
+            ("council", serde_json::to_value(&operator.council).unwrap_or_default()),
         ];
         Ok(Start {
             fixed,
@@ -131,6 +133,7 @@
             trial: None,
             warm: operator.warm.clone(),
             fellows: operator.fellows.clone(),
+            council: operator.council.clone(),
             suspension: operator.suspension,
             memory: memory_mb as u64 * 1024 * 1024,
             known: form.known,
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -1,26 +1,30 @@
 //! Duties that one driver holds at a time.
 //!
-//! A duty has a name, a holder, a rising term and an end. Some named drivers, the voters, agree on who holds it; how they
-//! agree (a log of orders that a majority has) is not in here. What is: what an agreed order makes of the duties
-//! ([`Grants`]), how long a lease that was granted may be out ([`Warden`]), whether its holder may act now ([`Tenure`]),
-//! whether a receiver takes an act ([`Fence`]), who may vote ([`Voters`]), and whom a duty goes to ([`Candidates`]).
+//! A duty has a name, a holder, a rising term and an end. Some named drivers, the voters, grant it to one of themselves for
+//! a while by a majority, without a log and without a leader: PaxosLease as published (Trencseni, Gazso, Reinhardt, 2012),
+//! with a term that a majority has seen. [`Voter`] is what one voter promised and granted, [`Seeker`] how one gets a duty,
+//! keeps it and gives it up, [`Agreement`] both of them for all duties of a driver. [`Tenure`] says whether its holder may
+//! act now, [`Fence`] whether a receiver takes an act.
 //!
 //! Clocks: each call brings `now` of a clock that counts standstills and suspension and never steps. Clocks of different
-//! machines are never compared; they may run apart by [`DRIFT`].
+//! machines are never compared for leases; they may run apart by [`DRIFT`]. Terms start no lower than the Unix time in
+//! milliseconds (`wall`), so that they rise although all voters lost what they knew at once: for that alone clocks have to
+//! be in step to within one lease.
 
-mod candidates;
+mod agreement;
 mod fence;
-mod grants;
+pub mod frame;
+mod seeker;
 mod tenure;
-mod voters;
-mod warden;
+mod voter;
+mod words;
 
-pub use candidates::Candidates;
+pub use agreement::{Agreement, Change, Terms, Todo, Unusable};
 pub use fence::{Fence, Taken};
-pub use grants::{Grant, Grants, Order, Outcome};
+pub use seeker::{Move, Seeker};
 pub use tenure::Tenure;
-pub use voters::{Standing, Voters};
-pub use warden::{Free, Warden};
+pub use voter::{Answer, Voter};
+pub use words::{Ballot, Driver, Held, Said, Word};
 
 /// Whole microseconds, on the caller's clock.
 pub type Micros = i64;
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -11,6 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::frame::{self, Foreign, Form, Inner};
+use crate::interface::{Change, Dropped, Own, Peer, Tempo, Todo};
 use crate::view::{Counted, View};
 use crate::{Fellow, Health, Micros};
 
@@ -23,80 +24,6 @@
 const ASKING: Micros = 500_000;
 const NEW: Micros = 15_000_000;
 
-/// Times of the protocol, in microseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Tempo {
-    /// One other driver is probed so often.
-    pub period: Micros,
-    /// A probe that is not answered by then goes by way of others.
-    pub trip: Micros,
-    /// Who is suspected and does not object is dead after so long.
-    pub suspicion: Micros,
-    /// News are passed on so often, where there are any.
-    pub gossip: Micros,
-}
-
-impl Tempo {
-    /// As fits so many drivers on one site: news need about the logarithm of their number in rounds.
-    pub fn usual(drivers: usize) -> Tempo {
-        let rounds = (drivers.max(2) as f64).log10().max(1.0);
-        let period = 1_000_000;
-        let suspicion = (3.0 * rounds * period as f64) as Micros;
-        Tempo { period, trip: 300_000, suspicion, gossip: 200_000 }
-    }
-}
-
-/// This driver, as it is told to the others.
-#[derive(Clone, Debug)]
-pub struct Own {
-    /// Drivers of other fleets are not heard.
-    pub fleet: String,
-    pub name: String,
-    pub address: SocketAddr,
-    /// When it started, in microseconds of Unix time: later than any start before.
-    pub start: u64,
-}
-
-/// Another driver, or only a place where one may be.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Peer {
-    pub name: Option<String>,
-    pub address: SocketAddr,
-}
-
-/// Why datagrams were not taken, and how many.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Dropped {
-    /// From an address that the operator does not name.
-    pub stranger: u64,
-    pub not_ours: u64,
-    pub version: u64,
-    pub fleet: u64,
-    /// Of our fleet, and not to be read, or meant for another start.
-    pub unusable: u64,
-}
-
-/// What has become of others, or of this driver among them.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    Up(Fellow),
-    Down(Fellow),
-    /// The name has a new start; the one before is gone.
-    Restarted(Fellow),
-    /// The others took this one for dead; it is back under a new turn.
-    Returned,
-    /// A later start has this name, so that this one is silent from now on.
-    Displaced(Fellow),
-}
-
-/// What the caller is to do now, and when to wake the books again.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Todo {
-    pub send: Vec<(SocketAddr, Vec<u8>)>,
-    pub changes: Vec<Change>,
-    pub wake_at: Option<Micros>,
-}
-
 type Swim = Foca<Fellow, Form, Pcg64Mcg, NoCustomBroadcast>;
 
 /// The other drivers, as this one knows of them.
@@ -209,6 +136,14 @@
         self.swim.iter_members().map(foca::Member::id)
     }
 
+    /// What is to be sent so that the driver of that name hears these words, 1000 bytes at most; `None` where nobody knows
+    /// where it is, or this one is silent. As any datagram it may be lost.
+    pub fn say(&self, to: &str, words: &[u8]) -> Option<(SocketAddr, Vec<u8>)> {
+        let known = || self.alive().find(|fellow| *fellow.name == *to).map(|fellow| fellow.address);
+        let address = self.routes.get(to).copied().or_else(known)?;
+        (!self.silent).then(|| (address, frame::word(self.fleet, self.own(), words)))
+    }
+
     /// A datagram came. Whatever it holds, it harms nothing beyond itself.
     pub fn heard(&mut self, now: Micros, from: IpAddr, datagram: &[u8]) -> Todo {
         if self.silent {
@@ -230,7 +165,11 @@
             }
         };
         let (gossip, sender) = match inner {
-            Inner::Gossip(gossip, sender) => (gossip, sender),
+            Inner::Gossip(gossip, sender) => (Some(gossip), sender),
+            Inner::Word(word, sender) => {
+                self.todo.words.push((sender.clone(), word.to_vec()));
+                (None, sender)
+            }
             Inner::LaterStart(later) => {
                 let own = self.swim.identity();
                 if later.name == own.name && later.start > own.start {
@@ -247,8 +186,11 @@
         if let Some(later) = later {
             let word = frame::later_start(self.fleet, &later);
             self.todo.send.push((sender.address, word));
+            // What the earlier start says counts no more.
+            self.todo.words.clear();
             return self.settle(now);
         }
+        let Some(gossip) = gossip else { return self.settle(now) };
         let mut out = AccumulatingRuntime::new();
         match self.swim.handle_data(gossip, &mut out) {
             Ok(()) => self.counted.heard(now),
--- a/crates/fellows/src/frame.rs
+++ b/crates/fellows/src/frame.rs
@@ -5,9 +5,9 @@
 //! | 2 | `0xA1DF` |
 //! | 1 | version |
 //! | 8 | the fleet: the first eight bytes of a hash of its name ([`tag`]) |
-//! | 1 | 0 for gossip, 1 for word of a later start |
+//! | 1 | 0 for gossip, 1 for word of a later start, 2 for words of other packages |
 //!
-//! Word of a later start is one fellow: of the receiver's name, and started later than it. Gossip is:
+//! Words of other packages are the sender, and whatever they say. Word of a later start is one fellow: of the receiver's name, and started later than it. Gossip is:
 //!
 //! | bytes | what |
 //! | --- | --- |
@@ -58,6 +58,8 @@
 pub enum Inner<'a> {
     /// Of the protocol's own, with its sender.
     Gossip(&'a [u8], Fellow),
+    /// What another package's other side said, with its sender.
+    Word(&'a [u8], Fellow),
     LaterStart(Fellow),
 }
 
@@ -76,6 +78,14 @@
     bytes
 }
 
+pub fn word(fleet: u64, own: &Fellow, words: &[u8]) -> Vec<u8> {
+    let mut bytes = head(fleet, 2, 128 + words.len());
+    // As below.
+    let _ = put_fellow(own, &mut bytes);
+    bytes.extend_from_slice(words);
+    bytes
+}
+
 pub fn later_start(fleet: u64, of: &Fellow) -> Vec<u8> {
     let mut bytes = head(fleet, 1, 64);
     // A vector takes everything but a name that is too long, and such a one was never read.
@@ -94,9 +104,11 @@
         return Err(Foreign::Fleet);
     }
     let kind = bytes.get_u8();
-    let fellow = get_fellow(&mut &bytes[..]).map_err(|_| Foreign::NotOurs)?;
+    let mut rest = bytes;
+    let fellow = get_fellow(&mut rest).map_err(|_| Foreign::NotOurs)?;
     match kind {
         0 => Ok(Inner::Gossip(bytes, fellow)),
+        2 => Ok(Inner::Word(rest, fellow)),
         1 => Ok(Inner::LaterStart(fellow)),
         _ => Err(Foreign::NotOurs),
     }
--- a/crates/fellows/src/lib.rs
+++ b/crates/fellows/src/lib.rs
@@ -11,11 +11,13 @@
 mod fellows;
 pub mod frame;
 mod health;
+mod interface;
 mod view;
 
 pub use fellow::Fellow;
-pub use fellows::{Change, Dropped, Fellows, Own, Peer, Tempo, Todo};
+pub use fellows::Fellows;
 pub use health::Health;
+pub use interface::{Change, Dropped, Own, Peer, Tempo, Todo};
 pub use view::{Counted, View};
 
 /// Whole microseconds, on the caller's clock.
--- /dev/null
+++ b/crates/fleet/src/drawn.rs
@@ -0,0 +1,67 @@
+//! Plans by chance.
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::plan::{Agent, Bearing, Between, Fault, Folder, Known, Plan, Wants, Way, What};
+
+impl Plan {
+    /// A plan by chance: one to four faults within some seconds.
+    pub fn drawn(seed: u64) -> Plan {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x66_6c65_6574);
+        let drivers = rng.random_range(4..=16);
+        let seconds = 7.0;
+        let faults = (0..rng.random_range(1..=4))
+            .map(|_| Fault { at_ms: rng.random_range(1500..3500), what: draw_fault(&mut rng) });
+        let mut faults: Vec<Fault> = faults.collect();
+        faults.sort_by_key(|fault| fault.at_ms);
+        Plan {
+            name: format!("drawn-{seed}"),
+            about: "A plan by chance.".to_owned(),
+            drivers,
+            groups: 2,
+            members: 3,
+            bearing: Bearing::default(),
+            load: f64::from(rng.random_range(15..60)) / 100.0,
+            seconds,
+            keeps: rng.random_bool(0.5),
+            fellows: rng.random_bool(0.3),
+            voters: 0,
+            zones: 1,
+            faults,
+            wants: Wants::default(),
+        }
+    }
+}
+
+fn draw_fault(rng: &mut Pcg64Mcg) -> What {
+    let share = f64::from(rng.random_range(10..=95)) / 100.0;
+    let for_ms = rng.random_range(10..3000);
+    let way = [Way::There, Way::Back, Way::Both][rng.random_range(0..3)];
+    let between =
+        [Between::DriversMembers, Between::DriversLists, Between::DriversMembers][rng.random_range(0..3)];
+    let folders =
+        [Folder::AsLeft, Folder::Emptied, Folder::Torn, Folder::Foreign, Folder::Older, Folder::Newer];
+    match rng.random_range(0..14) {
+        0 | 1 => What::Stop { share, for_ms, times: 1, every_ms: 0 },
+        2 => What::Stop { share, for_ms: for_ms / 4, times: 4, every_ms: 800 },
+        3 | 4 => What::Kill {
+            share,
+            down_ms: for_ms / 4,
+            folder: folders[rng.random_range(0..folders.len())],
+            known: Known::AtStart,
+        },
+        5 => What::Terminate { share, down_ms: for_ms / 4 },
+        6 => What::Cut { between, share, way, for_ms: for_ms / 2 },
+        7 => What::Hold { between, share, way, for_ms: for_ms / 2 },
+        8 => What::Delay { between, share, ms: for_ms / 30, jitter_ms: for_ms / 30, for_ms },
+        9 => What::CutAt { between, share, way, bytes: rng.random_range(1..5000) },
+        10 => What::MovePrimary { group: rng.random_range(0..2), election_ms: for_ms / 3 },
+        11 => What::KillMembers { share: share / 3.0, down_ms: for_ms / 2 },
+        12 => What::MoveList { share },
+        _ => {
+            let how = [Agent::Silent, Agent::Older, Agent::Gone][rng.random_range(0..3)];
+            What::List { how, for_ms }
+        }
+    }
+}
--- a/crates/fleet/src/drivers.rs
+++ b/crates/fleet/src/drivers.rs
@@ -125,7 +125,7 @@
         let config = json!({"name": format!("n{driver}"), "listen": address.to_string(),
             "discovery": discovery.get().to_string(), "seed": format!("{:016x}", self.world.rng.borrow_mut().random::<u64>()),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
-            "settings": terms::settings(plan.drivers, plan.bearing.warm_ms)});
+            "settings": terms::settings(plan.drivers, plan.bearing.warm_ms, plan.zones, self.world.zone_of_driver(driver))});
         std::fs::write(path("config.json"), config.to_string())?;
         *last.borrow_mut() = config;
         let mut operator =
@@ -134,6 +134,11 @@
             let peer = |(other, address): &(usize, SocketAddr)| json!({"name": format!("n{other}"), "address": address});
             operator["fellows"] = json!({"fleet": "rig", "listen": own, "networks": ["127.0.0.0/8"],
                 "peers": others.iter().map(peer).collect::<Vec<_>>(), "status": self.status(driver)});
+            if plan.voters > 0 {
+                let voters: Vec<String> = (0..plan.voters).map(|at| format!("n{at}")).collect();
+                operator["council"] =
+                    json!({"voters": voters, "duties": ["zones", "splits"], "lease_ms": 1500});
+            }
         }
         std::fs::write(path("operator.json"), operator.to_string())?;
         let log = File::options().create(true).append(true).open(path("log"))?;
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -35,7 +35,7 @@
     pub fellows: HashMap<(usize, usize), Rc<Line>>,
 }
 
-fn millis(millis: u64) -> Duration {
+pub(crate) fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
@@ -155,17 +155,7 @@
             What::KillMembers { share, down_ms } => {
                 let all: Vec<usize> = (0..self.members.len()).collect();
                 let struck = some(share, &all, &mut rng);
-                struck.iter().for_each(|&member| self.members[member].kill());
-                sleep(millis(down_ms.max(300))).await;
-                for group in 0..self.world.groups.len() {
-                    if self.world.groups[group].primary.get().is_none() {
-                        self.elect(group, None, &mut rng);
-                    }
-                }
-                for member in struck {
-                    self.members[member].restart().await;
-                    self.discovery.tell(member, Told::Ready);
-                }
+                self.kill_members(struck, down_ms, &mut rng).await;
             }
             What::HangMembers { share, for_ms } => {
                 let all: Vec<usize> = (0..self.members.len()).collect();
@@ -183,6 +173,15 @@
                     self.discovery.tell(member, Told::Gone);
                 }
             }
+            What::Holder { duty, how, for_ms } => self.strike(&duty, how, for_ms).await,
+            What::ZoneLost { zone, for_ms } => self.lose_zone(zone, for_ms, &mut rng).await,
+            What::ZoneCut { zone, for_ms } => self.cut_zone(zone, for_ms).await,
+            What::ZoneFar { zone, share, ms, for_ms } => {
+                let lines = self.lines_to_zone(zone, &some(share, &drivers, &mut rng));
+                lines.iter().for_each(|line| line.delay.set(millis(ms)));
+                sleep(millis(for_ms)).await;
+                lines.iter().for_each(|line| line.delay.set(Duration::ZERO));
+            }
             What::List { how, for_ms } => {
                 self.discovery.be(how);
                 sleep(millis(for_ms)).await;
@@ -191,7 +190,7 @@
         }
     }
 
-    fn signal(&self, drivers: &[usize], signal: Signal) {
+    pub(crate) fn signal(&self, drivers: &[usize], signal: Signal) {
         for &driver in drivers {
             // One that has ended meanwhile needs none.
             let _ = self.drivers.signal(driver, signal);
@@ -199,12 +198,12 @@
     }
 
     /// Which start of each a fault strikes.
-    fn starts(&self, drivers: Vec<usize>) -> Vec<(usize, u64)> {
+    pub(crate) fn starts(&self, drivers: Vec<usize>) -> Vec<(usize, u64)> {
         drivers.into_iter().map(|driver| (driver, self.drivers.starts(driver))).collect()
     }
 
     /// Starts them once they have ended, but for those that another fault has started meanwhile.
-    async fn start_again(&self, struck: Vec<(usize, u64)>, folder: Folder, known: Known) {
+    pub(crate) async fn start_again(&self, struck: Vec<(usize, u64)>, folder: Folder, known: Known) {
         for &(driver, start) in &struck {
             self.drivers.ended(driver, start).await;
             if self.drivers.starts(driver) == start
@@ -231,7 +230,7 @@
     }
 
     /// Another member that is up becomes primary, if there is one.
-    fn elect(&self, group: usize, before: Option<usize>, rng: &mut Pcg64Mcg) {
+    pub(crate) fn elect(&self, group: usize, before: Option<usize>, rng: &mut Pcg64Mcg) {
         let of = (0..self.members.len()).filter(|&member| self.world.group_of(member) == group);
         let may: Vec<usize> = of.filter(|&member| self.members[member].is_up()).collect();
         let other: Vec<usize> = may.iter().copied().filter(|&member| Some(member) != before).collect();
@@ -241,7 +240,7 @@
     }
 
     /// Lines of these drivers, and whether 'there' on one of them is from the other side.
-    fn lines(&self, between: Between, drivers: Vec<usize>) -> Vec<(Rc<Line>, bool)> {
+    pub(crate) fn lines(&self, between: Between, drivers: Vec<usize>) -> Vec<(Rc<Line>, bool)> {
         let of = |lines: Vec<Rc<Line>>| lines.into_iter().map(|line| (line, false));
         let drivers = drivers.into_iter();
         match between {
@@ -263,6 +262,6 @@
     }
 }
 
-fn seen(way: Way, turned: bool) -> Way {
+pub(crate) fn seen(way: Way, turned: bool) -> Way {
     if turned { way.turned() } else { way }
 }
--- /dev/null
+++ b/crates/fleet/src/figures.rs
@@ -0,0 +1,190 @@
+//! What a run came to in numbers, and what its plan wants of them.
+
+use std::collections::HashMap;
+
+use serde::Serialize;
+
+use crate::history::{At, Event, How};
+use crate::judge::Broken;
+use crate::plan::Plan;
+use crate::terms::OFFERINGS;
+
+const BIN: At = 100_000;
+/// Before that the fleet is warming up.
+const FIRST: At = 1_000_000;
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Figures {
+    pub tasks: usize,
+    /// Of all tasks, and of those before the first fault.
+    pub in_quoted_time: f64,
+    pub in_quoted_time_before: f64,
+    pub denied: usize,
+    pub broken_off: usize,
+    pub never_answered: usize,
+    pub probes_a_task: f64,
+    pub past_limit: usize,
+    pub past_limit_writes: usize,
+    /// In 100 ms: ordinary, and the most after the first fault was over.
+    pub launches: f64,
+    pub most_launches: usize,
+    pub connections: f64,
+    pub most_connections: usize,
+    pub most_lists: usize,
+    pub restarted: usize,
+    /// Of the time from when a duty was first held, how much it was held, and the longest time that it was not.
+    pub held: Option<f64>,
+    pub longest_unheld_ms: At,
+    /// From the first restart until the share in quoted time was back for good; -1 is never.
+    pub full_service_ms: Option<At>,
+}
+
+/// One 100 ms of the run, for tables and pictures.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Bin {
+    pub asked: usize,
+    /// Tasks first asked here, and those of them honoured in their quoted time.
+    pub tasks: usize,
+    pub in_time: usize,
+    pub launches: usize,
+    pub connections: usize,
+    pub probes: usize,
+    pub lists: usize,
+}
+
+pub fn bins(events: &[(At, Event)]) -> Vec<Bin> {
+    let last = events.last().map_or(0, |(at, _)| *at);
+    let mut bins = vec![Bin::default(); (last / BIN + 1) as usize];
+    for (at, event) in events {
+        let bin = &mut bins[(*at / BIN) as usize];
+        match event {
+            Event::Asked { .. } => bin.asked += 1,
+            Event::Reached { .. } => bin.launches += 1,
+            Event::Connected { .. } => bin.connections += 1,
+            Event::Probed { .. } => bin.probes += 1,
+            Event::Listed { .. } => bin.lists += 1,
+            _ => {}
+        }
+    }
+    for (first, in_time) in tasks(events) {
+        let bin = &mut bins[(first / BIN) as usize];
+        (bin.tasks, bin.in_time) = (bin.tasks + 1, bin.in_time + usize::from(in_time));
+    }
+    bins
+}
+
+/// Each task with all its tries: when it was first asked, and whether it was honoured in its quoted time.
+fn tasks(events: &[(At, Event)]) -> Vec<(At, bool)> {
+    let mut honoured: HashMap<u64, At> = HashMap::new();
+    for (at, event) in events {
+        if let Event::Answered { id, how: How::Honoured, .. } = event {
+            honoured.insert(*id, *at);
+        }
+    }
+    // Clients come one by one: no two tasks have the same beginning.
+    let mut tasks: HashMap<(At, usize, usize), bool> = HashMap::new();
+    for (_, event) in events {
+        if let Event::Asked { id, offering, group, first, .. } = *event {
+            let quoted = first + OFFERINGS[offering].quoted_ms * 1000;
+            let in_time = honoured.get(&id).is_some_and(|&at| at <= quoted);
+            *tasks.entry((first, offering, group)).or_default() |= in_time;
+        }
+    }
+    let mut tasks: Vec<(At, bool)> =
+        tasks.into_iter().map(|((first, ..), in_time)| (first, in_time)).collect();
+    tasks.sort_unstable();
+    tasks
+}
+
+pub fn measure(figures: &mut Figures, plan: &Plan, events: &[(At, Event)]) {
+    let bins = bins(events);
+    let first_client = events.iter().find(|(_, event)| matches!(event, Event::Asked { .. }));
+    let start = first_client.map_or(0, |(at, _)| *at);
+    let fault = events.iter().find(|(_, event)| matches!(event, Event::Fault { .. })).map(|(at, _)| *at);
+    let calm_until = fault.unwrap_or(At::MAX);
+    let end = start + (plan.seconds * 1e6) as At;
+    let number = |from: At, to: At, of: fn(&Bin) -> usize| {
+        let range = (from / BIN + 1) as usize..(to.min(end) / BIN) as usize;
+        bins.get(range).unwrap_or_default().iter().map(of).collect::<Vec<usize>>()
+    };
+    let mean = |of: fn(&Bin) -> usize| {
+        let counts = number(start + FIRST, calm_until, of);
+        counts.iter().sum::<usize>() as f64 / counts.len().max(1) as f64
+    };
+    let most = |of| fault.map_or(0, |from| number(from, end, of).into_iter().max().unwrap_or(0));
+    (figures.launches, figures.most_launches) = (mean(|bin| bin.launches), most(|bin| bin.launches));
+    (figures.connections, figures.most_connections) =
+        (mean(|bin| bin.connections), most(|bin| bin.connections));
+    figures.most_lists = most(|bin| bin.lists);
+
+    let tasks = tasks(events);
+    let share = |from: At, to: At| {
+        let of: Vec<bool> =
+            tasks.iter().filter(|(at, _)| (from..to).contains(at)).map(|&(_, in_time)| in_time).collect();
+        of.iter().filter(|&&in_time| in_time).count() as f64 / of.len().max(1) as f64
+    };
+    figures.tasks = tasks.len();
+    figures.in_quoted_time = share(start + FIRST, end);
+    figures.in_quoted_time_before = share(start + FIRST, calm_until.min(end));
+    let probes = events.iter().filter(|(_, event)| matches!(event, Event::Probed { .. })).count();
+    figures.probes_a_task = probes as f64 / tasks.len().max(1) as f64;
+    for (_, event) in events {
+        match event {
+            Event::Answered { how: How::Denied, .. } => figures.denied += 1,
+            Event::Answered { how: How::BrokenOff, .. } => figures.broken_off += 1,
+            Event::Answered { how: How::Nothing | How::Lost, .. } => figures.never_answered += 1,
+            _ => {}
+        }
+    }
+    let restarts: Vec<At> = events
+        .iter()
+        .filter(|(at, event)| *at > start && matches!(event, Event::Started { .. }))
+        .map(|(at, _)| *at)
+        .collect();
+    figures.restarted = restarts.len();
+    figures.full_service_ms = restarts.first().map(|&first| {
+        // From the end backwards: the last second, in steps of a tenth, whose share is not back. At high load single
+        // tenths vary by more than what is asked for.
+        let window = 10 * BIN;
+        let before = figures.in_quoted_time_before;
+        let counted = tasks.iter().filter(|(at, _)| (first..first + window).contains(at)).count().max(1);
+        // Three standard deviations of as many tasks are chance.
+        let wanted = 0.98 * before - 3.0 * (before * (1.0 - before) / counted as f64).sqrt();
+        let mut from = end - window;
+        while from > first && share(from, from + window) >= wanted {
+            from -= BIN;
+        }
+        if from >= end - window { -1 } else { ((from + BIN - first) / 1000).max(0) }
+    });
+}
+
+/// Counts vary by chance: four times the square root of the mean are no burst.
+fn bearable(mean: f64, times: f64) -> f64 {
+    (times * mean).max(mean + 4.0 * mean.sqrt())
+}
+
+pub fn wants(broken: &mut Vec<Broken>, plan: &Plan, figures: &Figures) {
+    let mut found = |what: String| broken.push(Broken { rule: 8, at_ms: 0, what });
+    let wants = &plan.wants;
+    if let Some(times) = wants.burst
+        && figures.most_launches as f64 > bearable(figures.launches, times)
+    {
+        found(format!("{} launches in 100 ms, ordinary are {:.1}", figures.most_launches, figures.launches));
+    }
+    if let Some(share) = wants.list_share
+        && figures.most_lists as f64 > (share * figures.restarted as f64).max(1.0)
+    {
+        found(format!("{} lists asked for in 100 ms by {} restarted", figures.most_lists, figures.restarted));
+    }
+    if let Some(wanted) = wants.full_service_ms {
+        match figures.full_service_ms {
+            Some(took) if (0..=wanted as At).contains(&took) => {}
+            took => found(format!("full service after {took:?} ms, {wanted} are wanted")),
+        }
+    }
+    if let Some(wanted) = wants.served
+        && figures.in_quoted_time < wanted
+    {
+        found(format!("{:.3} in quoted time, {wanted} are wanted", figures.in_quoted_time));
+    }
+}
--- a/crates/fleet/src/history.rs
+++ b/crates/fleet/src/history.rs
@@ -115,6 +115,20 @@
     Fault {
         text: String,
     },
+    /// A driver said that it holds a duty; it was asked at that time, and this is when it answered.
+    Holds {
+        driver: usize,
+        duty: String,
+        term: u64,
+        asked: At,
+    },
+    /// The highest that a driver has taken of a decree.
+    Decreed {
+        driver: usize,
+        about: String,
+        place: (u64, u64),
+        says: String,
+    },
     /// All that was done is over.
     Calm,
     /// This process itself had no turn for so long.
@@ -143,6 +157,11 @@
         self.events.borrow_mut().push((self.now(), event));
     }
 
+    /// The newest event of which this says something.
+    pub fn last_of<T>(&self, of: impl Fn(&(At, Event)) -> Option<T>) -> Option<T> {
+        self.events.borrow().iter().rev().find_map(of)
+    }
+
     pub fn take(&self) -> Vec<(At, Event)> {
         self.events.take()
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,9 +5,13 @@
 //! kept as a [`history::History`]; `judge` reads nothing else, and shares no code with the driver.
 
 pub mod cable;
+pub mod council;
 pub mod discovery;
+pub mod drawn;
 pub mod drivers;
+pub mod duties;
 pub mod faults;
+pub mod figures;
 pub mod front;
 pub mod history;
 pub mod judge;
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -1,7 +1,5 @@
 //! What a run is made of, as JSON; `aldermill-fleet schema` prints the form.
 
-use rand::{Rng, SeedableRng};
-use rand_pcg::Pcg64Mcg;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -31,6 +29,12 @@
     /// Whether drivers know of one another.
     #[serde(default)]
     pub fellows: bool,
+    /// So many of the first drivers vote on duties; none, and nothing is decided in common.
+    #[serde(default)]
+    pub voters: usize,
+    /// Members of a group, and drivers, are spread over so many zones in turn.
+    #[serde(default = "a_zone")]
+    pub zones: usize,
     #[serde(default)]
     pub faults: Vec<Fault>,
     #[serde(default)]
@@ -155,6 +159,43 @@
         how: Agent,
         for_ms: u64,
     },
+    /// Whoever holds the duty is struck.
+    Holder {
+        duty: String,
+        how: Strike,
+        for_ms: u64,
+    },
+    /// All members of a zone die, and come back cold after so long.
+    ZoneLost {
+        zone: usize,
+        for_ms: u64,
+    },
+    /// Nothing comes through between a zone and the others, drivers among themselves included.
+    ZoneCut {
+        zone: usize,
+        for_ms: u64,
+    },
+    /// Members of a zone are reached so much later, by a share of all drivers.
+    ZoneFar {
+        zone: usize,
+        share: f64,
+        ms: u64,
+        for_ms: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Strike {
+    /// SIGKILL, and a start after the time is over; SIGTERM likewise.
+    Kill,
+    Terminate,
+    /// SIGSTOP for so long.
+    Stop,
+    /// What drivers say to each other does not reach it, does not leave it, or neither.
+    CutThere,
+    CutBack,
+    CutBoth,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -256,6 +297,10 @@
     2
 }
 
+fn a_zone() -> usize {
+    1
+}
+
 fn three() -> usize {
     3
 }
@@ -275,6 +320,13 @@
         within("groups", self.groups as f64, 1.0, 12.0)?;
         within("members", self.members as f64, 1.0, 9.0)?;
         within("load", self.load, 0.01, 2.0)?;
+        within("zones", self.zones as f64, 1.0, 5.0)?;
+        if !(matches!(self.voters, 0 | 3 | 5 | 7) && self.voters <= self.drivers) {
+            return Err(format!("voters: {} is not 0, 3, 5 or 7 of {} drivers", self.voters, self.drivers));
+        }
+        if self.voters > 0 && !self.fellows {
+            return Err("voters: needs `fellows`".to_owned());
+        }
         within("seconds", self.seconds, 1.0, 600.0)?;
         for (at, fault) in self.faults.iter().enumerate() {
             let share = match fault.what {
@@ -293,7 +345,11 @@
                     within(&format!("faults[{at}].do.group"), group as f64, 0.0, self.groups as f64 - 1.0)?;
                     continue;
                 }
-                What::List { .. } => continue,
+                What::List { .. } | What::Holder { .. } => continue,
+                What::ZoneLost { zone, .. } | What::ZoneCut { zone, .. } | What::ZoneFar { zone, .. } => {
+                    within(&format!("faults[{at}].do.zone"), zone as f64, 0.0, self.zones as f64 - 1.0)?;
+                    continue;
+                }
             };
             within(&format!("faults[{at}].do.share"), share, 0.0, 1.0)?;
         }
@@ -314,63 +370,6 @@
             _ => false,
         })
     }
-
-    /// A plan by chance: one to four faults within some seconds.
-    pub fn drawn(seed: u64) -> Plan {
-        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x66_6c65_6574);
-        let drivers = rng.random_range(4..=16);
-        let seconds = 7.0;
-        let faults = (0..rng.random_range(1..=4))
-            .map(|_| Fault { at_ms: rng.random_range(1500..3500), what: draw_fault(&mut rng) });
-        let mut faults: Vec<Fault> = faults.collect();
-        faults.sort_by_key(|fault| fault.at_ms);
-        Plan {
-            name: format!("drawn-{seed}"),
-            about: "A plan by chance.".to_owned(),
-            drivers,
-            groups: 2,
-            members: 3,
-            bearing: Bearing::default(),
-            load: f64::from(rng.random_range(15..60)) / 100.0,
-            seconds,
-            keeps: rng.random_bool(0.5),
-            fellows: rng.random_bool(0.3),
-            faults,
-            wants: Wants::default(),
-        }
-    }
-}
-
-fn draw_fault(rng: &mut Pcg64Mcg) -> What {
-    let share = f64::from(rng.random_range(10..=95)) / 100.0;
-    let for_ms = rng.random_range(10..3000);
-    let way = [Way::There, Way::Back, Way::Both][rng.random_range(0..3)];
-    let between =
-        [Between::DriversMembers, Between::DriversLists, Between::DriversMembers][rng.random_range(0..3)];
-    let folders =
-        [Folder::AsLeft, Folder::Emptied, Folder::Torn, Folder::Foreign, Folder::Older, Folder::Newer];
-    match rng.random_range(0..14) {
-        0 | 1 => What::Stop { share, for_ms, times: 1, every_ms: 0 },
-        2 => What::Stop { share, for_ms: for_ms / 4, times: 4, every_ms: 800 },
-        3 | 4 => What::Kill {
-            share,
-            down_ms: for_ms / 4,
-            folder: folders[rng.random_range(0..folders.len())],
-            known: Known::AtStart,
-        },
-        5 => What::Terminate { share, down_ms: for_ms / 4 },
-        6 => What::Cut { between, share, way, for_ms: for_ms / 2 },
-        7 => What::Hold { between, share, way, for_ms: for_ms / 2 },
-        8 => What::Delay { between, share, ms: for_ms / 30, jitter_ms: for_ms / 30, for_ms },
-        9 => What::CutAt { between, share, way, bytes: rng.random_range(1..5000) },
-        10 => What::MovePrimary { group: rng.random_range(0..2), election_ms: for_ms / 3 },
-        11 => What::KillMembers { share: share / 3.0, down_ms: for_ms / 2 },
-        12 => What::MoveList { share },
-        _ => {
-            let how = [Agent::Silent, Agent::Older, Agent::Gone][rng.random_range(0..3)];
-            What::List { how, for_ms }
-        }
-    }
 }
 
 #[cfg(test)]
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -6,8 +6,8 @@
 use plotters::prelude::*;
 use serde_json::json;
 
+use crate::figures::{Bin, bins};
 use crate::history::{At, Event};
-use crate::judge::{Bin, bins};
 use crate::run::Run;
 
 pub fn table(run: &Run) -> String {
@@ -32,6 +32,9 @@
     if let Some(took) = figures.full_service_ms {
         row("full service after, ms", if took < 0 { "never".to_owned() } else { took.to_string() });
     }
+    if let Some(held) = figures.held {
+        row("duties held, longest without, ms", format!("{held:.4}, {}", figures.longest_unheld_ms));
+    }
     for broken in &run.verdict.broken {
         row(&format!("BROKEN {} at {} ms", broken.rule, broken.at_ms), broken.what.clone());
     }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::cable::{BACK, Line, THERE};
+use crate::council;
 use crate::discovery::Discovery;
 use crate::drivers::{Drivers, Introduced};
 use crate::faults::Stage;
@@ -131,6 +132,9 @@
     let front = Front::new(&world, addresses);
     spawn_local(front.clone().admit());
     spawn_local(punctual(world.clone()));
+    if plan.voters > 0 {
+        spawn_local(council::watch(world.clone(), drivers.clone()));
+    }
     let start = Instant::now();
     while front.admitted() < plan.drivers {
         if start.elapsed() > READY || !drivers.crashed().is_empty() {
--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/terms.rs
@@ -43,7 +43,14 @@
     OFFERINGS[offering].need == "update"
 }
 
-pub fn settings(drivers: usize, warm_ms: u64) -> serde_json::Value {
+pub fn zone(at: usize) -> String {
+    format!("z{at}")
+}
+
+/// What crossing between zones takes off, where there are several.
+const CROSSING: f64 = 0.04;
+
+pub fn settings(drivers: usize, warm_ms: u64, zones: usize, own: usize) -> serde_json::Value {
     let categories: Vec<_> = OFFERINGS
         .iter()
         .map(|offering| {
@@ -55,8 +62,10 @@
         .collect();
     let needs: Vec<_> = OFFERINGS.iter().map(|offering| offering.need).collect();
     let ages: Vec<_> = OFFERINGS.iter().map(|offering| offering.bound_ms).collect();
-    json!({"azs": ["here"], "myZone": "here", "balancers": drivers, "registryMode": "automatic", "weights": "off",
-        "categories": categories, "clients": {"marksRetry": true}, "deductions": {"crossZone": 0},
+    let azs: Vec<String> = (0..zones).map(zone).collect();
+    let crossing = if zones > 1 { CROSSING } else { 0.0 };
+    json!({"azs": azs, "myZone": zone(own), "balancers": drivers, "registryMode": "automatic", "weights": "off",
+        "categories": categories, "clients": {"marksRetry": true}, "deductions": {"crossZone": crossing},
         "familyInfo": {"behind": "off", "maxAgeMs": ages, "needsByClass": needs, "positionZeroMs": 0,
             "roleListed": "off", "tokens": "client"},
         "limits": {"maxAttempts": MAX_LAUNCHES, "maxRetryAfterMs": 500, "retryAfter": true, "probes": true,
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -45,6 +45,14 @@
         self.plan.groups * self.plan.members
     }
 
+    pub fn zone_of_member(&self, member: usize) -> usize {
+        member % self.plan.members % self.plan.zones
+    }
+
+    pub fn zone_of_driver(&self, driver: usize) -> usize {
+        driver % self.plan.zones
+    }
+
     pub fn group_of(&self, member: usize) -> usize {
         member / self.plan.members
     }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every field may be left out. Unknown fields and wrong values are named by their path. The schema is made from
 //! the types below.
 
+mod council;
 mod fellows;
 mod gateway;
 mod slow_peers;
@@ -12,6 +13,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+pub use council::{Council, Duty};
 pub use fellows::{FellowAt, Fellows};
 pub use gateway::{Gateway, PeerSite};
 pub use ipnet::IpNet;
@@ -44,6 +46,9 @@
     /// Drivers that know of one another. Off by default. Read at the start only.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub fellows: Option<Fellows>,
+    /// What drivers decide in common. Off by default; needs `fellows`. Read at the start only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub council: Option<Council>,
 }
 
 impl Operator {
@@ -60,6 +65,10 @@
         read.trial.as_ref().map_or(Ok(()), Trial::check)?;
         read.warm.as_ref().map_or(Ok(()), Warm::check)?;
         read.fellows.as_ref().map_or(Ok(()), Fellows::check)?;
+        read.council.as_ref().map_or(Ok(()), Council::check)?;
+        if read.council.is_some() && read.fellows.is_none() {
+            return Err("council: needs `fellows`, over which drivers speak to each other".to_owned());
+        }
         Ok(read)
     }
 
@@ -127,6 +136,27 @@
         assert!(said(r#""listen":"127.0.0.1:7000","status":7"#).unwrap_err().starts_with("fellows.status: "));
     }
 
+    #[test]
+    fn a_council_that_cannot_be_meant_is_refused_with_its_path() {
+        let fellows = r#""fellows":{"fleet":"f","listen":"127.0.0.1:7000","networks":["127.0.0.0/8"]}"#;
+        let said = |council: &str| {
+            Operator::parse(&format!(r#"{{{fellows},"council":{{{council}}}}}"#)).map(|_| ()).unwrap_err()
+        };
+        let three = r#""voters":["a","b","c"]"#;
+        let whole = format!(r#""council":{{{three},"duties":["zones"]}}"#);
+        assert!(Operator::parse(&format!(r#"{{{fellows},{whole}}}"#)).is_ok());
+        assert!(
+            Operator::parse(&format!(r#"{{{whole}}}"#)).unwrap_err().starts_with("council: needs `fellows`")
+        );
+        assert!(said(r#""voters":["a","b"],"duties":["zones"]"#).starts_with("council.voters: "));
+        assert!(said(r#""voters":["a","b","a"],"duties":["zones"]"#).starts_with("council.voters[2]: "));
+        assert!(said(&format!(r#"{three},"duties":[]"#)).starts_with("council.duties: "));
+        assert!(said(&format!(r#"{three},"duties":["work"]"#)).starts_with("council.duties[0]: "));
+        assert!(
+            said(&format!(r#"{three},"duties":["zones"],"lease_ms":20"#)).starts_with("council.lease_ms: ")
+        );
+    }
+
     #[test]
     fn the_schema_knows_every_field_that_is_written() {
         let schema = Operator::schema();
--- a/crates/warm/src/lib.rs
+++ b/crates/warm/src/lib.rs
@@ -30,6 +30,9 @@
     /// The gateway's book and its promises, which have records of their own form and are none of the beliefs.
     pub const BOOK: u32 = 6;
     pub const PROMISES: u32 = 7;
+    /// The highest term that a voter granted, and that a driver took a decree of, by duty.
+    pub const GRANTED: u32 = 8;
+    pub const DECREED: u32 = 9;
 }
 
 /// A group's primary as it was believed, and the time of the word that proved it.
