Failover between zones decided in common: evidence, levels, decrees that weigh the draw

Need: a driver alone cannot see what other zones bear, nor what all others will do at the same moment.

Change: crates/zones, free of I/O: tallies by group and zone, findings (lost, cut off, crowded, some, ill drivers), levels with at most two changes a minute, shares by measured room. The desk counts reads' launches where a council is wanted; decrees reach the module by `Router::lean`, which weighs the draw and draws no number where nothing is decreed. desk.rs is split by job (lists, steps, sight).

Failed tries, found by asking the holder while a zone was lost: evidence of one second held too few launches, and connections that break before they are written made a dead zone look crowded.

--- a/crates/driver/src/council.rs
+++ b/crates/driver/src/council.rs
@@ -1,6 +1,8 @@
 //! This driver's part in what the fleet decides in common: its vote, the duties that it holds, decrees and reports. What is
 //! said is `crates/duties`' and `crates/decrees`'; here it is put into datagrams, on the disk, and in the log.
 
+mod work;
+
 use std::collections::VecDeque;
 use std::rc::Rc;
 
@@ -20,11 +22,17 @@
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
 
+use aldermill_zones::{Group, Lean};
+
 use crate::keep::Folder;
+use crate::words::Seen;
+use work::ZonesWork;
 
 /// What a datagram between councils begins with.
 const DUTY: u8 = 1;
 const DECREE: u8 = 2;
+/// How often a holder decides, and each driver looks at what is decreed.
+pub const WORKS: Micros = 1_000_000;
 
 /// Where terms are kept: the folder, and the writes under way, the oldest first.
 struct Kept {
@@ -50,7 +58,9 @@
     kept: Option<Kept>,
     rng: Pcg64Mcg,
     log: Logger,
+    zones: Option<ZonesWork>,
     decree_at: Micros,
+    work_at: Micros,
     compare_at: Micros,
     agree_at: Option<Micros>,
     /// To whom, and what.
@@ -63,6 +73,7 @@
         wanted: Wanted,
         own: Driver,
         folder: Option<Rc<Folder>>,
+        zone: usize,
         moment: Moment,
         seed: u64,
         log: Logger,
@@ -87,6 +98,7 @@
         let (told, confirmed) = mpsc::channel(256);
         let kept = folder.map(|folder| Kept { folder, told, under_way: VecDeque::new() });
         info!(log, "council"; "votes" => agreement.is_voter(), "duties" => duties.join(" "), "kept" => kept.is_some());
+        let (duties_zones, log_of_zones) = (duties.iter().any(|duty| duty == work::DUTY), log.clone());
         let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(7));
         let council = Council {
             own,
@@ -97,7 +109,9 @@
             reporter: Reporter::default(),
             kept,
             log,
+            zones: duties_zones.then(|| ZonesWork::start(zone, log_of_zones)),
             decree_at: now,
+            work_at: now,
             compare_at: now + rng.random_range(0..COMPARED),
             agree_at: Some(now),
             out: Vec::new(),
@@ -109,7 +123,7 @@
     pub fn wake_at(&self) -> Micros {
         let reports = self.reporter.due().unwrap_or(Micros::MAX);
         let agrees = self.agree_at.unwrap_or(Micros::MAX);
-        self.compare_at.min(self.decree_at).min(agrees).min(reports)
+        self.compare_at.min(self.decree_at).min(self.work_at).min(agrees).min(reports)
     }
 
     /// What is to be said now, to whom.
@@ -190,6 +204,10 @@
             self.book.wake(now);
             self.decree(now, others);
         }
+        if now >= self.work_at {
+            self.work_at = now + WORKS;
+            self.work(now, others);
+        }
         if now >= self.compare_at {
             self.compare_at = now + COMPARED;
             if let Some(to) = others.iter().cloned().choose(&mut self.rng) {
@@ -223,6 +241,33 @@
         self.pass_on(&decrees, 0, others);
     }
 
+    /// Decides what there is to decide under the duties that it holds.
+    fn work(&mut self, now: Micros, others: &[Rc<str>]) {
+        let Some(zones) = &mut self.zones else { return };
+        let term = self.agreement.may_act(now, work::DUTY);
+        let bodies = zones.decide(now, term, &self.ledger, &self.book);
+        let Some(term) = term else { return };
+        let issued = bodies.into_iter().filter_map(|(subject, body)| {
+            self.book.issue(now, About::new(work::DUTY, &subject), term, &self.own.name, LASTS, body)
+        });
+        let decrees: Vec<Decree> = issued.collect();
+        self.pass_on(&decrees, 0, others);
+    }
+
+    /// What this driver saw, to be reported.
+    pub fn saw(&mut self, seen: Seen) {
+        let Some(zones) = &self.zones else { return };
+        for (about, body) in zones.report(seen) {
+            self.reporter.put(about, body);
+        }
+    }
+
+    /// What is decreed for this driver's zone, where that has changed.
+    pub fn leans(&mut self, now: Micros) -> Option<Vec<(Group, Lean)>> {
+        let book = &self.book;
+        self.zones.as_mut().and_then(|zones| zones.obey(now, book))
+    }
+
     fn carry_out(&mut self, at: Moment, todo: Todo, others: &[Rc<str>]) {
         self.agree_at = todo.wake_at;
         for (to, said) in todo.send {
@@ -303,7 +348,7 @@
                 "number": decree.number, "by": decree.by, "left_ms": decree.left / 1000,
                 "says": String::from_utf8_lossy(&decree.body)})
         });
-        json!({"votes": self.agreement.is_voter(), "duties": duties.collect::<Vec<_>>(),
+        json!({"votes": self.agreement.is_voter(), "zones": self.zones.as_ref().map(ZonesWork::describe), "duties": duties.collect::<Vec<_>>(),
             "decrees": decrees.collect::<Vec<_>>()})
     }
 }
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -2,34 +2,31 @@
 
 mod book;
 mod hub;
+mod lists;
+mod sight;
+mod steps;
 mod warmth;
 
 pub use hub::{Hub, Opening};
+pub use sight::Sight;
 pub use warmth::Warmth;
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
-use aldermill_routing::{
-    Effect, Handle, Listed, MemberId, Micros, Need, Outcome, Proof, Role, Router, Standing, Step, Task, Todo,
-    Told, Verdict,
-};
+use aldermill_routing::{Handle, MemberId, Micros, Need, Outcome, Role, Router, Task, Todo, Verdict};
 use aldermill_sites::Handle as SitesHandle;
 use aldermill_terms::Decoded;
 use aldermill_wire::statement::quoted;
-use slog::{info, warn};
+use slog::warn;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::{spawn_local, yield_now};
-use tokio::time::{Instant, sleep_until};
+use tokio::task::yield_now;
+use tokio::time::sleep_until;
 
-use crate::catalog::{Catalog, Entry};
-use crate::clock::{Clock, duration};
 use crate::context::Context;
-
-use crate::member::Member;
+use crate::desk::lists::Peer;
 use crate::trial::Trial;
-use crate::words::{Answer, Bulletin, Call, ClientId, Ended, Errand, Gave, Launch, Mail, Order, Query};
+use crate::words::{Answer, Bulletin, Call, ClientId, Ended, Gave, Mail, Order};
 
 /// A task under way and the client that waits for it.
 pub(crate) struct Open {
@@ -48,19 +45,6 @@
     Via(SitesHandle),
 }
 
-/// A member's actor, as the desk sees it.
-struct Peer {
-    group: u64,
-    ready: bool,
-    errands: mpsc::Sender<Errand>,
-    /// Whether the list's last word lets anything new be sent there.
-    open: watch::Sender<bool>,
-    address: SocketAddr,
-    /// Its last start as the list tells it, and on the router's clock.
-    up_since: f64,
-    since: Option<Micros>,
-}
-
 /// What the desk turns to.
 enum Next {
     Bulletin(Bulletin),
@@ -97,6 +81,8 @@
     pending: VecDeque<Call>,
     warmth: Warmth,
     lines: warmth::Lines,
+    /// Where the fleet decides on zones or splits in common: what it is to know of this driver.
+    sight: Option<Sight>,
     wake_at: Micros,
     /// Of the time spent standing, what router and sites know of.
     stood: Micros,
@@ -115,6 +101,7 @@
         hub: Option<Hub>,
         trial: Option<Trial>,
         warmth: Warmth,
+        sight: Option<Sight>,
         ready: watch::Sender<bool>,
         requests: Option<mpsc::Sender<()>>,
     ) -> Desk {
@@ -133,6 +120,7 @@
             pending: VecDeque::new(),
             warmth,
             lines: warmth::Lines::default(),
+            sight,
             wake_at: now,
             stood: 0,
             ready,
@@ -268,19 +256,12 @@
                 let ((), todo) = self.ask(told);
                 self.carry_out(todo);
             }
+            Call::Sight(asked) => self.tell_sight(asked),
+            Call::Lean(leans) => self.leans(&leans),
             Call::Describe(asked) => {
                 let _ = asked.send(self.describe());
             }
-            Call::Crowded(member) => {
-                // Idle connections of the others make room.
-                for (id, peer) in self.peers.iter().enumerate().filter(|(id, _)| *id != member) {
-                    let Some(peer) = peer else { continue };
-                    if peer.errands.try_send(Errand::Shed).is_err() {
-                        warn!(self.context.log, "member's mailbox full, it keeps its idle connections";
-                            "member" => id);
-                    }
-                }
-            }
+            Call::Crowded(member) => self.make_room(member),
         }
     }
 
@@ -353,6 +334,7 @@
 
     fn ended(&mut self, ended: Ended) {
         let Ended { handle, verdict, took, told, gave } = ended;
+        self.sees_end(handle, verdict, took);
         match gave {
             Gave::Rows(rows) => self.answer(handle, Answer::Honoured(rows)),
             Gave::MoreThanFits => self.deny_for_room(handle),
@@ -379,89 +361,6 @@
         }
     }
 
-    /// Its member answered, but there is no room for that: what is pure may be denied, anything else did run.
-    fn deny_for_room(&mut self, handle: Handle) {
-        let Some(open) = self.open.get(&handle) else { return };
-        let Ok(offering) = self.decoded.offering(&open.order.comment.offering) else { return };
-        let answer = self.without_room(offering);
-        self.answer(handle, answer);
-    }
-
-    /// What a client hears whose answer finds no room.
-    pub(crate) fn without_room(&self, offering: usize) -> Answer {
-        let terms = &self.decoded.terms;
-        match terms.offerings[offering].effect {
-            Effect::Pure => {
-                Answer::Denied { cool_down: self.context.gate.come_back().min(terms.max_cool_down) }
-            }
-            _ => Answer::BrokenOff,
-        }
-    }
-
-    /// Gives a task its one answer.
-    fn answer(&mut self, handle: Handle, answer: Answer) {
-        let Some(open) = self.open.get_mut(&handle) else { return };
-        let Some((client, mailbox)) = open.client.take() else { return };
-        if let Some(via) = open.via {
-            return self.here_answered(via, answer);
-        }
-        self.by_client.remove(&client);
-        // Its mailbox always has room for the answers it waits for; it may be gone.
-        let _ = mailbox.try_send(Mail::Answer(client, answer));
-    }
-
-    pub(crate) fn carry_out(&mut self, todo: Todo) {
-        for (handle, step) in todo.steps {
-            match step {
-                Step::Launch { member, limit, afresh, proof } => {
-                    self.launch(handle, member, limit, afresh, proof)
-                }
-                Step::Deny { cool_down } => self.answer(handle, Answer::Denied { cool_down }),
-                Step::BreakOff => self.answer(handle, Answer::BrokenOff),
-            }
-            self.release(handle);
-        }
-        for member in todo.probes {
-            let sent = Instant::now();
-            let until = sent + self.context.limits.probe;
-            let peer = self.peers[member].as_ref();
-            if peer.is_none_or(|peer| peer.errands.try_send(Errand::Probe { sent, until }).is_err()) {
-                let (verdict, told) = (Verdict::Moot, Told::default());
-                self.pending.push_back(Call::Probed { member, verdict, took: 0, told });
-            }
-        }
-        for member in todo.shut {
-            if let Some(peer) = &self.peers[member] {
-                // A full mailbox means that its connections are wanted.
-                let _ = peer.errands.try_send(Errand::CloseIdle);
-            }
-        }
-        if todo.subscribe
-            && let Some(requests) = &self.requests
-        {
-            let _ = requests.try_send(());
-        }
-        if let Some(at) = todo.wake_at {
-            self.wake_at = at;
-        }
-    }
-
-    fn launch(&mut self, handle: Handle, member: MemberId, limit: Micros, afresh: bool, proof: Proof) {
-        let Some(open) = self.open.get(&handle) else { return };
-        let sent = Instant::now();
-        let wait = ((limit.max(0) + 999) / 1000).to_string();
-        let query = Query::of(&open.order, &wait);
-        let holder = (open.order.holder, open.best);
-        let launch = Launch { handle, query, holder, sent, until: sent + duration(limit), afresh, proof };
-        let peer = self.peers[member].as_ref();
-        if peer.is_none_or(|peer| peer.errands.try_send(Errand::Launch(launch)).is_err()) {
-            warn!(self.context.log, "member's mailbox full, launch not sent"; "member" => member);
-            let (verdict, told) = (Verdict::Moot, Told::default());
-            let ended = Ended { handle, verdict, took: 0, told, gave: Gave::Nothing };
-            self.pending.push_back(Call::Ended(ended));
-        }
-    }
-
     /// Drops what is kept for a task of which nothing more can be heard.
     pub(crate) fn release(&mut self, handle: Handle) {
         if !self.router.knows(handle)
@@ -474,125 +373,6 @@
             }
         }
     }
-
-    fn bulletin(&mut self, bulletin: Bulletin) {
-        let now = self.context.clock.now();
-        let todo = match bulletin {
-            Bulletin::Unavailable => self.ask(|router| ((), router.list_unavailable(now))).1,
-            Bulletin::List(catalog) => {
-                info!(self.context.log, "list"; "revision" => catalog.revision,
-                    "complete" => catalog.complete, "entries" => catalog.members.len());
-                let lines = self.lines(&catalog);
-                let todo = self.ask(|router| ((), router.list(now, catalog.complete, lines.clone()))).1;
-                self.warm_up(&catalog);
-                todo
-            }
-        };
-        self.carry_out(todo);
-        self.forget(now);
-        if self.hub.is_some() {
-            let mut groups: BTreeMap<u64, usize> = BTreeMap::new();
-            for peer in self.peers.iter().flatten().filter(|peer| peer.ready) {
-                *groups.entry(peer.group).or_default() += 1;
-            }
-            self.groups_listed(&groups.into_iter().collect::<Vec<_>>());
-        }
-        if !self.peers.is_empty() {
-            self.ready.send_if_modified(|ready| !std::mem::replace(ready, true));
-        }
-    }
-
-    /// Lets go of members that are gone and will not be heard of again: actor, connections and index.
-    fn forget(&mut self, now: Micros) {
-        let Desk { router, peers, member_ids, .. } = self;
-        member_ids.retain(|_, &mut id| {
-            let forgotten = router.forget(now, id);
-            if forgotten {
-                peers[id] = None;
-            }
-            !forgotten
-        });
-    }
-
-    fn lines(&mut self, catalog: &Catalog) -> Vec<Listed> {
-        if catalog.complete {
-            let listed: HashSet<&str> = catalog.members.iter().map(|entry| entry.id.as_str()).collect();
-            let open = self.lets_send(Standing::Gone);
-            for (_, &id) in self.member_ids.iter().filter(|(name, _)| !listed.contains(name.as_str())) {
-                if let Some(peer) = &mut self.peers[id] {
-                    peer.open.send_replace(open);
-                    peer.ready = false;
-                }
-            }
-        }
-        catalog.members.iter().filter_map(|entry| self.line(entry)).collect()
-    }
-
-    /// The rule on drains: where only draining members are bound by it, others may be asked still.
-    fn lets_send(&self, standing: Standing) -> bool {
-        match standing {
-            Standing::Ready => true,
-            Standing::Draining => false,
-            Standing::Gone => self.decoded.terms.only_draining_binds,
-        }
-    }
-
-    fn line(&mut self, entry: &Entry) -> Option<Listed> {
-        let Ok(address) = entry.host_port.parse::<SocketAddr>() else {
-            warn!(self.context.log, "list entry without a usable address, left out";
-                "member" => &entry.id, "host_port" => &entry.host_port);
-            return None;
-        };
-        let standing = entry.standing();
-        let member = match self.member_ids.get(&entry.id) {
-            Some(&member) => member,
-            None if standing == Standing::Gone => return None,
-            None => self.meet(entry, address),
-        };
-        let clock = self.context.clock;
-        let open = self.lets_send(standing);
-        let peer = self.peers[member].as_mut()?;
-        peer.open.send_replace(open);
-        (peer.group, peer.ready) = (entry.cell, standing == Standing::Ready);
-        let restarted = peer.up_since != entry.up_since_ms && standing == Standing::Ready;
-        if restarted {
-            peer.up_since = entry.up_since_ms;
-            peer.since = started(clock, entry.up_since_ms);
-        }
-        if (restarted || peer.address != address) && peer.errands.try_send(Errand::Renew(address)).is_ok() {
-            peer.address = address;
-        }
-        let since = peer.since;
-        self.groups.insert(entry.cell);
-        Some(Listed {
-            member,
-            name: entry.id.clone(),
-            group: entry.cell,
-            zone: self.decoded.zone(&entry.locality),
-            standing,
-            since,
-            size: self.decoded.size(entry.size),
-            primary: entry.is_primary(),
-        })
-    }
-
-    /// Starts the actor of a member that was never listed before.
-    fn meet(&mut self, entry: &Entry, address: SocketAddr) -> MemberId {
-        let id = self.peers.iter().position(Option::is_none).unwrap_or(self.peers.len());
-        let (errands, mailbox) = mpsc::channel(self.context.limits.errands);
-        let (open, seen) = watch::channel(self.lets_send(entry.standing()));
-        let member = Member::new(self.context.clone(), id, entry.id.clone(), address, seen);
-        spawn_local(member.run(mailbox));
-        let since = started(self.context.clock, entry.up_since_ms);
-        if id == self.peers.len() {
-            self.peers.push(None);
-        }
-        let (group, ready) = (entry.cell, false);
-        self.peers[id] =
-            Some(Peer { group, ready, errands, open, address, up_since: entry.up_since_ms, since });
-        self.member_ids.insert(entry.id.clone(), id);
-        id
-    }
 }
 
 /// The next word on a record of the gateway's book, where there is one.
@@ -606,8 +386,3 @@
 pub(crate) fn millis(millis: u64) -> Micros {
     Micros::try_from(millis).map_or(Micros::MAX, |millis| millis.saturating_mul(1000))
 }
-
-/// The list's word on a member's last start; zero is long ago.
-fn started(clock: Clock, up_since_ms: f64) -> Option<Micros> {
-    (up_since_ms > 0.0).then(|| clock.convert((up_since_ms * 1000.0) as Micros))
-}
--- /dev/null
+++ b/crates/driver/src/desk/steps.rs
@@ -0,0 +1,110 @@
+//! Carries out what the router says is to be done: answers, launches, probes.
+
+use aldermill_routing::{Effect, Handle, MemberId, Micros, Proof, Step, Todo, Told, Verdict};
+use slog::warn;
+use tokio::time::Instant;
+
+use super::Desk;
+use crate::clock::duration;
+use crate::words::{Answer, Call, Ended, Errand, Gave, Launch, Mail, Query};
+
+impl Desk {
+    /// Its member answered, but there is no room for that: what is pure may be denied, anything else did run.
+    pub(super) fn deny_for_room(&mut self, handle: Handle) {
+        let Some(open) = self.open.get(&handle) else { return };
+        let Ok(offering) = self.decoded.offering(&open.order.comment.offering) else { return };
+        let answer = self.without_room(offering);
+        self.answer(handle, answer);
+    }
+
+    /// What a client hears whose answer finds no room.
+    pub(crate) fn without_room(&self, offering: usize) -> Answer {
+        let terms = &self.decoded.terms;
+        match terms.offerings[offering].effect {
+            Effect::Pure => {
+                Answer::Denied { cool_down: self.context.gate.come_back().min(terms.max_cool_down) }
+            }
+            _ => Answer::BrokenOff,
+        }
+    }
+
+    /// Gives a task its one answer.
+    pub(super) fn answer(&mut self, handle: Handle, answer: Answer) {
+        let Some(open) = self.open.get_mut(&handle) else { return };
+        let Some((client, mailbox)) = open.client.take() else { return };
+        if let Some(via) = open.via {
+            return self.here_answered(via, answer);
+        }
+        self.by_client.remove(&client);
+        // Its mailbox always has room for the answers it waits for; it may be gone.
+        let _ = mailbox.try_send(Mail::Answer(client, answer));
+    }
+
+    pub(crate) fn carry_out(&mut self, todo: Todo) {
+        for (handle, step) in todo.steps {
+            match step {
+                Step::Launch { member, limit, afresh, proof } => {
+                    self.launch(handle, member, limit, afresh, proof)
+                }
+                Step::Deny { cool_down } => self.answer(handle, Answer::Denied { cool_down }),
+                Step::BreakOff => self.answer(handle, Answer::BrokenOff),
+            }
+            self.release(handle);
+        }
+        for member in todo.probes {
+            let sent = Instant::now();
+            let until = sent + self.context.limits.probe;
+            let peer = self.peers[member].as_ref();
+            if peer.is_none_or(|peer| peer.errands.try_send(Errand::Probe { sent, until }).is_err()) {
+                let (verdict, told) = (Verdict::Moot, Told::default());
+                self.pending.push_back(Call::Probed { member, verdict, took: 0, told });
+            }
+        }
+        for member in todo.shut {
+            if let Some(peer) = &self.peers[member] {
+                // A full mailbox means that its connections are wanted.
+                let _ = peer.errands.try_send(Errand::CloseIdle);
+            }
+        }
+        if todo.subscribe
+            && let Some(requests) = &self.requests
+        {
+            let _ = requests.try_send(());
+        }
+        if let Some(at) = todo.wake_at {
+            self.wake_at = at;
+        }
+    }
+
+    fn launch(&mut self, handle: Handle, member: MemberId, limit: Micros, afresh: bool, proof: Proof) {
+        let Some(open) = self.open.get(&handle) else { return };
+        let sent = Instant::now();
+        let wait = ((limit.max(0) + 999) / 1000).to_string();
+        let query = Query::of(&open.order, &wait);
+        let holder = (open.order.holder, open.best);
+        if let Some(sight) = &mut self.sight {
+            let place = self.peers[member].as_ref().map(|peer| (peer.group, peer.zone));
+            sight.launched(handle, place, &self.decoded, &open.order);
+        }
+        let launch = Launch { handle, query, holder, sent, until: sent + duration(limit), afresh, proof };
+        let peer = self.peers[member].as_ref();
+        if peer.is_none_or(|peer| peer.errands.try_send(Errand::Launch(launch)).is_err()) {
+            warn!(self.context.log, "member's mailbox full, launch not sent"; "member" => member);
+            let (verdict, told) = (Verdict::Moot, Told::default());
+            let ended = Ended { handle, verdict, took: 0, told, gave: Gave::Nothing };
+            self.pending.push_back(Call::Ended(ended));
+        }
+    }
+
+    /// A member found no descriptor free.
+    pub(super) fn make_room(&mut self, member: MemberId) {
+        // Idle connections of the others make room.
+        for (id, peer) in self.peers.iter().enumerate().filter(|(id, _)| *id != member) {
+            let Some(peer) = peer else { continue };
+            if peer.errands.try_send(Errand::Shed).is_err() {
+                warn!(self.context.log, "member's mailbox full, it keeps its idle connections";
+                    "member" => id);
+            }
+        }
+    }
+}
--- a/crates/driver/src/fellows.rs
+++ b/crates/driver/src/fellows.rs
@@ -11,13 +11,13 @@
 use slog::{info, warn};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{UdpSocket, UnixListener, UnixStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
 use crate::clock::unix_now;
 use crate::context::Context;
-use crate::council::{Council, Moment};
+use crate::council::{Council, Moment, WORKS};
 use crate::keep::Folder;
 use crate::status;
 use crate::words::Call;
@@ -38,6 +38,7 @@
     stood: Micros,
     /// How long what is read now may have waited unread.
     age: Micros,
+    sees_at: Micros,
     /// What is decided in common, where that is wanted, and word of each of its writes to the disk.
     council: Option<(Council, mpsc::Receiver<bool>)>,
     /// Datagrams and bytes sent, and datagrams that could not be.
@@ -46,11 +47,11 @@
 }
 
 impl Company {
+    /// What is decided in common is wanted with where terms are kept, and the own zone.
     pub async fn open(
         context: Rc<Context>,
         terms: Terms,
-        wanted: Option<Wanted>,
-        folder: Option<Rc<Folder>>,
+        wanted: Option<(Wanted, Option<Rc<Folder>>, usize)>,
         name: &str,
         drivers: usize,
         seed: u64,
@@ -71,9 +72,10 @@
         let (tempo, now) = (Tempo::usual(drivers), context.lived.now());
         let start = own.start;
         let council = match wanted {
-            Some(wanted) => {
+            Some((wanted, folder, zone)) => {
                 let (own, log) = (Driver { name: name.to_owned(), start }, context.log.clone());
-                let opened = Council::open(wanted, own, folder, moment(&context), seed.rotate_left(3), log);
+                let opened =
+                    Council::open(wanted, own, folder, zone, moment(&context), seed.rotate_left(3), log);
                 Some(opened.map_err(|why| format!("council.{why}"))?)
             }
             None => None,
@@ -92,6 +94,7 @@
             wake_at: None,
             stood,
             age: 0,
+            sees_at: now,
             council,
             sent: (0, 0),
             unsent: 0,
@@ -127,6 +130,7 @@
                     // What came before is heard before it is acted on.
                     self.read(&mut bytes).await;
                     self.counsel(|council, at, others| council.wake(at, others));
+                    self.sees().await;
                 }
                 Ok(()) = self.socket.readable() => {
                     self.listens_up();
@@ -183,6 +187,25 @@
         }
     }
 
+    /// Once a second: the desk says what it saw, and hears what is decreed.
+    async fn sees(&mut self) {
+        let now = self.context.clock.now();
+        let Some((council, _)) = &mut self.council else { return };
+        if now < self.sees_at {
+            return;
+        }
+        self.sees_at = now + WORKS;
+        let leans = council.leans(now);
+        let (asked, told) = oneshot::channel();
+        let _ = self.context.desk.send(Call::Sight(asked)).await;
+        if let Some(leans) = leans {
+            let _ = self.context.desk.send(Call::Lean(leans)).await;
+        }
+        if let (Ok(seen), Some((council, _))) = (told.await, &mut self.council) {
+            council.saw(seen);
+        }
+    }
+
     fn send(&mut self, to: SocketAddr, datagram: &[u8]) {
         // What cannot be sent now is lost, as any datagram may be.
         match self.socket.try_send_to(datagram, to) {
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -40,7 +40,7 @@
 use crate::catalog::Catalog;
 use crate::clock::{Clock, Lived, duration};
 use crate::context::Context;
-use crate::desk::{Desk, Hub, Opening, Warmth};
+use crate::desk::{Desk, Hub, Opening, Sight, Warmth};
 use crate::fellows::Company;
 use crate::gate::Gate;
 use crate::gateway::Yard;
@@ -242,6 +242,7 @@
     let member_room = Arc::new(Semaphore::new(limits.members));
     let room = bounds.room as usize;
     let (on_request, drivers) = (decoded.terms.list_on_request, decoded.terms.drivers);
+    let zone = decoded.terms.zone;
     let grace = decoded.drain_grace;
     let (request, requests) = mpsc::channel(1);
     let context = Rc::new(Context {
@@ -284,14 +285,15 @@
         None => None,
     };
     let warmth = Warmth { recalled: recalled.beliefs, keeping };
+    let sight = council.is_some().then(|| Sight::start(clock.now()));
     if let Some(terms) = fellows {
+        let wanted = council.map(|wanted| (wanted, kept_in, zone));
         let company =
-            Company::open(context.clone(), terms, council, kept_in, &name, drivers, seed.rotate_left(16))
-                .await?;
+            Company::open(context.clone(), terms, wanted, &name, drivers, seed.rotate_left(16)).await?;
         spawn_local(company.run());
     }
     let request = on_request.then_some(request);
-    let desk = Desk::new(context.clone(), decoded, seed, hub, trial, warmth, ready, request);
+    let desk = Desk::new(context.clone(), decoded, seed, hub, trial, warmth, sight, ready, request);
     let deciding = spawn_local(desk.run(bulletins, calls));
     let requests = on_request.then_some(requests);
     let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(32));
--- a/crates/driver/src/words.rs
+++ b/crates/driver/src/words.rs
@@ -8,6 +8,7 @@
 use aldermill_routing::{Handle, MemberId, Micros, Proof, Told, Verdict};
 use aldermill_wire::pg;
 use aldermill_wire::statement::Comment;
+use aldermill_zones::{Lean, Row};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
@@ -42,10 +43,21 @@
         living: usize,
         at_cold: usize,
     },
+    /// What was seen since this was last asked, for the fleet.
+    Sight(oneshot::Sender<Seen>),
+    /// What the fleet decreed for this driver's zone, by group.
+    Lean(Vec<(u64, Lean)>),
     /// This member found no descriptor free for a connection.
     Crowded(MemberId),
 }
 
+/// What a driver saw of zones since it was last asked, and over how long.
+#[derive(Default)]
+pub struct Seen {
+    pub over: Micros,
+    pub rows: Vec<Row>,
+}
+
 /// One connection to another gateway.
 pub type LinkId = u64;
 
--- a/crates/fleet/src/drawn.rs
+++ b/crates/fleet/src/drawn.rs
@@ -28,6 +28,7 @@
             fellows: rng.random_bool(0.3),
             voters: 0,
             zones: 1,
+            skew: 0.0,
             faults,
             wants: Wants::default(),
         }
--- a/crates/fleet/src/figures.rs
+++ b/crates/fleet/src/figures.rs
@@ -2,7 +2,8 @@
 
 use std::collections::HashMap;
 
-use serde::Serialize;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
 
 use crate::history::{At, Event, How};
 use crate::judge::Broken;
@@ -13,12 +14,35 @@
 /// Before that the fleet is warming up.
 const FIRST: At = 1_000_000;
 
+/// Bounds beside the five rules, which always hold.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Wants {
+    /// Launches, and new connections, in any 100 ms after the first fault, as a multiple of the ordinary.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub burst: Option<f64>,
+    /// Lists asked for in any 100 ms after the first fault, as a share of the drivers restarted.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub list_share: Option<f64>,
+    /// Time from the first restart to full service.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub full_service_ms: Option<u64>,
+    /// Share of all tasks that come in their quoted time.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub served: Option<f64>,
+}
+
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Figures {
     pub tasks: usize,
     /// Of all tasks, and of those before the first fault.
     pub in_quoted_time: f64,
     pub in_quoted_time_before: f64,
+    /// Of those that came in the 10 s after the first fault, and the worst second of them.
+    pub in_quoted_time_after: f64,
+    pub worst_second: f64,
+    /// Of launches, where there are several zones.
+    pub crossing: f64,
     pub denied: usize,
     pub broken_off: usize,
     pub never_answered: usize,
@@ -126,6 +150,19 @@
     figures.tasks = tasks.len();
     figures.in_quoted_time = share(start + FIRST, end);
     figures.in_quoted_time_before = share(start + FIRST, calm_until.min(end));
+    if let Some(fault) = fault {
+        figures.in_quoted_time_after = share(fault, fault + 100 * BIN);
+        let seconds = (0..10).map(|second| share(fault + second * 10 * BIN, fault + (second + 1) * 10 * BIN));
+        figures.worst_second = seconds.fold(1.0, f64::min);
+    }
+    let (mut crossed, mut launches) = (0, 0);
+    for (_, event) in events {
+        if let Event::Reached { driver, member, .. } = event {
+            launches += 1;
+            crossed += usize::from(driver % plan.zones != member % plan.members % plan.zones);
+        }
+    }
+    figures.crossing = crossed as f64 / f64::from(launches.max(1));
     let probes = events.iter().filter(|(_, event)| matches!(event, Event::Probed { .. })).count();
     figures.probes_a_task = probes as f64 / tasks.len().max(1) as f64;
     for (_, event) in events {
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -140,7 +140,11 @@
         if roams {
             return admitted.choose(&mut *self.world.rng.borrow_mut()).copied();
         }
-        let own = session % self.places.len();
+        let plan = &self.world.plan;
+        let even = session % self.places.len();
+        // Sessions that lean to the first zone, the same ones all the time.
+        let leans = ((session * 7919 % 1000) as f64) < plan.skew * 1000.0;
+        let own = if leans { even / plan.zones * plan.zones } else { even };
         let next = admitted.iter().copied().find(|&driver| driver >= own);
         next.or_else(|| admitted.first().copied())
     }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -3,6 +3,8 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+pub use crate::figures::Wants;
+
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Plan {
@@ -35,6 +37,9 @@
     /// Members of a group, and drivers, are spread over so many zones in turn.
     #[serde(default = "a_zone")]
     pub zones: usize,
+    /// The part of all sessions that is bound to drivers of the first zone beside its even share.
+    #[serde(default)]
+    pub skew: f64,
     #[serde(default)]
     pub faults: Vec<Fault>,
     #[serde(default)]
@@ -271,24 +276,6 @@
     Gone,
 }
 
-/// Bounds beside the five rules, which always hold.
-#[derive(Clone, Debug, Default, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields, default)]
-pub struct Wants {
-    /// Launches, and new connections, in any 100 ms after the first fault, as a multiple of the ordinary.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub burst: Option<f64>,
-    /// Lists asked for in any 100 ms after the first fault, as a share of the drivers restarted.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub list_share: Option<f64>,
-    /// Time from the first restart to full service.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub full_service_ms: Option<u64>,
-    /// Share of all tasks that come in their quoted time.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub served: Option<f64>,
-}
-
 fn one() -> u32 {
     1
 }
@@ -320,6 +307,7 @@
         within("groups", self.groups as f64, 1.0, 12.0)?;
         within("members", self.members as f64, 1.0, 9.0)?;
         within("load", self.load, 0.01, 2.0)?;
+        within("skew", self.skew, 0.0, 1.0)?;
         within("zones", self.zones as f64, 1.0, 5.0)?;
         if !(matches!(self.voters, 0 | 3 | 5 | 7) && self.voters <= self.drivers) {
             return Err(format!("voters: {} is not 0, 3, 5 or 7 of {} drivers", self.voters, self.drivers));
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -32,6 +32,10 @@
     if let Some(took) = figures.full_service_ms {
         row("full service after, ms", if took < 0 { "never".to_owned() } else { took.to_string() });
     }
+    row("in 10 s after the fault, worst of them", {
+        format!("{:.4}, {:.4}", figures.in_quoted_time_after, figures.worst_second)
+    });
+    row("launches that crossed zones", format!("{:.4}", figures.crossing));
     if let Some(held) = figures.held {
         row("duties held, longest without, ms", format!("{held:.4}, {}", figures.longest_unheld_ms));
     }
--- a/crates/routing/src/policy/fresh.rs
+++ b/crates/routing/src/policy/fresh.rs
@@ -143,6 +143,17 @@
             rooms.iter().partition(|&&(id, _)| self.members[id].zone == self.terms.zone);
         let sum = |rooms: &[(MemberId, f64)]| rooms.iter().map(|&(_, room)| room).sum::<f64>();
         let stays = if self.sparse() { sum(&near) / sum(rooms) * self.terms.zones as f64 } else { 1.0 };
+        let group = rooms.first().map(|&(id, _)| self.members[id].group);
+        let (away, to) = group.map(|group| self.groups[group].lean.clone()).unwrap_or_default();
+        if away > 0.0 && self.rng.random::<f64>() < away {
+            let weighed = |&(id, room): &(MemberId, f64)| {
+                (id, room * to.get(&self.members[id].zone).copied().unwrap_or(0.0))
+            };
+            let weighed: Vec<(MemberId, f64)> = far.iter().map(weighed).collect();
+            if let Ok(&(id, _)) = weighed.choose_weighted(&mut self.rng, |&(_, room)| room) {
+                return Some(id);
+            }
+        }
         let priced = self.terms.crossing_price > 0.0 && !near.is_empty() && !far.is_empty();
         let rooms = if priced && self.rng.random::<f64>() < stays { &near } else { rooms };
         rooms.choose_weighted(&mut self.rng, |&(_, room)| room).ok().map(|&(id, _)| id)
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -70,6 +70,7 @@
     pub(crate) walk_after: Micros,
     pub(crate) owed: f64, // launches due to the primary by its size and window, beyond those it had
     pub(crate) held: Vec<Handle>,
+    pub(crate) lean: (f64, BTreeMap<usize, f64>), // what the fleet decreed: the part that goes away, and where
 }
 
 #[derive(Clone)]
