Split points for key ranges from what all drivers saw (crates/splits)

Need: where a group's load lies no single driver can tell, and an operator who cuts a range has to guess.

Change: a sketch of keys by cost for each group (priority sample, SpaceSaving), one datagram a report, pictures put together at the holder of the duty, advice with states, intervals and reasons why a cut would not help; decrees as JSON. Reports of one duty keep no other's waiting. The rig knows keys by Zipf, hot ranges, hot keys and fronts, and holds a cut against the true accesses.

Failed try: a moving front was first looked for after even load had been found, and its keys are even.

--- a/crates/decrees/src/ledger.rs
+++ b/crates/decrees/src/ledger.rs
@@ -22,7 +22,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Reporter {
     waiting: BTreeMap<About, Vec<u8>>,
-    last: Option<About>,
+    /// By duty, the number of its last report and the subject.
+    last: BTreeMap<String, (u64, String)>,
     number: u64,
     next: Micros,
 }
@@ -41,10 +42,16 @@
         if now < self.next {
             return None;
         }
-        let behind = |last: &About| self.waiting.keys().find(|about| *about > last).cloned();
-        let about = self.last.as_ref().and_then(behind).or_else(|| self.waiting.keys().next().cloned())?;
+        // The duty whose turn was longest ago, and of that the subject behind the last one: a duty with much to tell
+        // does not keep another waiting.
+        let turn = |about: &About| self.last.get(&about.duty).map_or(0, |(turn, _)| *turn);
+        let duty = self.waiting.keys().min_by_key(|about| turn(about))?.duty.clone();
+        let of = || self.waiting.keys().filter(|about| about.duty == duty);
+        let last = self.last.get(&duty).map(|(_, subject)| subject);
+        let behind = of().find(|about| last.is_some_and(|last| about.subject > *last));
+        let about = behind.or_else(|| of().next())?.clone();
         let body = self.waiting.remove(&about)?;
-        self.last = Some(about.clone());
+        self.last.insert(duty, (self.number + 1, about.subject.clone()));
         self.number += 1;
         self.next = now + EVERY;
         Some(Report { about, number: self.number, body })
--- a/crates/decrees/tests/decrees.rs
+++ b/crates/decrees/tests/decrees.rs
@@ -68,6 +68,21 @@
     assert_eq!(sent.len(), 64, "one a second, each once");
 }
 
+#[test]
+fn a_duty_with_much_to_tell_keeps_no_other_waiting() {
+    let mut reporter = Reporter::default();
+    (0..9).for_each(|at| reporter.put(About::new("many", &at.to_string()), vec![]));
+    let mut sent = Vec::new();
+    for second in 0..10 {
+        reporter.put(About::new("one", "0"), vec![]);
+        sent.extend(reporter.next(second * S).map(|report| report.about));
+    }
+    assert_eq!(sent.iter().filter(|about| about.duty == "one").count(), 5, "{sent:?}");
+    let many: Vec<&str> =
+        sent.iter().filter(|about| about.duty == "many").map(|about| &*about.subject).collect();
+    assert_eq!(many, ["0", "1", "2", "3", "4"]);
+}
+
 #[test]
 fn a_report_counts_once_and_one_of_an_earlier_start_not_at_all() {
     let mut ledger = Ledger::default();
--- a/crates/driver/src/council.rs
+++ b/crates/driver/src/council.rs
@@ -1,6 +1,7 @@
 //! This driver's part in what the fleet decides in common: its vote, the duties that it holds, decrees and reports. What is
 //! said is `crates/duties`' and `crates/decrees`'; here it is put into datagrams, on the disk, and in the log.
 
+mod splits;
 mod work;
 
 use std::collections::VecDeque;
@@ -26,6 +27,7 @@
 
 use crate::keep::Folder;
 use crate::words::Seen;
+use splits::SplitsWork;
 use work::ZonesWork;
 
 /// What a datagram between councils begins with.
@@ -59,6 +61,7 @@
     rng: Pcg64Mcg,
     log: Logger,
     zones: Option<ZonesWork>,
+    splits: Option<SplitsWork>,
     decree_at: Micros,
     work_at: Micros,
     compare_at: Micros,
@@ -98,7 +101,9 @@
         let (told, confirmed) = mpsc::channel(256);
         let kept = folder.map(|folder| Kept { folder, told, under_way: VecDeque::new() });
         info!(log, "council"; "votes" => agreement.is_voter(), "duties" => duties.join(" "), "kept" => kept.is_some());
-        let (duties_zones, log_of_zones) = (duties.iter().any(|duty| duty == work::DUTY), log.clone());
+        let has = |duty: &str| duties.iter().any(|of| of == duty);
+        let zones = has(work::DUTY).then(|| ZonesWork::start(zone, log.clone()));
+        let splits = has(splits::DUTY).then(|| SplitsWork::start(wanted.cuts, log.clone()));
         let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(7));
         let council = Council {
             own,
@@ -109,7 +114,8 @@
             reporter: Reporter::default(),
             kept,
             log,
-            zones: duties_zones.then(|| ZonesWork::start(zone, log_of_zones)),
+            zones,
+            splits,
             decree_at: now,
             work_at: now,
             compare_at: now + rng.random_range(0..COMPARED),
@@ -243,21 +249,34 @@
 
     /// Decides what there is to decide under the duties that it holds.
     fn work(&mut self, now: Micros, others: &[Rc<str>]) {
-        let Some(zones) = &mut self.zones else { return };
-        let term = self.agreement.may_act(now, work::DUTY);
-        let bodies = zones.decide(now, term, &self.ledger, &self.book);
-        let Some(term) = term else { return };
-        let issued = bodies.into_iter().filter_map(|(subject, body)| {
-            self.book.issue(now, About::new(work::DUTY, &subject), term, &self.own.name, LASTS, body)
-        });
-        let decrees: Vec<Decree> = issued.collect();
+        let living = others.len() + 1;
+        let Council { agreement, book, ledger, own, zones, splits, .. } = self;
+        let mut decided = Vec::new();
+        if let Some(zones) = zones {
+            let term = agreement.may_act(now, work::DUTY);
+            decided.push((work::DUTY, term, zones.decide(now, term, ledger, book)));
+        }
+        if let Some(splits) = splits {
+            let term = agreement.may_act(now, splits::DUTY);
+            decided.push((splits::DUTY, term, splits.decide(now, term, ledger, book, living)));
+        }
+        let mut decrees = Vec::new();
+        for (duty, term, bodies) in decided {
+            for (subject, body) in bodies {
+                // The lease is looked at before each act.
+                if let Some(term) = term.filter(|_| agreement.may_act(now, duty) == term) {
+                    decrees.extend(book.issue(now, About::new(duty, &subject), term, &own.name, LASTS, body));
+                }
+            }
+        }
         self.pass_on(&decrees, 0, others);
     }
 
     /// What this driver saw, to be reported.
     pub fn saw(&mut self, seen: Seen) {
-        let Some(zones) = &self.zones else { return };
-        for (about, body) in zones.report(seen) {
+        let splits = self.splits.as_ref().map(|splits| splits.report(&seen));
+        let zones = self.zones.as_ref().map(|zones| zones.report(seen));
+        for (about, body) in splits.into_iter().chain(zones).flatten() {
             self.reporter.put(about, body);
         }
     }
@@ -348,7 +367,8 @@
                 "number": decree.number, "by": decree.by, "left_ms": decree.left / 1000,
                 "says": String::from_utf8_lossy(&decree.body)})
         });
-        json!({"votes": self.agreement.is_voter(), "zones": self.zones.as_ref().map(ZonesWork::describe), "duties": duties.collect::<Vec<_>>(),
+        json!({"votes": self.agreement.is_voter(), "zones": self.zones.as_ref().map(ZonesWork::describe),
+            "aside": self.splits.as_ref().map(SplitsWork::aside), "duties": duties.collect::<Vec<_>>(),
             "decrees": decrees.collect::<Vec<_>>()})
     }
 }
--- a/crates/driver/src/desk/sight.rs
+++ b/crates/driver/src/desk/sight.rs
@@ -1,28 +1,43 @@
 //! What this driver lets the fleet know of what it sees, and what the fleet decreed of zones. Where nothing is decided in
 //! common there is no `Sight`, and nothing is counted.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use aldermill_routing::{Handle, Micros, Need, Verdict};
+use aldermill_splits::Sketch;
 use aldermill_terms::Decoded;
+use aldermill_wire::statement::quoted;
 use aldermill_zones::{End, Lean, Tally};
 use tokio::sync::oneshot;
 
 use super::Desk;
 use crate::words::{Order, Seen};
 
+/// Groups of whose keys something is kept.
+const GROUPS: usize = 64;
+
+/// A launch that is out: where, what is quoted for its offering, whether it writes, and its key.
+struct Out {
+    group: u64,
+    zone: usize,
+    quoted: Micros,
+    write: bool,
+    key: Vec<u8>,
+}
+
 pub struct Sight {
     tally: Tally,
-    /// Launches out: where, and what is quoted for their offering.
-    out: HashMap<Handle, (u64, usize, Micros)>,
+    out: HashMap<Handle, Out>,
+    /// By group, which keys cost what.
+    keys: BTreeMap<u64, Sketch>,
+    seed: u64,
 }
 
 impl Sight {
-    pub fn start(now: Micros) -> Sight {
-        Sight { tally: Tally::start(now), out: HashMap::new() }
+    pub fn start(now: Micros, seed: u64) -> Sight {
+        Sight { tally: Tally::start(now), out: HashMap::new(), keys: BTreeMap::new(), seed }
     }
 
-    /// Reads only: writes go wherever the primary is.
     pub(super) fn launched(
         &mut self,
         handle: Handle,
@@ -32,13 +47,25 @@
     ) {
         let Ok(offering) = decoded.offering(&order.comment.offering) else { return };
         let offering = &decoded.terms.offerings[offering];
-        if let Some((group, zone)) = place.filter(|_| offering.need != Need::Write) {
-            self.out.insert(handle, (group, zone, offering.quoted));
-        }
+        let Some((group, zone)) = place else { return };
+        let key = quoted(&order.statement[order.comment.end..]).unwrap_or_default().into_bytes();
+        let (quoted, write) = (offering.quoted, offering.need == Need::Write);
+        self.out.insert(handle, Out { group, zone, quoted, write, key });
     }
 
-    fn ended(&mut self, handle: Handle, verdict: Verdict, took: Micros) {
-        let Some((group, zone, quoted)) = self.out.remove(&handle) else { return };
+    fn ended(&mut self, now: Micros, handle: Handle, verdict: Verdict, took: Micros) {
+        let Some(Out { group, zone, quoted, write, key }) = self.out.remove(&handle) else { return };
+        let known = self.keys.len() < GROUPS || self.keys.contains_key(&group);
+        if verdict == Verdict::Honoured && !key.is_empty() && known {
+            // What an access costs: the time that the member took, in milliseconds.
+            let seed = self.seed ^ group;
+            let sketch = self.keys.entry(group).or_insert_with(|| Sketch::start(now, seed));
+            sketch.access(now, &key, write, took as f64 / 1000.0);
+        }
+        // Writes go wherever the primary is, and say nothing of zones.
+        if write {
+            return;
+        }
         let end = match verdict {
             Verdict::Honoured => End::Served { in_time: took <= quoted },
             Verdict::Full => End::Refused,
@@ -53,8 +80,9 @@
 
 impl Desk {
     pub(super) fn sees_end(&mut self, handle: Handle, verdict: Verdict, took: Micros) {
+        let now = self.context.clock.now();
         if let Some(sight) = &mut self.sight {
-            sight.ended(handle, verdict, took);
+            sight.ended(now, handle, verdict, took);
         }
     }
 
@@ -62,7 +90,10 @@
         let now = self.context.clock.now();
         if let Some(sight) = &mut self.sight {
             let (over, rows) = sight.tally.take(now);
-            let _ = asked.send(Seen { over, rows });
+            let summary =
+                |(&group, sketch): (&u64, &mut Sketch)| (group, aldermill_splits::frame::encode(sketch, now));
+            let keys = sight.keys.iter_mut().map(summary).collect();
+            let _ = asked.send(Seen { over, rows, keys });
         }
     }
 
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -285,7 +285,7 @@
         None => None,
     };
     let warmth = Warmth { recalled: recalled.beliefs, keeping };
-    let sight = council.is_some().then(|| Sight::start(clock.now()));
+    let sight = council.is_some().then(|| Sight::start(clock.now(), seed.rotate_left(24)));
     if let Some(terms) = fellows {
         let wanted = council.map(|wanted| (wanted, kept_in, zone));
         let company =
--- a/crates/driver/src/words.rs
+++ b/crates/driver/src/words.rs
@@ -51,11 +51,12 @@
     Crowded(MemberId),
 }
 
-/// What a driver saw of zones since it was last asked, and over how long.
+/// What a driver saw of zones of late, over how long, and, by group, of its keys.
 #[derive(Default)]
 pub struct Seen {
     pub over: Micros,
     pub rows: Vec<Row>,
+    pub keys: Vec<(u64, Vec<u8>)>,
 }
 
 /// One connection to another gateway.
--- a/crates/fleet/src/drawn.rs
+++ b/crates/fleet/src/drawn.rs
@@ -3,7 +3,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::plan::{Agent, Bearing, Between, Fault, Folder, Known, Plan, Wants, Way, What};
+use crate::plan::{Agent, Bearing, Between, Fault, Folder, Keys, Known, Plan, Wants, Way, What};
 
 impl Plan {
     /// A plan by chance: one to four faults within some seconds.
@@ -29,6 +29,7 @@
             voters: 0,
             zones: 1,
             skew: 0.0,
+            keys: Keys::Sessions,
             faults,
             wants: Wants::default(),
         }
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -15,6 +15,8 @@
 
 use crate::history::{At, Event, How};
 use crate::judge::SLACK;
+use crate::keys;
+use crate::plan::Keys;
 use crate::terms::{MINE, OFFERINGS, bears, is_write};
 use crate::world::World;
 
@@ -161,6 +163,11 @@
             (session, offering.unwrap_or(0), rng.random_range(0..self.world.plan.groups))
         };
         let (first, limit) = (self.world.now(), OFFERINGS[offering].limit_ms * 1000);
+        let keys = self.world.plan.keys;
+        let key = keys::key(keys, &mut self.world.rng.borrow_mut(), session, first);
+        if keys != Keys::Sessions {
+            self.world.note(Event::Keyed { group, offering, key: key.clone() });
+        }
         let mut roams = false;
         for attempt in 0..TRIES {
             let wait = first + limit - self.world.now();
@@ -183,9 +190,9 @@
             });
             let carried = carried.unwrap_or_default();
             let verb = if is_write(offering) {
-                format!("INSERT INTO state (uid, val) VALUES ('k{session}', '\\x9f') RETURNING val")
+                format!("INSERT INTO state (uid, val) VALUES ('{key}', '\\x9f') RETURNING val")
             } else {
-                format!("SELECT val FROM state WHERE uid = 'k{session}'")
+                format!("SELECT val FROM state WHERE uid = '{key}'")
             };
             let text = format!(
                 "/* id={id:016},c={},d={},cluster={group}{mark}{carried} */ {verb}",
--- a/crates/fleet/src/history.rs
+++ b/crates/fleet/src/history.rs
@@ -115,6 +115,12 @@
     Fault {
         text: String,
     },
+    /// A client asked for this key, where keys are not its session's.
+    Keyed {
+        group: usize,
+        offering: usize,
+        key: String,
+    },
     /// A driver said that it holds a duty; it was asked at that time, and this is when it answered.
     Holds {
         driver: usize,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod front;
 pub mod history;
 pub mod judge;
+pub mod keys;
 pub mod member;
 pub mod plan;
 pub mod report;
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use crate::figures::Wants;
+pub use crate::keys::Keys;
 
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -41,6 +42,8 @@
     #[serde(default)]
     pub skew: f64,
     #[serde(default)]
+    pub keys: Keys,
+    #[serde(default)]
     pub faults: Vec<Fault>,
     #[serde(default)]
     pub wants: Wants,
--- a/crates/operator/src/council.rs
+++ b/crates/operator/src/council.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeMap;
+
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -36,6 +38,9 @@
     /// No term is lower. Only needed where all voters lost their state and the machines' clocks went back.
     #[serde(default)]
     pub least_term: u64,
+    /// Where a group's range was cut, by the operators themselves: by the group's number, the first key of the new range.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub cuts: BTreeMap<u64, String>,
 }
 
 fn three_seconds() -> u32 {
--- a/crates/zones/src/tally.rs
+++ b/crates/zones/src/tally.rs
@@ -64,12 +64,14 @@
 /// hold too little to conclude from.
 const TELLINGS: usize = 2;
 
+type Counts = BTreeMap<(Group, Zone), Seen>;
+
 /// Counts what one driver saw of late.
 #[derive(Clone, Debug, Default)]
 pub struct Tally {
-    of: BTreeMap<(Group, Zone), Seen>,
+    of: Counts,
     since: Micros,
-    before: VecDeque<(Micros, BTreeMap<(Group, Zone), Seen>)>,
+    before: VecDeque<(Micros, Counts)>,
 }
 
 impl Tally {
@@ -98,7 +100,7 @@
         if self.before.len() > TELLINGS {
             self.before.pop_front();
         }
-        let mut all: BTreeMap<(Group, Zone), Seen> = BTreeMap::new();
+        let mut all: Counts = BTreeMap::new();
         for (key, seen) in self.before.iter().flat_map(|(_, of)| of) {
             all.entry(*key).or_default().add(seen);
         }
