A site that retires: homes of sessions, pace by room, the last word (crates/retire, not in the program yet)

Need: a site goes without its clients noticing, and 'retired' is true when it is said.

Change: weighted rendezvous hashing, a retirement that is carried on by any next holder, held, taken back or hurried, and the farewell that counts what drivers still have.

--- /dev/null
+++ b/crates/retire/src/lib.rs
@@ -0,0 +1,23 @@
+//! A site that hands its clients on and goes.
+//!
+//! Sessions belong to sites by weighted rendezvous hashing ([`Homes`]): while the weight of one site falls, each of its sessions
+//! moves at most once, and none between the others. The holder of the duty lowers it in steps that the survivors were
+//! measured to bear, waits when something is wrong and says for what ([`Retirement`]); it says that the site is retired once
+//! every driver that lives has said under this plan that nothing of it is left, and those that are not heard are past all
+//! that they could hold ([`Farewell`]).
+//!
+//! Nothing here does I/O or has a clock. Not in the program yet: see docs/retire.md.
+
+mod farewell;
+mod homes;
+mod pace;
+
+pub use farewell::{Farewell, Left, Open};
+pub use homes::{Homes, Unusable};
+pub use pace::{Looks, Order, Retirement, Site, State, Waits};
+
+/// Whole microseconds, on the caller's clock.
+pub type Micros = i64;
+
+/// Weights and shares are in thousandths of a whole site.
+pub const WHOLE: u32 = 1000;
--- a/crates/zones/src/levels.rs
+++ b/crates/zones/src/levels.rs
@@ -9,13 +9,15 @@
 /// back has to show that it stays.
 const LOST: Micros = 1_000_000;
 const CROWDED: Micros = 3_000_000;
-const BACK: Micros = 4_000_000;
+const BACK: Micros = 2_000_000;
 /// Thousandths by which traffic moves at a time, and how long each step waits for what was served to confirm it.
 const STEP: u16 = 100;
 const STEP_BACK: u16 = 200;
 const CONFIRM: Micros = 2_000_000;
-/// What goes elsewhere of a zone that was left: the rest finds out when it is back.
-const LEAVES: u16 = 950;
+const CONFIRM_BACK: Micros = 1_000_000;
+/// What goes elsewhere of a zone that was left. Whoever draws it finds nobody there and goes elsewhere by itself; when it is
+/// back its cold members are spared by the rule on them, and others are crowded: holding back more than this only adds to it.
+const LEAVES: u16 = 500;
 /// The most that a crowded zone sends elsewhere.
 const LEANS: u16 = 500;
 /// Beyond what a zone was seen to bear it is tried by so much; of that a part is kept for a further failure.
@@ -174,7 +176,8 @@
     /// One look at the table of docs/zones.md.
     fn step(&mut self, now: Micros) {
         let stands = now - self.since;
-        let confirmed = now - self.stepped >= CONFIRM;
+        let back = self.level == Level::Coming;
+        let confirmed = now - self.stepped >= if back { CONFIRM_BACK } else { CONFIRM };
         match (self.level, self.finding) {
             (Level::Near | Level::Leaning | Level::Coming, Finding::Lost) if stands >= LOST => {
                 self.becomes(now, Level::Left, LEAVES);
@@ -187,12 +190,12 @@
             (Level::Left, Finding::Well | Finding::Between | Finding::Crowded | Finding::Some)
                 if stands >= BACK =>
             {
-                self.becomes(now, Level::Coming, 1000 - STEP_BACK);
+                self.becomes(now, Level::Coming, LEAVES - STEP_BACK);
             }
             (Level::Coming, Finding::Well | Finding::Between) if confirmed => self.returns(now, STEP_BACK),
             // What came back is not served: a step less.
             (Level::Coming, Finding::Crowded) if confirmed => {
-                (self.away, self.stepped) = ((self.away + STEP).min(1000 - STEP_BACK), now);
+                (self.away, self.stepped) = ((self.away + STEP).min(LEAVES), now);
             }
             _ => {}
         }
