--- a/crates/fleet/src/drawn.rs
+++ b/crates/fleet/src/drawn.rs
@@ -3,7 +3,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::plan::{Agent, Bearing, Between, Fault, Folder, Keys, Known, Plan, Wants, Way, What};
+use crate::plan::{Agent, Bearing, Between, Fault, Folder, Keys, Known, Plan, Strike, Wants, Way, What};
 
 impl Plan {
     /// A plan by chance: one to four faults within some seconds.
@@ -14,6 +14,34 @@
         let faults = (0..rng.random_range(1..=4))
             .map(|_| Fault { at_ms: rng.random_range(1500..3500), what: draw_fault(&mut rng) });
         let mut faults: Vec<Fault> = faults.collect();
+        let load = f64::from(rng.random_range(15..60)) / 100.0;
+        let (keeps, fellows) = (rng.random_bool(0.5), rng.random_bool(0.3));
+        // Drawn last, so that plans without a council stay what they were.
+        let council = drivers >= 5 && rng.random_bool(0.4);
+        let zones = if council { 3 } else { 1 };
+        if council {
+            let how = [
+                Strike::Kill,
+                Strike::Terminate,
+                Strike::Stop,
+                Strike::CutThere,
+                Strike::CutBack,
+                Strike::CutBoth,
+            ][rng.random_range(0..6)];
+            let duty = ["zones", "splits"][rng.random_range(0..2)].to_owned();
+            let for_ms = rng.random_range(200..3000);
+            faults.push(Fault {
+                at_ms: rng.random_range(3600..5000),
+                what: What::Holder { duty, how, for_ms },
+            });
+            let zone = rng.random_range(0..zones);
+            let what = match rng.random_range(0..3) {
+                0 => What::ZoneLost { zone, for_ms },
+                1 => What::ZoneCut { zone, for_ms },
+                _ => What::ZoneFar { zone, share: 0.5, ms: 100, for_ms },
+            };
+            faults.push(Fault { at_ms: rng.random_range(1500..5000), what });
+        }
         faults.sort_by_key(|fault| fault.at_ms);
         Plan {
             name: format!("drawn-{seed}"),
@@ -22,13 +50,13 @@
             groups: 2,
             members: 3,
             bearing: Bearing::default(),
-            load: f64::from(rng.random_range(15..60)) / 100.0,
-            seconds,
-            keeps: rng.random_bool(0.5),
-            fellows: rng.random_bool(0.3),
-            voters: 0,
-            duties: Vec::new(),
-            zones: 1,
+            load,
+            seconds: if council { seconds + 4.0 } else { seconds },
+            keeps,
+            fellows: fellows || council,
+            voters: if council { 3 } else { 0 },
+            duties: ["zones", "splits"].map(str::to_owned).to_vec(),
+            zones,
             skew: 0.0,
             keys: Keys::Sessions,
             faults,
