Reads skip replicas that just said how far behind they are; reports of a third of the bound are long

A trace of all launches: 12,002 of 15,388 ended as misses of lookups at replicas (3,176 honoured); each read went from one replica known to be behind to the next, as the least behind had not to have caught up (`read_target`, the resort where members check). Replicas were behind since reports, which hold up their log, were spread over all of them: a report took 0.5 to 2 s, and only what lasts longer than the whole bound (3 s) shared one replica (`long`). Ruled out by the same trace: time-outs (209), errors (1), refused connections (0).

Change: the least behind replica is a resort once it may have caught up since it was heard, by the rule that asks it again. Reads count as long from a third of the tightest bound on: a few in a row outlast it. The assumption that one long read at a time is at a replica did not carry over.

--- a/crates/routing/src/policy/decide.rs
+++ b/crates/routing/src/policy/decide.rs
@@ -196,8 +196,9 @@
                 (member.honoured, member.spoilt) = (member.honoured + 0.1, 0);
                 std::mem::take(&mut errand.erred).into_iter().for_each(|id| self.failed(now, id));
             }
-            // Nobody's fault as yet: whoever honours the task proves that the member failed it. A quick one was no
-            // work, and gives its launch back, but for a cold member: the rule counts what it is sent.
+            // Nobody's fault as yet: whoever honours the task proves that the member failed it. A quick one
+            // was no work, and gives its launch back, but for a cold member: the rule counts what it is
+            // sent.
             Verdict::Error => {
                 errand.erred.push(id);
                 let cold = member.since.is_some_and(|since| now - since < self.terms.warm_within);
@@ -240,7 +241,8 @@
         self.pump(now, group);
     }
 
-    /// A failure that is the member's own: some in a row bar it, fewer where each driver sees few of its answers.
+    /// A failure that is the member's own: some in a row bar it, fewer where each driver sees few of its
+    /// answers.
     fn failed(&mut self, now: Micros, id: MemberId) {
         let (member, drivers) = (&mut self.members[id], self.terms.drivers as f64);
         member.failures.push_back(now);
--- a/crates/routing/src/policy/fresh.rs
+++ b/crates/routing/src/policy/fresh.rs
@@ -65,7 +65,10 @@
         let mut resort =
             seen.filter(|&id| self.room(now, id) > self.members[id].window.floor() * 0.3).filter(uncrowded);
         if self.terms.members_check && resort.is_none() {
-            let behind = replicas.iter().copied().filter(|&id| self.room(now, id) > 0.0);
+            // Not one that has just said how far behind it is: it would turn the read away, or hold it for
+            // nothing.
+            let may_be = |&id: &MemberId| now - self.members[id].heard >= self.catches_up_in(id, floor);
+            let behind = replicas.iter().copied().filter(may_be).filter(|&id| self.room(now, id) > 0.0);
             resort = behind.max_by_key(|&id| self.members[id].position);
         }
         let stale: Vec<MemberId> = replicas.iter().copied().filter(|&id| !fresh(self, id)).collect();
@@ -95,8 +98,9 @@
         (lacks / 2).clamp(PROBE_NEEDED, PROBE_EVERY)
     }
 
-    /// What makes the member fresh enough, and for how long. Protects reads from the time between the decision
-    /// and the launch's last byte: connections that come up late, a primary that steps down meanwhile.
+    /// What makes the member fresh enough, and for how long. Protects reads from the time between the
+    /// decision and the launch's last byte: connections that come up late, a primary that steps down
+    /// meanwhile.
     pub(super) fn proof(&self, errand: &Errand, id: MemberId) -> Proof {
         let primary = self.groups[errand.group].primary == Some(id);
         match self.terms.offerings[errand.task.offering].need {
@@ -108,15 +112,15 @@
         }
     }
 
-    /// Protects the freshness of replicas from reads that hold up their log for longer than bounded reads
-    /// bear: these share one replica. Harms them where that one is slow, and where other long reads hold
-    /// up nothing.
+    /// Protects the freshness of replicas from reads of which a few in a row hold up their log for longer
+    /// than bounded reads bear: these share one replica. Harms them where that one is slow, and where other
+    /// long reads hold up nothing.
     pub(super) fn long(&self, offering: usize) -> bool {
         let usual = |offering: usize| self.took[offering].quantile(0.5).unwrap_or(0);
         let bound = |o: &Offering| if let Need::Recent(bound) = o.need { Some(bound) } else { None };
         let bound = self.terms.offerings.iter().filter_map(bound).min();
         let least = (0..self.took.len()).map(usual).min().unwrap_or(0);
-        bound.is_some_and(|bound| usual(offering) > bound.max(3 * least))
+        bound.is_some_and(|bound| usual(offering) > (bound / 3).max(3 * least))
     }
 
     /// Protects reads from a way that has grown so long that answers come too late, as its probes tell.
--- a/crates/routing/src/policy/members.rs
+++ b/crates/routing/src/policy/members.rs
@@ -124,9 +124,9 @@
         known.then_some((64 - rest.leading_zeros()) as usize)
     }
 
-    /// Protects launches from connections that something on the way has dropped unseen: rested ones mostly meet
-    /// silence, and those less rested do not. Should also cover idle limits shorter than the settings say. Harms
-    /// by handshakes where members fall silent at random.
+    /// Protects launches from connections that something on the way has dropped unseen: rested ones mostly
+    /// meet silence, and those less rested do not. Should also cover idle limits shorter than the settings
+    /// say. Harms by handshakes where members fall silent at random.
     pub(super) fn reaped(&self, rest: usize) -> bool {
         let least = self.rests.iter().position(|&silent| silent > 0.5).unwrap_or(0);
         least > 0 && rest >= least && self.rests[..least].iter().all(|&silent| silent < 0.25)
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -131,9 +131,9 @@
         self.members.iter_mut().for_each(|member| member.window = (member.window * part).max(least));
     }
 
-    /// What the fleet decreed for the own zone, by group: the part of its reads that goes to other zones, and how
-    /// much of that to each. It weighs what the draw leaves open, and opens nothing. Protects a crowded or
-    /// returning zone's members; harms reads by a crossing each where the decree is out of date.
+    /// What the fleet decreed for the own zone, by group: the part of its reads that goes to other zones,
+    /// and how much of that to each. It weighs what the draw leaves open, and opens nothing. Protects a
+    /// crowded or returning zone's members; harms reads by a crossing each where the decree is out of date.
     pub fn lean(&mut self, leans: HashMap<u64, (f64, BTreeMap<usize, f64>)>) {
         for (name, &group) in &self.group_ids {
             self.groups[group].lean = leans.get(name).cloned().unwrap_or_default();
--- a/crates/routing/tests/router/cases.rs
+++ b/crates/routing/tests/router/cases.rs
@@ -312,6 +312,19 @@
     }
 }
 
+#[test]
+fn reads_of_which_a_few_in_a_row_outlast_the_bound_are_long_as_well() {
+    // A report is taken to last half of its quoted time: under the bound, and over a third of it.
+    let mut terms = terms();
+    let (report, bounded) = (terms.offerings[REPORT].quoted / 2, READ);
+    terms.offerings[bounded].need = aldermill_routing::Need::Recent(report * 2);
+    let mut world = heard(terms);
+    for _ in 0..5 {
+        let report = world.take(REPORT, 12_000 * MS);
+        assert_eq!(target(&world, report), Some(3));
+    }
+}
+
 #[test]
 fn an_unmarked_repeat_is_told_by_a_wait_cut_short() {
     let mut world = heard(Terms { repeats_marked: false, ..terms() });
