--- a/crates/routing/src/policy/fresh.rs
+++ b/crates/routing/src/policy/fresh.rs
@@ -114,13 +114,14 @@
 
     /// Protects the freshness of replicas from reads of which a few in a row hold up their log for longer
     /// than bounded reads bear: these share one replica. Harms them where that one is slow, and where other
-    /// long reads hold up nothing.
+    /// long reads hold up nothing; a driver among many, who cannot see a crowd there, goes by the whole bound.
     pub(super) fn long(&self, offering: usize) -> bool {
         let usual = |offering: usize| self.took[offering].quantile(0.5).unwrap_or(0);
         let bound = |o: &Offering| if let Need::Recent(bound) = o.need { Some(bound) } else { None };
         let bound = self.terms.offerings.iter().filter_map(bound).min();
         let least = (0..self.took.len()).map(usual).min().unwrap_or(0);
-        bound.is_some_and(|bound| usual(offering) > (bound / 3).max(3 * least))
+        let row = if self.sparse() { 1 } else { 3 };
+        bound.is_some_and(|bound| usual(offering) > (bound / row).max(3 * least))
     }
 
     /// Protects reads from a way that has grown so long that answers come too late, as its probes tell.
