--- a/crates/routing/src/policy/fresh.rs
+++ b/crates/routing/src/policy/fresh.rs
@@ -114,7 +114,7 @@
 
     /// Protects the freshness of replicas from reads of which a few in a row hold up their log for longer
     /// than bounded reads bear: these share one replica. Harms them where that one is slow, and where other
-    /// long reads hold up nothing; a driver among many, who cannot see a crowd there, goes by the whole bound.
+    /// long reads hold up nothing; a driver among many cannot see a crowd there, and goes by the whole bound.
     pub(super) fn long(&self, offering: usize) -> bool {
         let usual = |offering: usize| self.took[offering].quantile(0.5).unwrap_or(0);
         let bound = |o: &Offering| if let Need::Recent(bound) = o.need { Some(bound) } else { None };
