--- a/crates/driver/src/desk/sight.rs
+++ b/crates/driver/src/desk/sight.rs
@@ -80,9 +80,8 @@
 
 impl Desk {
     pub(super) fn sees_end(&mut self, handle: Handle, verdict: Verdict, took: Micros) {
-        let now = self.context.clock.now();
         if let Some(sight) = &mut self.sight {
-            sight.ended(now, handle, verdict, took);
+            sight.ended(self.context.clock.now(), handle, verdict, took);
         }
     }
 
