The member's actor is split by job: connections, visits, and the actor

Change: connections and visits stand in files of their own, text unchanged. Measured: the driver's own cases, all of them.

--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -1,48 +1,28 @@
 //! The actor of one member: its pool of connections, and the launches and probes on them.
 
+mod connection;
+mod visit;
+
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::io::ErrorKind;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use aldermill_pace::{Meter, Peer};
+use aldermill_pace::Peer;
 use aldermill_routing::{Handle, MemberId, Micros, Proof, Role, Told, Verdict};
 use aldermill_terms::Decoded;
-use aldermill_wire::{Buffer, Exchange, pg};
+use aldermill_wire::{Exchange, pg};
 use slog::{error, info, warn};
-use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpSocket, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::{self, JoinSet};
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::context::Context;
 use crate::gate::Room;
-use crate::limits::Limits;
 use crate::words::{Call, Ended, Errand, Gave, Launch, Query, Rows};
-
-struct Connection {
-    stream: TcpStream,
-    buffer: Buffer,
-    idle_since: Instant,
-    _permit: OwnedSemaphorePermit,
-}
-
-impl Connection {
-    /// What stands in the way of reading: nothing to read as yet, or a reset. `None` is bytes, or a proper end.
-    fn obstacle(&self) -> Option<ErrorKind> {
-        // Asked of the system itself: what the runtime knows of readiness may be a turn old.
-        SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]).err().map(|error| error.kind())
-    }
-
-    /// Neither closed by the peer nor spoken on out of turn.
-    fn is_quiet(&self) -> bool {
-        self.buffer.is_empty() && self.obstacle() == Some(ErrorKind::WouldBlock)
-    }
-}
+use connection::{Connection, connect, settled};
+use visit::{Fresh, Visit};
 
 /// What a launch or a probe is for.
 enum Purpose {
@@ -50,23 +30,6 @@
     Probe { sent: Instant },
 }
 
-/// What proves a launch's member fresh enough, from the decision on.
-struct Fresh {
-    proof: Proof,
-    sent: Instant,
-    replica: Rc<Cell<Option<Instant>>>,
-}
-
-impl Fresh {
-    fn stands(&self, context: &Context) -> bool {
-        match self.proof {
-            Proof::Lasting => true,
-            Proof::Until(at) => context.clock.now() < at,
-            Proof::WhilePrimary => self.replica.get().is_none_or(|at| at < self.sent),
-        }
-    }
-}
-
 struct Done {
     verdict: Verdict,
     exchange: Exchange,
@@ -345,208 +308,3 @@
         told
     }
 }
-
-/// The connection, once nothing more can come of its last answer: a second copy or noise behind an answer must
-/// never be read as the next one. Of one that has not rested an empty query is asked, whose answer must be the
-/// very next that comes; `None` where it is not.
-async fn settled(pooled: Option<Connection>, until: Instant, limits: &Limits) -> Option<Connection> {
-    let mut connection = pooled?;
-    if connection.idle_since.elapsed() >= limits.rest {
-        return Some(connection);
-    }
-    let Connection { stream, buffer, .. } = &mut connection;
-    let asked = async {
-        let mut query = Vec::new();
-        pg::query(&mut query, &[]);
-        stream.write_all(&query).await.ok()?;
-        let mut empty = false;
-        loop {
-            let Some(message) = pg::message(buffer.held(), limits.answer).ok()? else {
-                let count = stream.read_buf(buffer.tail()).await.ok()?;
-                if count == 0 {
-                    return None;
-                }
-                continue;
-            };
-            match message.tag {
-                b'I' if !empty => empty = true,
-                b'S' | b'N' if empty => {}
-                b'Z' if empty => {
-                    buffer.consume(message.length);
-                    return buffer.is_empty().then_some(());
-                }
-                _ => return None,
-            }
-            let length = message.length;
-            buffer.consume(length);
-        }
-    };
-    let until = until.min(Instant::now() + limits.connect);
-    timeout_at(until, asked).await.ok()??;
-    Some(connection)
-}
-
-/// A new connection that is ready for a statement; without one, nothing of the launch ever ran. Only a refusal
-/// shows that no process is there: one that took the connection and then broke it stands.
-async fn connect(
-    context: &Context,
-    id: MemberId,
-    address: SocketAddr,
-    until: Instant,
-) -> Result<Connection, Verdict> {
-    let until = until.min(Instant::now() + context.limits.connect);
-    let permit = match context.member_room.clone().try_acquire_owned() {
-        Ok(permit) => permit,
-        Err(_) => {
-            let _ = context.desk.send(Call::Crowded(id)).await;
-            let room = timeout_at(until, context.member_room.clone().acquire_owned()).await;
-            room.ok().and_then(Result::ok).ok_or(Verdict::TimedOut)?
-        }
-    };
-    let opening = async {
-        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }.ok()?;
-        // A statement of full size is more than the system takes at once: how quickly the member takes it is seen.
-        socket.set_send_buffer_size(context.limits.buffer as u32).ok()?;
-        socket.set_recv_buffer_size(context.limits.member_buffer as u32).ok()?;
-        let mut stream = match socket.connect(address).await {
-            Err(error) if error.kind() != ErrorKind::ConnectionReset => {
-                return Some(Err(Verdict::Unconnected));
-            }
-            connected => connected.ok()?,
-        };
-        stream.set_nodelay(true).ok()?;
-        let mut hello = Vec::new();
-        pg::startup(&mut hello, "client", "core");
-        stream.write_all(&hello).await.ok()?;
-        let mut buffer = Buffer::default();
-        loop {
-            let message = pg::message(buffer.held(), context.limits.answer).ok()?;
-            let Some(message) = message else {
-                if stream.read_buf(buffer.tail()).await.ok()? == 0 {
-                    return None;
-                }
-                continue;
-            };
-            let length = message.length;
-            match message.tag {
-                b'Z' => {
-                    buffer.consume(length);
-                    let idle_since = Instant::now();
-                    return Some(Ok(Connection { stream, buffer, idle_since, _permit: permit }));
-                }
-                b'E' => {
-                    let full = pg::refusal(message.body).is_ok_and(|refusal| refusal.code == "53300");
-                    return Some(Err(if full { Verdict::Full } else { Verdict::Dropped }));
-                }
-                b'R' if message.body != [0; 4] => return None,
-                _ => buffer.consume(length),
-            }
-        }
-    };
-    match timeout_at(until, opening).await {
-        Ok(opened) => opened.unwrap_or(Err(Verdict::Dropped)),
-        Err(_) => Err(Verdict::TimedOut),
-    }
-}
-
-/// One query on one connection.
-struct Visit<'a> {
-    context: &'a Context,
-    /// For whom room is asked for a large answer; a probe has none.
-    holder: Option<(Peer, bool)>,
-    until: Instant,
-    exchange: Exchange,
-    room: Option<Room>,
-    crowded_out: bool,
-}
-
-impl Visit<'_> {
-    /// Sends the query and takes in the answer, as far as it comes before the time limit.
-    async fn converse(&mut self, connection: &mut Connection, query: &Query) -> Verdict {
-        if let Err(verdict) = self.send(connection, query).await {
-            return verdict;
-        }
-        let ended_by = self.take_in(connection).await;
-        match self.exchange.error.as_deref() {
-            _ if self.exchange.is_served() => Verdict::Honoured,
-            Some("25006" | "72000") => Verdict::Miss,
-            Some("53300") => Verdict::Full,
-            Some(_) => Verdict::Error,
-            None => ended_by,
-        }
-    }
-
-    /// A member that does not have all of it cannot have begun.
-    async fn send(&mut self, connection: &mut Connection, query: &Query) -> Result<(), Verdict> {
-        let clock = &self.context.lived;
-        let mut taking: Option<Meter> = None;
-        for mut piece in query.pieces() {
-            while !piece.is_empty() {
-                let now = clock.now();
-                let taking =
-                    taking.get_or_insert_with(|| Meter::start(self.context.gate.bounds().taking, now));
-                taking.owes(now);
-                let due = taking.due().map_or(self.until, |due| clock.instant(due).min(self.until));
-                match timeout_at(due, connection.stream.write(piece)).await {
-                    Ok(Ok(count)) if count > 0 => {
-                        taking.moved(clock.now(), count as u64);
-                        piece = &piece[count..];
-                    }
-                    Err(_) if due >= self.until => return Err(Verdict::Unconnected),
-                    _ => return Err(Verdict::Dropped),
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// An answer comes in one piece, or nearly: what has begun and goes on under the least rate is spoilt, and at
-    /// once where its last bytes are those of a whole answer. One that is whole but for its end waits no longer for
-    /// that.
-    async fn take_in(&mut self, connection: &mut Connection) -> Verdict {
-        let Visit { context, holder, until, exchange, room, crowded_out } = self;
-        let (limits, clock, until) = (&context.limits, &context.lived, *until);
-        let mut answering: Option<Meter> = None;
-        loop {
-            if exchange.absorb(&mut connection.buffer, limits.answer).is_err() {
-                return Verdict::Spoilt;
-            }
-            if exchange.is_over() {
-                return Verdict::Reset;
-            }
-            let claimed = pg::claimed(connection.buffer.held());
-            if claimed > limits.small && room.is_none() {
-                // While there is no room nothing is read: what the member sends stays with it, and holds its place.
-                let Some((peer, best)) = *holder else { return Verdict::Spoilt };
-                answering.iter_mut().for_each(|meter| meter.rests(clock.now()));
-                *room = context.gate.room(peer, claimed, best, until).await;
-                if room.is_none() {
-                    // It did its part, and its place is wanted for others: the rest is not taken in.
-                    *crowded_out = true;
-                    return Verdict::Honoured;
-                }
-                connection.buffer.expect(claimed + 1);
-            }
-            let now = clock.now();
-            answering.iter_mut().for_each(|meter| meter.owes(now));
-            let due = answering.as_ref().and_then(Meter::due);
-            let due = due.map_or(until, |due| clock.instant(due).min(until));
-            let cut_short = exchange.is_served() || pg::ends_as_answer(connection.buffer.held());
-            let wait = if cut_short { due.min(Instant::now() + limits.closing) } else { due };
-            match timeout_at(wait, connection.stream.read_buf(connection.buffer.tail())).await {
-                Err(_) if wait < until => return Verdict::Spoilt,
-                Err(_) => return Verdict::TimedOut,
-                Ok(Ok(count)) if count > 0 => {
-                    let now = clock.now();
-                    let start = || Meter::start(context.gate.bounds().answering, now);
-                    answering.get_or_insert_with(start).moved(now, count as u64);
-                    if room.is_some() {
-                        // Between the pieces of a large answer others have their turn.
-                        task::yield_now().await;
-                    }
-                }
-                _ => return Verdict::Reset,
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/driver/src/member/visit.rs
@@ -0,0 +1,135 @@
+//! One statement on a connection, from its first byte to the end of its answer.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use aldermill_pace::{Meter, Peer};
+use aldermill_routing::{Proof, Verdict};
+use aldermill_wire::{Exchange, pg};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::task;
+use tokio::time::{Instant, timeout_at};
+
+use super::connection::Connection;
+use crate::context::Context;
+use crate::gate::Room;
+use crate::words::Query;
+
+/// What proves a launch's member fresh enough, from the decision on.
+pub(super) struct Fresh {
+    pub(super) proof: Proof,
+    pub(super) sent: Instant,
+    pub(super) replica: Rc<Cell<Option<Instant>>>,
+}
+
+impl Fresh {
+    pub(super) fn stands(&self, context: &Context) -> bool {
+        match self.proof {
+            Proof::Lasting => true,
+            Proof::Until(at) => context.clock.now() < at,
+            Proof::WhilePrimary => self.replica.get().is_none_or(|at| at < self.sent),
+        }
+    }
+}
+
+/// One query on one connection.
+pub(super) struct Visit<'a> {
+    pub(super) context: &'a Context,
+    /// For whom room is asked for a large answer; a probe has none.
+    pub(super) holder: Option<(Peer, bool)>,
+    pub(super) until: Instant,
+    pub(super) exchange: Exchange,
+    pub(super) room: Option<Room>,
+    pub(super) crowded_out: bool,
+}
+
+impl Visit<'_> {
+    /// Sends the query and takes in the answer, as far as it comes before the time limit.
+    pub(super) async fn converse(&mut self, connection: &mut Connection, query: &Query) -> Verdict {
+        if let Err(verdict) = self.send(connection, query).await {
+            return verdict;
+        }
+        let ended_by = self.take_in(connection).await;
+        match self.exchange.error.as_deref() {
+            _ if self.exchange.is_served() => Verdict::Honoured,
+            Some("25006" | "72000") => Verdict::Miss,
+            Some("53300") => Verdict::Full,
+            Some(_) => Verdict::Error,
+            None => ended_by,
+        }
+    }
+
+    /// A member that does not have all of it cannot have begun.
+    pub(super) async fn send(&mut self, connection: &mut Connection, query: &Query) -> Result<(), Verdict> {
+        let clock = &self.context.lived;
+        let mut taking: Option<Meter> = None;
+        for mut piece in query.pieces() {
+            while !piece.is_empty() {
+                let now = clock.now();
+                let taking =
+                    taking.get_or_insert_with(|| Meter::start(self.context.gate.bounds().taking, now));
+                taking.owes(now);
+                let due = taking.due().map_or(self.until, |due| clock.instant(due).min(self.until));
+                match timeout_at(due, connection.stream.write(piece)).await {
+                    Ok(Ok(count)) if count > 0 => {
+                        taking.moved(clock.now(), count as u64);
+                        piece = &piece[count..];
+                    }
+                    Err(_) if due >= self.until => return Err(Verdict::Unconnected),
+                    _ => return Err(Verdict::Dropped),
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// An answer comes in one piece, or nearly: what has begun and goes on under the least rate is spoilt, and at
+    /// once where its last bytes are those of a whole answer. One that is whole but for its end waits no longer for
+    /// that.
+    pub(super) async fn take_in(&mut self, connection: &mut Connection) -> Verdict {
+        let Visit { context, holder, until, exchange, room, crowded_out } = self;
+        let (limits, clock, until) = (&context.limits, &context.lived, *until);
+        let mut answering: Option<Meter> = None;
+        loop {
+            if exchange.absorb(&mut connection.buffer, limits.answer).is_err() {
+                return Verdict::Spoilt;
+            }
+            if exchange.is_over() {
+                return Verdict::Reset;
+            }
+            let claimed = pg::claimed(connection.buffer.held());
+            if claimed > limits.small && room.is_none() {
+                // While there is no room nothing is read: what the member sends stays with it, and holds its place.
+                let Some((peer, best)) = *holder else { return Verdict::Spoilt };
+                answering.iter_mut().for_each(|meter| meter.rests(clock.now()));
+                *room = context.gate.room(peer, claimed, best, until).await;
+                if room.is_none() {
+                    // It did its part, and its place is wanted for others: the rest is not taken in.
+                    *crowded_out = true;
+                    return Verdict::Honoured;
+                }
+                connection.buffer.expect(claimed + 1);
+            }
+            let now = clock.now();
+            answering.iter_mut().for_each(|meter| meter.owes(now));
+            let due = answering.as_ref().and_then(Meter::due);
+            let due = due.map_or(until, |due| clock.instant(due).min(until));
+            let cut_short = exchange.is_served() || pg::ends_as_answer(connection.buffer.held());
+            let wait = if cut_short { due.min(Instant::now() + limits.closing) } else { due };
+            match timeout_at(wait, connection.stream.read_buf(connection.buffer.tail())).await {
+                Err(_) if wait < until => return Verdict::Spoilt,
+                Err(_) => return Verdict::TimedOut,
+                Ok(Ok(count)) if count > 0 => {
+                    let now = clock.now();
+                    let start = || Meter::start(context.gate.bounds().answering, now);
+                    answering.get_or_insert_with(start).moved(now, count as u64);
+                    if room.is_some() {
+                        // Between the pieces of a large answer others have their turn.
+                        task::yield_now().await;
+                    }
+                }
+                _ => return Verdict::Reset,
+            }
+        }
+    }
+}
