Read again: words of an earlier start are never taken, and a seeker holds no time that nothing reads

Need: words of other packages were taken first and cleared again where their sender was an earlier start; the time of an asking was kept and read by nothing, as a lease counts from its proposal.

Change: they are taken after that check; the field goes. Behaviour as before.

--- a/crates/duties/src/seeker.rs
+++ b/crates/duties/src/seeker.rs
@@ -21,14 +21,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Way {
     Rests,
-    /// It asked, at that time by its own clock; who promised, the highest term that they know, who knows of another holder.
+    /// It asked: who promised, the highest term that they know, who knows of another holder.
     Asks {
         ballot: Ballot,
-        at: Micros,
         promised: BTreeSet<String>,
         term: Term,
         others: BTreeMap<String, Micros>,
     },
+    /// It proposed, at that time by its own clock: a lease counts from then.
     Proposes {
         ballot: Ballot,
         at: Micros,
@@ -153,13 +153,8 @@
     fn ask(&mut self, now: Micros) -> Move {
         self.count += 1;
         let ballot = Ballot { count: self.count, by: self.own.clone() };
-        self.way = Way::Asks {
-            ballot: ballot.clone(),
-            at: now,
-            promised: BTreeSet::new(),
-            term: 0,
-            others: BTreeMap::new(),
-        };
+        self.way =
+            Way::Asks { ballot: ballot.clone(), promised: BTreeSet::new(), term: 0, others: BTreeMap::new() };
         self.next = now + self.patience();
         Move::Say(Word::Prepare { ballot })
     }
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -164,12 +164,9 @@
                 return self.settle(now);
             }
         };
-        let (gossip, sender) = match inner {
-            Inner::Gossip(gossip, sender) => (Some(gossip), sender),
-            Inner::Word(word, sender) => {
-                self.todo.words.push((sender.clone(), word.to_vec()));
-                (None, sender)
-            }
+        let (gossip, word, sender) = match inner {
+            Inner::Gossip(gossip, sender) => (Some(gossip), None, sender),
+            Inner::Word(word, sender) => (None, Some(word), sender),
             Inner::LaterStart(later) => {
                 let own = self.swim.identity();
                 if later.name == own.name && later.start > own.start {
@@ -186,10 +183,10 @@
         if let Some(later) = later {
             let word = frame::later_start(self.fleet, &later);
             self.todo.send.push((sender.address, word));
-            // What the earlier start says counts no more.
-            self.todo.words.clear();
             return self.settle(now);
         }
+        // An earlier start's words count no more.
+        self.todo.words.extend(word.map(|word| (sender, word.to_vec())));
         let Some(gossip) = gossip else { return self.settle(now) };
         let mut out = AccumulatingRuntime::new();
         match self.swim.handle_data(gossip, &mut out) {
