--- /dev/null
+++ b/crates/driver/src/desk/hub/guests.rs
@@ -0,0 +1,118 @@
+//! Tasks that other gateways sent.
+
+use super::*;
+
+impl Desk {
+    pub(super) fn guest_came(&mut self, link: LinkId, gate: GateId, task: TaskFrame, statement: Vec<u8>) {
+        let now = self.context.clock.now();
+        let Some(hub) = &mut self.hub else { return };
+        let number = task.number;
+        // Meant for an earlier start of this gateway: what that one did with it is not known, so nothing is said.
+        if task.receiver_start != hub.own.start {
+            return;
+        }
+        let origin = hub.gates[gate].origin.clone();
+        let left = micros(task.left_us);
+        let mut frame = OutcomeFrame { number, ..OutcomeFrame::default() };
+        match hub.fates.take(now, &origin, number, left) {
+            Ok(()) => {}
+            Err(TurnedAway::Full) => {
+                frame.kind = OutcomeKind::Denied.into();
+                hub.say(gate, Some(link), Said::Outcome(frame, Vec::new()));
+                return;
+            }
+            // Another copy, or one that was asked about before it came: no news to the sender.
+            Err(_) => return,
+        }
+        let coming = Coming { link, gate, origin, number, came: now, task, statement };
+        let offering = self.decoded.offering(&coming.task.offering).ok();
+        let effect = offering.map(|offering| self.decoded.terms.offerings[offering].effect);
+        let until = now + left + SLACK;
+        match hub.book.as_mut().filter(|_| effect == Some(Effect::Effectful)) {
+            None => self.guest_goes_on(coming),
+            Some(book) => match book.take(now, &coming.origin, number, until) {
+                Taking::Waits(token) => drop(hub.coming.insert(token, coming)),
+                Taking::Without => self.guest_goes_on(coming),
+                Taking::Refused => self.refuse_guest(&coming, OutcomeKind::Denied),
+            },
+        }
+    }
+
+    pub(super) fn refuse_guest(&mut self, coming: &Coming, kind: OutcomeKind) {
+        let Some(hub) = &mut self.hub else { return };
+        let frame = OutcomeFrame { number: coming.number, kind: kind.into(), ..OutcomeFrame::default() };
+        hub.fates.settle(&coming.origin, coming.number, Fate::Denied { cool_down: 0 });
+        hub.say(coming.gate, Some(coming.link), Said::Outcome(frame, Vec::new()));
+    }
+
+    /// A record was kept, or was not: what waited for it goes on.
+    pub(crate) fn kept(&mut self, well: bool) {
+        let now = self.context.clock.now();
+        let Some(book) = self.hub.as_mut().and_then(|hub| hub.book.as_mut()) else { return };
+        if let Some((token, well)) = book.told(now, well) {
+            self.kept_or_not(token, well);
+        }
+    }
+
+    /// The disk is too slow: what waits for it goes on without.
+    pub(crate) fn book_gives_up(&mut self) {
+        let now = self.context.clock.now();
+        let Some(book) = self.hub.as_mut().and_then(|hub| hub.book.as_mut()) else { return };
+        let tokens = book.given_up(now);
+        if !tokens.is_empty() {
+            warn!(self.context.log, "the gateway's book waits for the disk no longer"; "records" => tokens.len());
+        }
+        tokens.into_iter().for_each(|token| self.kept_or_not(token, false));
+    }
+
+    pub(super) fn kept_or_not(&mut self, token: Token, well: bool) {
+        let Some(hub) = &mut self.hub else { return };
+        if let Some(Leaving { gate, link, frame, value }) = hub.leaving.remove(&token) {
+            if hub.gates[gate].links.contains(&link) {
+                hub.say(gate, Some(link), Said::Outcome(frame, value));
+            }
+            return;
+        }
+        match hub.coming.remove(&token) {
+            Some(coming) if well => self.guest_goes_on(coming),
+            // Nothing of it has begun: that may be said whatever the disk holds.
+            Some(coming) => self.refuse_guest(&coming, OutcomeKind::Denied),
+            None => {}
+        }
+    }
+
+    /// A task of another gateway that is in the book goes to the module, or is turned away.
+    pub(super) fn guest_goes_on(&mut self, coming: Coming) {
+        let Some(hub) = &mut self.hub else { return };
+        let Coming { link, gate, number, ref task, ref statement, .. } = coming;
+        let left = micros(task.left_us) - (self.context.clock.now() - coming.came);
+        let offering = hub.offerings.iter().position(|name| *name == task.offering);
+        let comment = Comment::parse(statement).ok().filter(|comment| comment.group == task.group);
+        let circle = task.visited.contains(&hub.own.site);
+        let busy = hub.draining || hub.trips.len() >= self.context.limits.tasks;
+        let ttl = left - hub.sites.one_way(gate);
+        let open = comment.as_ref().is_some_and(|comment| self.open_ids.contains(&comment.id));
+        let refused = match (&comment, offering) {
+            (Some(_), Some(_)) if circle => Some(OutcomeKind::NotHere),
+            (Some(_), Some(_)) if busy || open || ttl <= 0 => Some(OutcomeKind::Denied),
+            (Some(_), Some(_)) => None,
+            _ => Some(OutcomeKind::Wrong),
+        };
+        if let Some(kind) = refused {
+            return self.refuse_guest(&coming, kind);
+        }
+        let Coming { origin, task, statement, .. } = coming;
+        let (Some(comment), Some(offering)) = (comment, offering) else { return };
+        let Some(holder) = hub.links.get(&link).map(|state| state.holder) else { return };
+        hub.sites.guest_came(gate, offering);
+        hub.next_guest += 1;
+        let written_ago = (task.written_ago_us > 0).then(|| micros(task.written_ago_us));
+        let client = hub.next_guest;
+        // Its answer goes over the link; this mailbox is nobody's.
+        let (mailbox, _) = mpsc::channel(1);
+        let arrived = self.context.clock.now();
+        let order = Order { client, holder, mailbox, arrived, statement, comment, written_ago };
+        let guest = Guest { gate, number, link, origin };
+        self.set_out(order, offering, ttl.min(MOST), None, Some(guest), task.visited);
+    }
+}
--- /dev/null
+++ b/crates/sites/src/sites/place.rs
@@ -0,0 +1,220 @@
+//! The ordinary path: where a task goes.
+
+use super::*;
+
+impl Sites {
+    /// Sends the task to the site that it belongs to, holds it, or gives it up.
+    pub(super) fn place(&mut self, now: Micros, handle: Handle) {
+        let Some(errand) = self.errands.get(&handle) else { return };
+        let offering = *self.offering(&errand.task);
+        if self.stuck(now, errand, &offering) {
+            return self.give_up(handle);
+        }
+        let Some(site) = self.site_for(now, errand, &offering) else {
+            // Every site has said 'not here', or none can be reached: as the router after a round of misses.
+            return self.hold(now, handle);
+        };
+        if site == OWN {
+            let ttl = errand.limit - now;
+            let errand = self.errands.get_mut(&handle).expect("held by its handle");
+            (errand.here, errand.misses) = (true, 0);
+            return self.todo.steps.push((handle, Step::Here { ttl }));
+        }
+        if errand.task.visited.len() >= self.terms.max_hops {
+            return self.not_here(handle, site);
+        }
+        // Where it has no room, what is held goes when it has.
+        let Some(id) = self.gate_to(now, site, errand.task.offering) else { return self.hold(now, handle) };
+        let gate = &self.gates[&id];
+        let (way, errand) = (gate.trip.one_way(), &self.errands[&handle]);
+        let usual = gate.took[errand.task.offering].quantile(0.5).unwrap_or(0).max(gate.trip.mean());
+        let useful =
+            if offering.late_share > 0.0 { errand.limit } else { errand.limit.min(errand.quoted_by) };
+        // What cannot be back in time is denied before it is sent.
+        if now + usual.max(2 * way) >= useful {
+            return self.give_up(handle);
+        }
+        let left = errand.limit - now - way;
+        let number = self.crossings.send(now, handle, id, errand.task.offering);
+        let errand = self.errands.get_mut(&handle).expect("held by its handle");
+        (errand.out, errand.crossed) = (Some(number), errand.crossed + 1);
+        self.todo.steps.push((handle, Step::Cross { gate: id, number, left }));
+    }
+
+    /// Whether it can be sent nowhere any more: its time is up, or it may have run and must not again.
+    pub(super) fn stuck(&self, now: Micros, errand: &Errand, offering: &Offering) -> bool {
+        let never_again = match (offering.effect, errand.may_have_run) {
+            (_, None) | (Effect::Pure, _) => false,
+            (Effect::Receipted { window, .. }, Some((at, _))) => now >= at + window,
+            (Effect::Effectful, Some(_)) => true,
+        };
+        // Protects other sites from tasks that are lost again and again; each crossing costs both sides work.
+        never_again || now + BEAT >= errand.limit || errand.crossed > 2 + self.terms.sites as u32
+    }
+
+    /// Where it goes next; `None` is nowhere for now.
+    pub(super) fn site_for(&self, now: Micros, errand: &Errand, offering: &Offering) -> Option<SiteId> {
+        let group = errand.task.group;
+        // A receipt may reach no further than the site that had the task first.
+        if let (Effect::Receipted { within_site: true, .. }, Some((_, site))) =
+            (offering.effect, errand.may_have_run)
+        {
+            return Some(site);
+        }
+        let known = |&site: &SiteId| self.homes.is_at(group, site) && !errand.task.visited.contains(&site);
+        match offering.need {
+            Need::Primary => {
+                let tried = |site: &SiteId| errand.tried.contains(site);
+                let home = self.homes.home(group).filter(|site| !tried(site) && known(site));
+                if let Some(home) = home.filter(|&home| self.is_reached(home) || self.lost_lately(now, home))
+                {
+                    return self.is_reached(home).then_some(home);
+                }
+                // The walk: the believed home first, then all others in their order, the own site first.
+                let mut others = (0..self.terms.sites).filter(known).filter(|site| !tried(site));
+                if now < self.homes.walk_after(group) {
+                    None
+                } else {
+                    others.find(|&site| self.is_reached(site))
+                }
+            }
+            // What can be answered at home stays at home.
+            Need::Any | Need::Recent(_) if self.homes.here(group) > 0 => Some(OWN),
+            Need::Any => self.nearest(now, errand, |_| true),
+            // It is measured from when it was sent: what is left of the bound beyond must be more than the way.
+            Need::Recent(bound) => self.nearest(now, errand, |gate| gate.trip.one_way() < bound),
+        }
+    }
+
+    /// The site with the shortest round trip of those that have members of the group.
+    pub(super) fn nearest(
+        &self,
+        now: Micros,
+        errand: &Errand,
+        fits: impl Fn(&Gate) -> bool,
+    ) -> Option<SiteId> {
+        let group = errand.task.group;
+        let may = |gate: &&Gate| {
+            self.homes.is_at(group, gate.site)
+                && !errand.task.visited.contains(&gate.site)
+                && !errand.tried.contains(&gate.site)
+                && self.usable(now, gate)
+                && fits(gate)
+        };
+        self.gates.values().filter(may).min_by_key(|gate| gate.trip.mean()).map(|gate| gate.site)
+    }
+
+    /// A gateway of that site with credit left for the offering, by chance in proportion to it. One that is barred
+    /// is still tried where all are.
+    pub(super) fn gate_to(&mut self, now: Micros, site: SiteId, offering: usize) -> Option<GateId> {
+        let credit = |id: GateId, gate: &Gate| {
+            let most = gate.may_be_out(offering, self.terms.max_credit);
+            most.saturating_sub(self.crossings.count_at(id, offering))
+        };
+        let open = |(&id, gate): (&GateId, &Gate)| (id, credit(id, gate));
+        let may = |gate: &Gate| gate.site == site && gate.links > 0 && !gate.draining;
+        let mut gates: Vec<(GateId, usize)> =
+            self.gates.iter().filter(|(_, gate)| may(gate) && now >= gate.barred_until).map(open).collect();
+        if gates.is_empty() {
+            gates = self.gates.iter().filter(|(_, gate)| may(gate)).map(open).collect();
+        }
+        let all: usize = gates.iter().map(|(_, credit)| credit).sum();
+        if all == 0 {
+            return None;
+        }
+        let mut drawn = self.rng.random_range(0..all);
+        gates
+            .into_iter()
+            .find(|&(_, credit)| {
+                let found = drawn < credit;
+                drawn = drawn.saturating_sub(credit);
+                found
+            })
+            .map(|(id, _)| id)
+    }
+
+    /// Something may be sent there at all.
+    pub(super) fn is_reached(&self, site: SiteId) -> bool {
+        let up = |gate: &Gate| gate.site == site && gate.links > 0 && !gate.draining;
+        site == OWN || self.gates.values().any(up)
+    }
+
+    /// Protects other sites, and the members here, from walks at every short break of a link: the home's tasks wait
+    /// as long as after a round of 'not here'. Should also cover a gateway that starts anew. Harms writes whose home
+    /// moved with the break.
+    pub(super) fn lost_lately(&self, now: Micros, site: SiteId) -> bool {
+        self.gates.values().any(|gate| gate.site == site && !gate.draining && now - gate.lost < HOLD)
+    }
+
+    /// The three bars: its own word that it drains, no link that stands, failures in a row.
+    pub(super) fn usable(&self, now: Micros, gate: &Gate) -> bool {
+        gate.links > 0 && !gate.draining && now >= gate.barred_until
+    }
+
+    pub(super) fn hold(&mut self, now: Micros, handle: Handle) {
+        let Some(errand) = self.errands.get_mut(&handle) else { return };
+        if !errand.task.visited.is_empty() {
+            // Who sent it holds it; here it only takes up time.
+            return self.not_here(handle, OWN);
+        }
+        let round = !errand.tried.is_empty();
+        errand.tried.clear();
+        let group = errand.task.group;
+        if round && self.homes.walk_after(group) <= now {
+            self.homes.hold_walks(group, now + HOLD);
+        }
+        self.held.push(handle);
+    }
+
+    /// To the gateway that sent it: it never ran, and the primary is elsewhere.
+    pub(super) fn not_here(&mut self, handle: Handle, believed: SiteId) {
+        let hint = (believed != OWN).then_some(believed);
+        self.todo.steps.push((handle, Step::NotHere { hint }));
+        self.close(handle);
+    }
+
+    pub(super) fn here_missed(&mut self, now: Micros, handle: Handle) {
+        let Some(errand) = self.errands.get_mut(&handle).filter(|errand| errand.here) else { return };
+        errand.misses += 1;
+        let (group, misses) = (errand.task.group, errand.misses);
+        // Once every member here has said that it is not the primary, the walk goes on at other sites. Where there
+        // are none that could be asked, the own module holds the task as ever.
+        if misses < self.homes.here(group) || self.homes.home(group) == Some(OWN) && misses < 2 {
+            return;
+        }
+        self.homes.missed(now, group, OWN, None);
+        let errand = &self.errands[&handle];
+        let guest = !errand.task.visited.is_empty();
+        let elsewhere = self.gates.values().any(|gate| {
+            self.usable(now, gate)
+                && self.homes.is_at(group, gate.site)
+                && !errand.tried.contains(&gate.site)
+                && !errand.task.visited.contains(&gate.site)
+        });
+        if !guest && !elsewhere {
+            // With the own module again, which holds it after its round of misses; then all may be asked anew.
+            return self.errands.get_mut(&handle).expect("held by its handle").tried.clear();
+        }
+        self.todo.steps.push((handle, Step::TakeBack));
+        let errand = self.errands.get_mut(&handle).expect("held by its handle");
+        errand.here = false;
+        errand.tried.push(OWN);
+        self.place(now, handle);
+    }
+
+    pub(super) fn here_ended(&mut self, now: Micros, handle: Handle, ended: HereEnded) {
+        let Some(errand) = self.errands.get(&handle).filter(|errand| errand.here) else { return };
+        let (group, need) = (errand.task.group, self.offering(&errand.task).need);
+        match ended {
+            HereEnded::Honoured => {
+                if need == Need::Primary && self.homes.answered(now, group, OWN) {
+                    self.todo.offers = true;
+                }
+                self.todo.steps.push((handle, Step::Honour));
+            }
+            HereEnded::Denied { cool_down } => self.todo.steps.push((handle, Step::Deny { cool_down })),
+            HereEnded::BrokenOff => self.todo.steps.push((handle, Step::BreakOff)),
+        }
+        self.close(handle);
+    }
+}
