--- a/crates/decrees/src/ledger.rs
+++ b/crates/decrees/src/ledger.rs
@@ -100,6 +100,11 @@
         newer && room
     }
 
+    /// The start of a driver that told anything.
+    pub fn start(&self, name: &str) -> Option<u64> {
+        self.of.get(name).map(|(start, _)| *start)
+    }
+
     /// A driver is gone, or another start of it has come: what it told counts no more.
     pub fn gone(&mut self, name: &str) {
         self.of.remove(name);
--- a/crates/driver/src/council.rs
+++ b/crates/driver/src/council.rs
@@ -1,6 +1,8 @@
 //! This driver's part in what the fleet decides in common: its vote, the duties that it holds, decrees and reports. What is
 //! said is `crates/duties`' and `crates/decrees`'; here it is put into datagrams, on the disk, and in the log.
 
+mod duties;
+mod leaving;
 mod splits;
 mod work;
 
@@ -14,6 +16,7 @@
 use aldermill_duties::{Agreement, Change, Driver, Term, Terms, Todo, Unusable};
 use aldermill_fellows::Fellow;
 use aldermill_operator::Council as Wanted;
+use aldermill_retire::Plan;
 use aldermill_store::Batch;
 use aldermill_warm::space;
 use rand::seq::IteratorRandom;
@@ -27,6 +30,7 @@
 
 use crate::keep::Folder;
 use crate::words::Seen;
+use leaving::LeavingWork;
 use splits::SplitsWork;
 use work::ZonesWork;
 
@@ -62,6 +66,7 @@
     log: Logger,
     zones: Option<ZonesWork>,
     splits: Option<SplitsWork>,
+    leaving: Option<LeavingWork>,
     decree_at: Micros,
     work_at: Micros,
     compare_at: Micros,
@@ -71,12 +76,12 @@
 }
 
 impl Council {
-    /// The receiver hears of each write to the folder, in their order.
+    /// The receiver hears of each write to the folder, in their order. `limit` is the longest time limit of a task.
     pub fn open(
         wanted: Wanted,
         own: Driver,
         folder: Option<Rc<Folder>>,
-        zone: usize,
+        (zone, limit): (usize, Micros),
         moment: Moment,
         seed: u64,
         log: Logger,
@@ -104,6 +109,12 @@
         let has = |duty: &str| duties.iter().any(|of| of == duty);
         let zones = has(work::DUTY).then(|| ZonesWork::start(zone, log.clone()));
         let splits = has(splits::DUTY).then(|| SplitsWork::start(wanted.cuts, log.clone()));
+        let leaving = has(leaving::DUTY).then(|| {
+            let records = kept.iter().flat_map(|kept| &kept.folder.read);
+            let bound = records.filter(|(space, ..)| *space == space::BOUND);
+            let bound = bound.filter_map(|(_, _, body)| Plan::decode(body).ok()).collect();
+            LeavingWork::start(now, &wanted.retire, limit, bound, log.clone())
+        });
         let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(7));
         let council = Council {
             own,
@@ -116,6 +127,7 @@
             log,
             zones,
             splits,
+            leaving,
             decree_at: now,
             work_at: now,
             compare_at: now + rng.random_range(0..COMPARED),
@@ -212,7 +224,7 @@
         }
         if now >= self.work_at {
             self.work_at = now + WORKS;
-            self.work(now, others);
+            self.work(at, others);
         }
         if now >= self.compare_at {
             self.compare_at = now + COMPARED;
@@ -233,60 +245,6 @@
         }
     }
 
-    /// Says anew what it decrees under the duties that it holds; whether it may is asked before each.
-    fn decree(&mut self, now: Micros, others: &[Rc<str>]) {
-        let mut decrees = Vec::new();
-        for duty in self.duties.clone() {
-            let Some(term) = self.agreement.may_act(now, &duty) else { continue };
-            let about = About::new(&duty, "");
-            match self.book.issue(now, about, term, &self.own.name, LASTS, Vec::new()) {
-                Some(decree) => decrees.push(decree),
-                None => warn!(self.log, "a higher term was heard"; "duty" => &duty, "term" => term),
-            }
-        }
-        self.pass_on(&decrees, 0, others);
-    }
-
-    /// Decides what there is to decide under the duties that it holds.
-    fn work(&mut self, now: Micros, others: &[Rc<str>]) {
-        let living = others.len() + 1;
-        let Council { agreement, book, ledger, own, zones, splits, .. } = self;
-        let mut decided = Vec::new();
-        if let Some(zones) = zones {
-            let term = agreement.may_act(now, work::DUTY);
-            decided.push((work::DUTY, term, zones.decide(now, term, ledger, book)));
-        }
-        if let Some(splits) = splits {
-            let term = agreement.may_act(now, splits::DUTY);
-            decided.push((splits::DUTY, term, splits.decide(now, term, ledger, book, living)));
-        }
-        let mut decrees = Vec::new();
-        for (duty, term, bodies) in decided {
-            for (subject, body) in bodies {
-                // The lease is looked at before each act.
-                if let Some(term) = term.filter(|_| agreement.may_act(now, duty) == term) {
-                    decrees.extend(book.issue(now, About::new(duty, &subject), term, &own.name, LASTS, body));
-                }
-            }
-        }
-        self.pass_on(&decrees, 0, others);
-    }
-
-    /// What this driver saw, to be reported.
-    pub fn saw(&mut self, seen: Seen) {
-        let splits = self.splits.as_ref().map(|splits| splits.report(&seen));
-        let zones = self.zones.as_ref().map(|zones| zones.report(seen));
-        for (about, body) in splits.into_iter().chain(zones).flatten() {
-            self.reporter.put(about, body);
-        }
-    }
-
-    /// What is decreed for this driver's zone, where that has changed.
-    pub fn leans(&mut self, now: Micros) -> Option<Vec<(Group, Lean)>> {
-        let book = &self.book;
-        self.zones.as_mut().and_then(|zones| zones.obey(now, book))
-    }
-
     fn carry_out(&mut self, at: Moment, todo: Todo, others: &[Rc<str>]) {
         self.agree_at = todo.wake_at;
         for (to, said) in todo.send {
@@ -316,9 +274,13 @@
 
     /// Writes a term; `then` waits for it.
     fn keep(&mut self, of: u32, duty: &str, term: Term, then: Option<(String, Term)>) {
+        self.write(of, duty, &term.to_be_bytes(), then);
+    }
+
+    fn write(&mut self, of: u32, key: &str, value: &[u8], then: Option<(String, Term)>) {
         let Some(kept) = &mut self.kept else { return };
         let mut batch = Batch::default();
-        batch.put(of, duty.as_bytes(), &term.to_be_bytes(), None);
+        batch.put(of, key.as_bytes(), value, None);
         if kept.folder.write(batch, &kept.told) {
             kept.under_way.push_back(then);
         } else if then.is_some() {
@@ -340,8 +302,9 @@
     }
 
     /// A driver is gone.
-    pub fn gone(&mut self, name: &str) {
+    pub fn gone(&mut self, now: Micros, name: &str) {
         self.ledger.gone(name);
+        self.leaving.iter_mut().for_each(|leaving| leaving.gone(now, name));
     }
 
     /// It lays down what it holds.
@@ -368,6 +331,7 @@
                 "says": String::from_utf8_lossy(&decree.body)})
         });
         json!({"votes": self.agreement.is_voter(), "zones": self.zones.as_ref().map(ZonesWork::describe),
+            "retire": self.leaving.as_ref().map(LeavingWork::describe),
             "aside": self.splits.as_ref().map(SplitsWork::aside), "duties": duties.collect::<Vec<_>>(),
             "decrees": decrees.collect::<Vec<_>>()})
     }
--- a/crates/driver/src/council/splits.rs
+++ b/crates/driver/src/council/splits.rs
@@ -82,6 +82,19 @@
         SplitsWork { cuts, holding: None, said: BTreeMap::new(), aside: Vec::new(), log }
     }
 
+    /// The operators have cut elsewhere: it is looked at anew from there.
+    pub fn reread(&mut self, cuts: &BTreeMap<u64, String>) {
+        if self.cuts != *cuts {
+            self.cuts.clone_from(cuts);
+            let advisors = self.holding.iter_mut().flat_map(|(_, advisors)| advisors);
+            advisors.for_each(|(group, advisor)| {
+                if let Some(cut) = cuts.get(group) {
+                    advisor.taken(cut.clone().into_bytes());
+                }
+            });
+        }
+    }
+
     pub fn report(&self, seen: &Seen) -> Vec<(About, Vec<u8>)> {
         let about = |group: &u64| About::new(DUTY, &group.to_string());
         seen.keys.iter().map(|(group, summary)| (about(group), summary.clone())).collect()
--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -258,6 +258,7 @@
             }
             Call::Sight(asked) => self.tell_sight(asked),
             Call::Lean(leans) => self.leans(&leans),
+            Call::Bind(plans) => self.bind(plans),
             Call::Describe(asked) => {
                 let _ = asked.send(self.describe());
             }
--- a/crates/driver/src/desk/hub.rs
+++ b/crates/driver/src/desk/hub.rs
@@ -24,7 +24,7 @@
 use super::{Desk, Holder};
 use crate::gate::Room;
 use crate::keep::Folder;
-use crate::words::{Answer, ClientId, LinkCall, LinkId, Mail, Order, Rows};
+use crate::words::{Answer, ClientId, LinkCall, LinkId, Mail, Order, Rows, SiteSeen};
 
 mod guests;
 mod links;
@@ -96,12 +96,25 @@
     coming: HashMap<Token, Coming>,
     leaving: HashMap<Token, Leaving>,
     next_guest: ClientId,
+    /// The comment's field that names a session.
+    session: Option<String>,
+    ended: Ended,
     draining: bool,
     /// When the books want to be woken, and when others are next told of the room here unasked.
     pub wake_at: Micros,
     tell_at: Micros,
 }
 
+/// Tasks that ended with the module here since it was last asked, how many of them in quoted time, and how many would go
+/// elsewhere with their sessions.
+#[derive(Default)]
+struct Ended {
+    since: Micros,
+    all: u32,
+    in_time: u32,
+    bound: u32,
+}
+
 /// What a gateway is told at its start.
 pub struct Opening {
     pub own: Identity,
@@ -110,6 +123,8 @@
     pub homes: Vec<(u64, String)>,
     pub hops: usize,
     pub credit: u32,
+    /// The comment's field that names a session.
+    pub session: Option<String>,
     /// Fates kept for one sender.
     pub fates: usize,
     /// Where the book is kept.
@@ -146,7 +161,7 @@
 
 impl Hub {
     pub fn new(opening: Opening, decoded: &Decoded, seed: u64, now: Micros) -> Hub {
-        let Opening { own, peers, homes, hops, credit, fates, folder } = opening;
+        let Opening { own, peers, homes, hops, credit, session, fates, folder } = opening;
         let (told, kept) = mpsc::channel(BOOK_WORDS);
         let book = folder.map(|folder| Book::open(folder, own.start, now, told));
         let effect = |effect| match effect {
@@ -198,6 +213,8 @@
             coming: HashMap::new(),
             leaving: HashMap::new(),
             next_guest: GUESTS,
+            session,
+            ended: Ended { since: now, ..Ended::default() },
             draining: false,
             wake_at: now,
             tell_at: now,
@@ -226,6 +243,24 @@
         self.guests.len() + self.coming.len() + self.leaving.len()
     }
 
+    /// What this gateway saw of its site since it was last asked, and what it has of those that retire.
+    pub fn seen(&mut self, now: Micros) -> SiteSeen {
+        let Ended { since, all, in_time, bound } = std::mem::take(&mut self.ended);
+        self.ended.since = now;
+        let fates = (self.fates.len() + self.coming.len() + self.leaving.len()) as u64;
+        let gates = self.gates.iter().enumerate().filter(|(_, gate)| !gate.links.is_empty());
+        let trips = gates.map(|(id, gate)| (self.names[gate.site].clone(), self.sites.view(now, id).trip));
+        SiteSeen {
+            site: self.own.site.clone(),
+            over: now - since,
+            ended: all,
+            in_time,
+            bound,
+            trips: trips.collect(),
+            open: self.sites.open_at_retiring(fates),
+        }
+    }
+
     fn site(&self, name: &str) -> Option<SiteId> {
         self.names.iter().position(|known| known == name)
     }
--- a/crates/driver/src/desk/hub/trips.rs
+++ b/crates/driver/src/desk/hub/trips.rs
@@ -1,5 +1,8 @@
 //! Tasks on their way: with the module here, over a link, or waiting for either.
 
+use aldermill_retire::Plan;
+use aldermill_wire::statement;
+
 use super::*;
 
 impl Desk {
@@ -22,9 +25,12 @@
     ) {
         let now = self.context.clock.now();
         let Some(hub) = &mut self.hub else { return };
+        let named = hub.session.as_ref().and_then(|name| statement::field(&order.statement, name));
+        // One that is of no session known has none to keep with.
+        let session = Some(named.unwrap_or(&order.comment.id).to_owned());
         let by: Vec<SiteId> = visited.iter().filter_map(|name| hub.site(name)).collect();
         let (handle, todo) =
-            hub.sites.take(now, Task { offering, group: order.comment.group, ttl, visited: by });
+            hub.sites.take(now, Task { offering, group: order.comment.group, ttl, visited: by, session });
         if let Some(guest) = &guest {
             hub.guests.insert((guest.gate, guest.number), handle);
         }
@@ -58,6 +64,13 @@
         };
         if let Some(trip) = hub.trips.get_mut(&handle) {
             trip.here = None;
+            let quoted = self.decoded.terms.offerings[trip.offering].quoted;
+            let in_time = ended == HereEnded::Honoured && now - trip.order.arrived <= quoted;
+            let need = self.decoded.terms.offerings[trip.offering].need;
+            let reads = matches!(need, Need::Loose | Need::Recent(_));
+            hub.ended.all += 1;
+            hub.ended.in_time += u32::from(in_time);
+            hub.ended.bound += u32::from(reads && trip.guest.is_none());
         }
         let todo = handle.here_ended(&mut hub.sites, now, ended);
         self.carry_out_sites(todo, Some((handle, answer)));
@@ -106,6 +119,15 @@
         self.carry_out_sites(todo, None);
     }
 
+    /// What the fleet decided of sites that retire.
+    pub(crate) fn bind(&mut self, plans: Vec<Plan>) {
+        let now = self.context.clock.now();
+        if let Some(hub) = &mut self.hub {
+            let todo = hub.sites.bind(now, &hub.names, plans);
+            self.carry_out_sites(todo, None);
+        }
+    }
+
     pub(crate) fn sites_stood_still(&mut self) {
         let now = self.context.clock.now();
         if let Some(hub) = &mut self.hub {
--- a/crates/driver/src/desk/sight.rs
+++ b/crates/driver/src/desk/sight.rs
@@ -92,7 +92,8 @@
             let summary =
                 |(&group, sketch): (&u64, &mut Sketch)| (group, aldermill_splits::frame::encode(sketch, now));
             let keys = sight.keys.iter_mut().map(summary).collect();
-            let _ = asked.send(Seen { over, rows, keys });
+            let site = self.hub.as_mut().map(|hub| hub.seen(now));
+            let _ = asked.send(Seen { over, rows, keys, site });
         }
     }
 
--- a/crates/driver/src/fellows.rs
+++ b/crates/driver/src/fellows.rs
@@ -11,7 +11,7 @@
 use slog::{info, warn};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{UdpSocket, UnixListener, UnixStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
@@ -26,6 +26,15 @@
 /// Datagrams read before it is looked whether anything is due.
 const TURN: usize = 64;
 
+/// What is decided in common: what the operator wants, where it is kept, the own zone and the longest time limit of a task,
+/// and what the operator wants from later on.
+pub struct Sitting {
+    pub wanted: Wanted,
+    pub folder: Option<Rc<Folder>>,
+    pub place: (usize, Micros),
+    pub reread: watch::Receiver<Option<Wanted>>,
+}
+
 pub struct Company {
     context: Rc<Context>,
     socket: UdpSocket,
@@ -33,6 +42,8 @@
     fellows: aldermill_fellows::Fellows,
     /// The settings' figure.
     told: usize,
+    /// The fleet may be that of several sites: how many of it are at this one is not known, so room is shared as told.
+    spans: bool,
     /// What the desk was last told: by how many room is shared, and at cold members.
     shared: (usize, usize),
     wake_at: Option<Micros>,
@@ -42,19 +53,19 @@
     sees_at: Micros,
     /// What is decided in common, where that is wanted, and word of each of its writes to the disk.
     council: Option<(Council, mpsc::Receiver<bool>)>,
+    /// The operator's wishes for it, once they are read anew.
+    reread: Option<watch::Receiver<Option<Wanted>>>,
     /// Datagrams and bytes sent, and datagrams that could not be.
     sent: (u64, u64),
     unsent: u64,
 }
 
 impl Company {
-    /// What is decided in common is wanted with where terms are kept, and the own zone.
     pub async fn open(
         context: Rc<Context>,
         terms: Terms,
-        wanted: Option<(Wanted, Option<Rc<Folder>>, usize)>,
-        name: &str,
-        drivers: usize,
+        wanted: Option<Sitting>,
+        (name, drivers, spans): (&str, usize, bool),
         seed: u64,
     ) -> Result<Company, Halt> {
         let listen = terms.listen;
@@ -72,11 +83,13 @@
         let status = terms.status.and_then(|path| status::listen(&path, &context.log));
         let (tempo, now) = (Tempo::usual(drivers), context.lived.now());
         let start = own.start;
+        let mut reread = None;
         let council = match wanted {
-            Some((wanted, folder, zone)) => {
+            Some(Sitting { wanted, folder, place, reread: again }) => {
+                reread = Some(again);
                 let (own, log) = (Driver { name: name.to_owned(), start }, context.log.clone());
                 let opened =
-                    Council::open(wanted, own, folder, zone, moment(&context), seed.rotate_left(3), log);
+                    Council::open(wanted, own, folder, place, moment(&context), seed.rotate_left(3), log);
                 Some(opened?)
             }
             None => None,
@@ -91,12 +104,14 @@
             status,
             fellows,
             told,
+            spans,
             shared,
             wake_at: None,
             stood,
             age: 0,
             sees_at: now,
             council,
+            reread,
             sent: (0, 0),
             unsent: 0,
         };
@@ -123,6 +138,7 @@
                 // Seldom, and before what may never end.
                 _ = stopping.wait_for(Option::is_some) => break,
                 Ok((stream, _)) = asked => self.describe(stream),
+                Some(wanted) = anew(&mut self.reread) => self.counsel(|council, _, _| council.reread(wanted)),
                 Some(well) = confirmed(&mut self.council) => {
                     self.counsel(|council, at, others| council.told(at, well, others));
                 }
@@ -196,12 +212,15 @@
             return;
         }
         self.sees_at = now + WORKS;
-        let leans = council.leans(now);
+        let (leans, plans) = (council.leans(now), council.plans(now));
         let (asked, told) = oneshot::channel();
         let _ = self.context.desk.send(Call::Sight(asked)).await;
         if let Some(leans) = leans {
             let _ = self.context.desk.send(Call::Lean(leans)).await;
         }
+        if let Some(plans) = plans {
+            let _ = self.context.desk.send(Call::Bind(plans)).await;
+        }
         if let (Ok(seen), Some((council, _))) = (told.await, &mut self.council) {
             council.saw(seen);
         }
@@ -227,8 +246,10 @@
             self.counsel(|council, at, others| council.hear(at, age, &from, &words, others));
         }
         for change in todo.changes {
-            if let (Change::Down(gone), Some((council, _))) = (&change, &mut self.council) {
-                council.gone(&gone.name);
+            if let (Change::Down(gone) | Change::Restarted(gone), Some((council, _))) =
+                (&change, &mut self.council)
+            {
+                council.gone(self.context.clock.now(), &gone.name);
             }
             let (what, of) = match &change {
                 Change::Up(fellow) => ("fellow up", Some(fellow)),
@@ -248,7 +269,7 @@
         self.wake_at = todo.wake_at;
         let view = self.fellows.view(self.context.lived.now());
         let shared = (view.sharing(self.told), view.sharing_cold(self.told));
-        if shared != self.shared {
+        if shared != self.shared && !self.spans {
             self.shared = shared;
             // A desk that is gone ends the program by itself.
             let _ = self.context.desk.send(Call::Fleet { living: shared.0, at_cold: shared.1 }).await;
@@ -281,6 +302,16 @@
     }
 }
 
+/// The operator's wishes, when they are read anew.
+async fn anew(reread: &mut Option<watch::Receiver<Option<Wanted>>>) -> Option<Wanted> {
+    if let Some(reread) = reread
+        && reread.changed().await.is_ok()
+    {
+        return reread.borrow_and_update().clone();
+    }
+    std::future::pending().await
+}
+
 fn fellow(of: &Fellow) -> Value {
     json!({"name": &*of.name, "start": of.start, "turn": of.turn, "address": of.address.to_string()})
 }
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -42,7 +42,7 @@
 use crate::clock::{Clock, Lived, duration};
 use crate::context::Context;
 use crate::desk::{Desk, Hub, Opening, Sight, Warmth};
-use crate::fellows::Company;
+use crate::fellows::{Company, Sitting};
 use crate::gate::Gate;
 use crate::gateway::Yard;
 use crate::halt::Halt;
@@ -233,10 +233,19 @@
         why,
     })?;
 
+    let (wanted, reread) = notice::channel(None);
     let (desk, calls) = mpsc::channel(limits.calls);
     spawn_local(
-        Reload { files, fixed, discovery: address, gate: gate.clone(), desk: desk.clone(), log: log.clone() }
-            .run(hangup),
+        Reload {
+            files,
+            fixed,
+            discovery: address,
+            gate: gate.clone(),
+            desk: desk.clone(),
+            council: wanted,
+            log: log.clone(),
+        }
+        .run(hangup),
     );
     let (bulletin, bulletins) = mpsc::channel(limits.lists);
     let (ready, seen_ready) = notice::channel(false);
@@ -245,6 +254,7 @@
     let room = bounds.room as usize;
     let (on_request, drivers) = (decoded.terms.list_on_request, decoded.terms.drivers);
     let zone = decoded.terms.zone;
+    let limit = decoded.terms.offerings.iter().map(|offering| offering.limit).max().unwrap_or(0);
     let grace = decoded.drain_grace;
     let (request, requests) = mpsc::channel(1);
     let context = Rc::new(Context {
@@ -289,9 +299,10 @@
     let warmth = Warmth { recalled: recalled.beliefs, keeping };
     let sight = council.is_some().then(|| Sight::start(clock.now(), seed.rotate_left(24)));
     if let Some(terms) = fellows {
-        let wanted = council.map(|wanted| (wanted, kept_in, zone));
-        let company =
-            Company::open(context.clone(), terms, wanted, &name, drivers, seed.rotate_left(16)).await?;
+        let place = (zone, limit);
+        let wanted = council.map(|wanted| Sitting { wanted, folder: kept_in, place, reread });
+        let own = (&*name, drivers, hub.is_some());
+        let company = Company::open(context.clone(), terms, wanted, own, seed.rotate_left(16)).await?;
         spawn_local(company.run());
     }
     let request = on_request.then_some(request);
@@ -360,6 +371,7 @@
         homes: gateway.homes.into_iter().collect(),
         hops: gateway.hops.unwrap_or(1) as usize,
         credit: gateway.credit.unwrap_or(256),
+        session: gateway.session.clone(),
         fates: limits.fates,
         folder,
     };
--- a/crates/driver/src/reload.rs
+++ b/crates/driver/src/reload.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use aldermill_operator::Council;
 use slog::{Logger, info, warn};
 use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, watch};
@@ -17,6 +18,8 @@
     pub discovery: watch::Sender<SocketAddr>,
     pub gate: Rc<Gate>,
     pub desk: mpsc::Sender<Call>,
+    /// What drivers decide in common, as the operator's file has it now.
+    pub council: watch::Sender<Option<Council>>,
     pub log: Logger,
 }
 
@@ -41,6 +44,7 @@
             self.gate.rebound(start.bounds);
             // A desk that is gone ends the program by itself.
             let _ = self.desk.send(Call::Trial(start.trial.map(Box::new))).await;
+            self.council.send_replace(start.council);
             let moved = self
                 .discovery
                 .send_if_modified(|address| std::mem::replace(address, start.discovery) != start.discovery);
--- a/crates/driver/src/start.rs
+++ b/crates/driver/src/start.rs
@@ -124,7 +124,7 @@
             ("warm", serde_json::to_value(&operator.warm).unwrap_or_default()),
             ("suspension", operator.suspension.into()),
             ("fellows", serde_json::to_value(&operator.fellows).unwrap_or_default()),
-            ("council", serde_json::to_value(&operator.council).unwrap_or_default()),
+            ("council", serde_json::to_value(operator.council.as_ref().map(lasting)).unwrap_or_default()),
         ];
         Ok(Start {
             fixed,
@@ -147,6 +147,11 @@
     }
 }
 
+/// A council without what may change while the program runs.
+fn lasting(council: &Council) -> Council {
+    Council { cuts: Default::default(), retire: Vec::new(), ..council.clone() }
+}
+
 /// The usual limits, but for what the operator's file says otherwise.
 fn bounded(usual: Bounds, wanted: &SlowPeers) -> Bounds {
     const KIB: u64 = 1024;
--- a/crates/driver/src/words.rs
+++ b/crates/driver/src/words.rs
@@ -5,7 +5,9 @@
 
 use aldermill_link::{Event, Said};
 use aldermill_pace::Peer;
+use aldermill_retire::Plan;
 use aldermill_routing::{Handle, MemberId, Micros, Proof, Told, Verdict};
+use aldermill_sites::Opens;
 use aldermill_wire::pg;
 use aldermill_wire::statement::Comment;
 use aldermill_zones::{Lean, Row};
@@ -47,6 +49,8 @@
     Sight(oneshot::Sender<Seen>),
     /// What the fleet decreed for this driver's zone, by group.
     Lean(Vec<(u64, Lean)>),
+    /// What the fleet decided of sites that retire.
+    Bind(Vec<Plan>),
     /// This member found no descriptor free for a connection.
     Crowded(MemberId),
 }
@@ -57,6 +61,21 @@
     pub over: Micros,
     pub rows: Vec<Row>,
     pub keys: Vec<(u64, Vec<u8>)>,
+    /// Where there is a gateway.
+    pub site: Option<SiteSeen>,
+}
+
+/// What a gateway saw of its own site over that time, the round trips to others, and what it has of sites that retire.
+#[derive(Default)]
+pub struct SiteSeen {
+    pub site: String,
+    pub over: Micros,
+    pub ended: u32,
+    pub in_time: u32,
+    /// Those that would go elsewhere with their sessions.
+    pub bound: u32,
+    pub trips: Vec<(String, Micros)>,
+    pub open: Opens,
 }
 
 /// One connection to another gateway.
--- a/crates/fleet/src/council.rs
+++ b/crates/fleet/src/council.rs
@@ -7,17 +7,17 @@
 
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::io::AsyncReadExt;
 use tokio::net::UnixStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use crate::cable::Line;
-use crate::drivers::Drivers;
+use crate::drivers::{self, Drivers};
 use crate::faults::{Stage, millis, seen};
 use crate::history::{Event, Told};
-use crate::plan::{Between, Folder, Known as List, Strike, Way};
+use crate::plan::{Between, Folder, Known as List, Order, Strike, Way};
 use crate::world::World;
 
 const EVERY: Duration = Duration::from_millis(100);
@@ -75,6 +75,20 @@
         self.world.history.last_of(last)
     }
 
+    /// The operator of the first driver of another site that is up says so.
+    pub(crate) fn retire(&self, site: usize, order: Order, by_s: u64) {
+        let drivers = 0..self.drivers.len();
+        let Some(told) = drivers.rev().find(|&driver| self.world.site_of_driver(driver) != site) else {
+            return;
+        };
+        let number = self.world.now() / 1000 + 1;
+        let by = aldermill_stand_ins::unix_millis() as u64 / 1000 + by_s;
+        let word = json!({"site": drivers::site(site), "number": number, "order": order, "by": by});
+        if let Err(error) = self.drivers.retires(told, site, word) {
+            eprintln!("operator of n{told}: {error}");
+        }
+    }
+
     pub(crate) async fn strike(&self, duty: &str, how: Strike, for_ms: u64) {
         let Some(holder) = self.holder(duty) else { return };
         self.world.note(Event::Fault { text: format!("n{holder} holds {duty}") });
--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -50,10 +50,16 @@
 
     /// The list as this driver is told it at the start.
     pub fn at_start(&self, driver: usize) -> Value {
-        let members = (0..self.members.len()).map(|member| self.entry(driver, member, true));
+        let members = self.of(driver).map(|member| self.entry(driver, member, true));
         json!({"revision": FIRST, "complete": true, "members": members.collect::<Vec<_>>()})
     }
 
+    /// Members of the driver's own site.
+    fn of(&self, driver: usize) -> impl Iterator<Item = usize> {
+        let site = self.world.site_of_driver(driver);
+        (0..self.members.len()).filter(move |&member| self.world.site_of_member(member) == site)
+    }
+
     fn entry(&self, driver: usize, member: usize, as_first: bool) -> Value {
         let told = if as_first { Told::Ready } else { self.standing.borrow()[member] };
         let phase = match told {
@@ -140,12 +146,13 @@
             let line = match held {
                 Some(held) if held >= newest => String::new(),
                 None => {
-                    let members = (0..self.members.len()).map(|member| self.entry(driver, member, older));
+                    let members = self.of(driver).map(|member| self.entry(driver, member, older));
                     json!({"revision": newest, "complete": true, "members": members.collect::<Vec<_>>()})
                         .to_string()
                 }
                 Some(held) => {
                     let mut of = self.changes.borrow()[held - FIRST..].to_vec();
+                    of.retain(|&member| self.of(driver).any(|own| own == member));
                     of.sort_unstable();
                     of.dedup();
                     let members: Vec<_> =
--- a/crates/fleet/src/drawn.rs
+++ b/crates/fleet/src/drawn.rs
@@ -3,7 +3,9 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::plan::{Agent, Bearing, Between, Fault, Folder, Keys, Known, Plan, Strike, Wants, Way, What};
+use crate::plan::{
+    Agent, Bearing, Between, Fault, Folder, Keys, Known, Order, Plan, Strike, Wants, Way, What,
+};
 
 impl Plan {
     /// A plan by chance: one to four faults within some seconds.
@@ -58,6 +60,7 @@
             duties: ["zones", "splits"].map(str::to_owned).to_vec(),
             zones,
             skew: 0.0,
+            sites: 1,
             keys: Keys::Sessions,
             faults,
             wants: Wants::default(),
@@ -65,6 +68,68 @@
     }
 }
 
+/// A site that retires while one to three other things go wrong, of those that must leave it right.
+impl Plan {
+    pub fn drawn_retiring(seed: u64) -> Plan {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x72_6574_6972_6521);
+        let (leaving, sites) = (rng.random_range(0..3), 3);
+        let other = (leaving + rng.random_range(1..sites)) % sites;
+        let retire = |order| What::Retire { site: leaving, order, by_s: 60 };
+        let mut faults = vec![Fault { at_ms: 3_000, what: retire(Order::Goes) }];
+        // The primary stands at the first site: it goes on only once that is elsewhere.
+        if leaving == 0 {
+            let moves = |group| What::MovePrimary { group, election_ms: 300 };
+            faults
+                .extend((0..2).map(|group| Fault { at_ms: 5_000 + 500 * group as u64, what: moves(group) }));
+        }
+        for _ in 0..rng.random_range(1..=3) {
+            let (at_ms, for_ms) = (rng.random_range(3_200..16_000), rng.random_range(300..4_000));
+            let duty = "retire".to_owned();
+            let share = 0.12;
+            let what = match rng.random_range(0..9) {
+                0 | 1 => {
+                    let all =
+                        [Strike::Kill, Strike::Terminate, Strike::Stop, Strike::CutThere, Strike::CutBack];
+                    What::Holder { duty, how: all[rng.random_range(0..all.len())], for_ms }
+                }
+                2 => What::Holder { duty, how: Strike::CutBoth, for_ms },
+                3 => What::SiteDown { site: other, down_ms: for_ms },
+                4 => What::SiteCut { site: if rng.random_bool(0.5) { other } else { leaving }, for_ms },
+                5 => What::Kill { share, down_ms: for_ms / 2, folder: Folder::AsLeft, known: Known::AtStart },
+                6 => What::Terminate { share, down_ms: for_ms / 2 },
+                7 => What::Stop { share, for_ms, times: 1, every_ms: 0 },
+                _ => What::Cut { between: Between::DriversDrivers, share: 0.25, way: Way::Both, for_ms },
+            };
+            faults.push(Fault { at_ms, what });
+        }
+        match rng.random_range(0..8) {
+            0 => faults.push(Fault { at_ms: 18_000, what: retire(Order::TakenBack) }),
+            1 => {
+                faults.push(Fault { at_ms: 6_000, what: retire(Order::Held) });
+                faults.push(Fault { at_ms: 10_000, what: retire(Order::Hurried) });
+            }
+            _ => {}
+        }
+        faults.sort_by_key(|fault| fault.at_ms);
+        Plan {
+            name: format!("drawn-retire-{seed}"),
+            about: "A site that retires, and what goes wrong meanwhile, by chance.".to_owned(),
+            drivers: rng.random_range(6..=9),
+            members: 6,
+            sites,
+            zones: 1,
+            load: f64::from(rng.random_range(10..30)) / 100.0,
+            seconds: 44.0,
+            keeps: true,
+            fellows: true,
+            voters: 3,
+            duties: vec!["retire".to_owned()],
+            faults,
+            ..Plan::drawn(0)
+        }
+    }
+}
+
 fn draw_fault(rng: &mut Pcg64Mcg) -> What {
     let share = f64::from(rng.random_range(10..=95)) / 100.0;
     let for_ms = rng.random_range(10..3000);
--- a/crates/fleet/src/drivers.rs
+++ b/crates/fleet/src/drivers.rs
@@ -1,6 +1,7 @@
 //! The processes of the program: started, signalled, and gone when this is, however it goes.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::fs::File;
 use std::net::SocketAddr;
@@ -32,6 +33,9 @@
     /// SIGTERM was sent, or it was killed.
     leaving: Cell<bool>,
     fellows: RefCell<Option<Introduced>>,
+    gateway: RefCell<Option<Gateway>>,
+    /// What its operator says of sites that retire.
+    retire: RefCell<BTreeMap<usize, Value>>,
 }
 
 /// Where a driver hears others, and where it finds each of them.
@@ -40,6 +44,16 @@
     pub others: Vec<(usize, SocketAddr)>,
 }
 
+/// Where a gateway listens for links, and where it finds those of other sites.
+pub struct Gateway {
+    pub listen: SocketAddr,
+    pub others: BTreeMap<usize, Vec<SocketAddr>>,
+}
+
+pub fn site(at: usize) -> String {
+    format!("s{at}")
+}
+
 pub struct Drivers {
     world: Rc<World>,
     discovery: Rc<Discovery>,
@@ -77,6 +91,8 @@
             starts: Cell::default(),
             leaving: Cell::default(),
             fellows: RefCell::default(),
+            gateway: RefCell::default(),
+            retire: RefCell::default(),
         });
         let (world, discovery) = (world.clone(), discovery.clone());
         let (all, program) = (all.collect(), program.to_vec());
@@ -109,13 +125,50 @@
         *self.all[driver].fellows.borrow_mut() = Some(introduced);
     }
 
+    /// From its next start it is a gateway.
+    pub fn links(&self, driver: usize, gateway: Gateway) {
+        *self.all[driver].gateway.borrow_mut() = Some(gateway);
+    }
+
+    /// Its operator says this of a site, and it is told to read its file anew.
+    pub fn retires(&self, driver: usize, of: usize, word: Value) -> std::io::Result<()> {
+        self.all[driver].retire.borrow_mut().insert(of, word);
+        self.write_operator(driver)?;
+        self.signal(driver, Signal::HUP);
+        Ok(())
+    }
+
+    fn write_operator(&self, driver: usize) -> std::io::Result<()> {
+        let plan = &self.world.plan;
+        let Driver { fellows, gateway, retire, .. } = &self.all[driver];
+        let mut operator =
+            if plan.keeps { json!({"warm": {"folder": self.state(driver)}}) } else { json!({}) };
+        if let Some(Introduced { own, others }) = &*fellows.borrow() {
+            let peer = |(other, address): &(usize, SocketAddr)| json!({"name": format!("n{other}"), "address": address});
+            operator["fellows"] = json!({"fleet": "rig", "listen": own, "networks": ["127.0.0.0/8"],
+                "peers": others.iter().map(peer).collect::<Vec<_>>(), "status": self.status(driver)});
+            if plan.voters > 0 {
+                let voters: Vec<String> = (0..plan.voters).map(|at| format!("n{at}")).collect();
+                let retire: Vec<Value> = retire.borrow().values().cloned().collect();
+                operator["council"] =
+                    json!({"voters": voters, "duties": plan.duties, "lease_ms": 1500, "retire": retire});
+            }
+        }
+        if let Some(Gateway { listen, others }) = &*gateway.borrow() {
+            let peer = |(at, addresses): (&usize, &Vec<SocketAddr>)| json!({"site": site(*at), "addresses": addresses, "networks": ["127.0.0.0/8"], "links": 1});
+            operator["gateway"] = json!({"site": site(self.world.site_of_driver(driver)), "listen": listen,
+                "peers": others.iter().map(peer).collect::<Vec<_>>(), "session": "s"});
+        }
+        std::fs::write(self.folder.join(format!("n{driver}-operator.json")), operator.to_string())
+    }
+
     fn pid(&self, driver: usize) -> Option<Pid> {
         let child = self.all[driver].child.borrow();
         child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32))
     }
 
     pub fn start(&self, driver: usize, known: Known) -> std::io::Result<()> {
-        let Driver { child, address, discovery, starts, leaving, config: last, fellows } = &self.all[driver];
+        let Driver { child, address, discovery, starts, leaving, config: last, .. } = &self.all[driver];
         let path = |kind: &str| self.folder.join(format!("n{driver}-{kind}"));
         let known = match known {
             Known::AtStart => self.discovery.at_start(driver),
@@ -125,21 +178,10 @@
         let config = json!({"name": format!("n{driver}"), "listen": address.to_string(),
             "discovery": discovery.get().to_string(), "seed": format!("{:016x}", self.world.rng.borrow_mut().random::<u64>()),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
-            "settings": terms::settings(plan.drivers, plan.bearing.warm_ms, plan.zones, self.world.zone_of_driver(driver))});
+            "settings": terms::settings(plan.drivers.div_ceil(plan.sites), plan.bearing.warm_ms, plan.zones, self.world.zone_of_driver(driver))});
         std::fs::write(path("config.json"), config.to_string())?;
         *last.borrow_mut() = config;
-        let mut operator =
-            if plan.keeps { json!({"warm": {"folder": self.state(driver)}}) } else { json!({}) };
-        if let Some(Introduced { own, others }) = &*fellows.borrow() {
-            let peer = |(other, address): &(usize, SocketAddr)| json!({"name": format!("n{other}"), "address": address});
-            operator["fellows"] = json!({"fleet": "rig", "listen": own, "networks": ["127.0.0.0/8"],
-                "peers": others.iter().map(peer).collect::<Vec<_>>(), "status": self.status(driver)});
-            if plan.voters > 0 {
-                let voters: Vec<String> = (0..plan.voters).map(|at| format!("n{at}")).collect();
-                operator["council"] = json!({"voters": voters, "duties": plan.duties, "lease_ms": 1500});
-            }
-        }
-        std::fs::write(path("operator.json"), operator.to_string())?;
+        self.write_operator(driver)?;
         let log = File::options().create(true).append(true).open(path("log"))?;
         let mut command = Command::new(&self.program[0]);
         command.args(&self.program[1..]).arg("serve").arg("--config").arg(path("config.json"));
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -33,6 +33,8 @@
     pub from_clients: Vec<Rc<Line>>,
     /// Between two drivers, the first of them being the one with the lower number.
     pub fellows: HashMap<(usize, usize), Rc<Line>>,
+    /// Between two gateways, the first of them being the one that opens the link.
+    pub links: HashMap<(usize, usize), Rc<Line>>,
 }
 
 pub(crate) fn millis(millis: u64) -> Duration {
@@ -182,6 +184,26 @@
                 sleep(millis(for_ms)).await;
                 lines.iter().for_each(|line| line.delay.set(Duration::ZERO));
             }
+            What::Retire { site, order, by_s } => self.retire(site, order, by_s),
+            What::SiteDown { site, down_ms } => {
+                let of = |driver: &usize| self.world.site_of_driver(*driver) == site;
+                let struck: Vec<usize> = drivers.into_iter().filter(of).collect();
+                self.signal(&struck, Signal::KILL);
+                let struck = self.starts(struck);
+                sleep(millis(down_ms)).await;
+                self.start_again(struck, Folder::AsLeft, Known::AtStart).await;
+            }
+            What::SiteCut { site, for_ms } => {
+                let of = |driver: usize| self.world.site_of_driver(driver) == site;
+                let lines = self.links.iter().filter(|((from, to), _)| of(*from) != of(*to));
+                let lines: Vec<Rc<Line>> = lines.map(|(_, line)| line.clone()).collect();
+                let set =
+                    |lost| lines.iter().for_each(|line| (0..2).for_each(|way| line.lost[way].set(lost)));
+                set(true);
+                sleep(millis(for_ms)).await;
+                set(false);
+                lines.iter().for_each(|line| line.cut());
+            }
             What::List { how, for_ms } => {
                 self.discovery.be(how);
                 sleep(millis(for_ms)).await;
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -139,7 +139,7 @@
     fn pick(&self, session: usize, roams: bool) -> Option<usize> {
         let admitted: Vec<usize> =
             (0..self.places.len()).filter(|&driver| self.places[driver].admitted.get()).collect();
-        if roams {
+        if roams && self.world.plan.sites == 1 {
             return admitted.choose(&mut *self.world.rng.borrow_mut()).copied();
         }
         let plan = &self.world.plan;
@@ -147,8 +147,9 @@
         // Sessions that lean to the first zone, the same ones all the time.
         let leans = ((session * 7919 % 1000) as f64) < plan.skew * 1000.0;
         let own = if leans { even / plan.zones * plan.zones } else { even };
-        let next = admitted.iter().copied().find(|&driver| driver >= own);
-        next.or_else(|| admitted.first().copied())
+        // Another of the same site first.
+        let away = |driver: usize| (driver + self.places.len() - own) % self.places.len();
+        admitted.into_iter().min_by_key(|&driver| (driver % plan.sites != own % plan.sites, away(driver)))
     }
 
     async fn client(self: Rc<Front>) {
@@ -189,17 +190,21 @@
                 format!(",after={}", aldermill_stand_ins::unix_millis() as At - ago)
             });
             let carried = carried.unwrap_or_default();
+            let named = if self.world.plan.sites > 1 { format!(",s={session}") } else { String::new() };
             let verb = if is_write(offering) {
                 format!("INSERT INTO state (uid, val) VALUES ('{key}', '\\x9f') RETURNING val")
             } else {
                 format!("SELECT val FROM state WHERE uid = '{key}'")
             };
             let text = format!(
-                "/* id={id:016},c={},d={},cluster={group}{mark}{carried} */ {verb}",
+                "/* id={id:016},c={},d={},cluster={group}{mark}{carried}{named} */ {verb}",
                 OFFERINGS[offering].name,
                 wait / 1000
             );
             let wait = wait / 1000 * 1000;
+            if self.world.plan.sites > 1 {
+                self.world.note(Event::Bound { id, session });
+            }
             self.world.note(Event::Asked { id, driver, offering, group, wait, first, after });
             let (how, again) = self.ask(driver, id, &text, wait).await;
             self.world.note(Event::Answered { id, driver, how });
--- a/crates/fleet/src/history.rs
+++ b/crates/fleet/src/history.rs
@@ -50,6 +50,11 @@
         first: At,
         after: Option<At>,
     },
+    /// The session that a try is of, where there are several sites.
+    Bound {
+        id: u64,
+        session: usize,
+    },
     Answered {
         id: u64,
         driver: usize,
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -8,6 +8,7 @@
 use crate::figures::{Figures, measure, wants};
 use crate::history::{At, Event, How, Told, Try, tries};
 use crate::plan::{Between, Fault, Plan, What};
+use crate::sites;
 use crate::terms::{OFFERINGS, RECEIPT_MS};
 
 /// What clocks, wires and this process itself may take, in microseconds.
@@ -21,7 +22,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub struct Broken {
     /// One to five, 6 for a launch past its limit, 7 for a process that ended by itself or did not do what its operator
-    /// told it, 8 for what the plan wants, 9 for two that hold one duty, 10 for decrees taken out of order.
+    /// told it, 8 for what the plan wants, 9 for two that hold one duty, 10 for decrees taken out of order, 11
+    /// for a session that moved otherwise than once, 12 for what came to a site that was said to be retired.
     pub rule: u8,
     pub at_ms: At,
     pub what: String,
@@ -108,6 +110,7 @@
     drains(&mut broken, &spells, &lines, events);
     moves(&mut broken, &spells, &lines, events);
     duties::judge(&mut broken, events);
+    sites::judge(&mut broken, plan, events, &tries);
     for (at, event) in events {
         let what = match event {
             Event::Fell { member } => (4, format!("s-{member:02} was cold and was pushed over")),
@@ -120,6 +123,7 @@
     }
     measure(&mut figures, plan, events);
     duties::measure(&mut figures, events);
+    sites::measure(&mut figures, plan, events);
     wants(&mut broken, plan, &figures);
     broken.sort();
     Verdict { broken, figures }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,5 +20,7 @@
 pub mod plan;
 pub mod report;
 pub mod run;
+pub mod sites;
 pub mod terms;
+pub mod what;
 pub mod world;
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 enum Command {
-    /// Play a plan: a name that `plans` lists, a file, or `drawn`
+    /// Play a plan: a name that `plans` lists, a file, `drawn` or `drawn-retire`
     #[bpaf(command)]
     Run {
         /// The seed of the first run
@@ -66,6 +66,9 @@
 }
 
 fn find(name: &str, seed: u64) -> Result<Plan, String> {
+    if name == "drawn-retire" {
+        return Ok(Plan::drawn_retiring(seed));
+    }
     if name == "drawn" {
         return Ok(Plan::drawn(seed));
     }
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -39,6 +39,10 @@
     if let Some(held) = figures.held {
         row("duties held, longest without, ms", format!("{held:.4}, {}", figures.longest_unheld_ms));
     }
+    if let Some(took) = figures.emptied_ms {
+        let retired = figures.retired_ms.map_or("not".to_owned(), |took| took.to_string());
+        row("site empty, retired after, ms", format!("{took}, {retired}"));
+    }
     for broken in &run.verdict.broken {
         row(&format!("BROKEN {} at {} ms", broken.rule, broken.at_ms), broken.what.clone());
     }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -1,6 +1,6 @@
 //! One run of a plan.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -15,7 +15,7 @@
 use crate::cable::{BACK, Line, THERE};
 use crate::council;
 use crate::discovery::Discovery;
-use crate::drivers::{Drivers, Introduced};
+use crate::drivers::{Drivers, Gateway, Introduced};
 use crate::faults::Stage;
 use crate::front::Front;
 use crate::history::{At, Event};
@@ -92,6 +92,29 @@
     Ok(lines)
 }
 
+/// Lines from each gateway to those of other sites, by who opens the link.
+async fn join(
+    world: &World,
+    drivers: &Drivers,
+    seed: u64,
+) -> std::io::Result<HashMap<(usize, usize), Rc<Line>>> {
+    let own: Vec<SocketAddr> = (0..drivers.len()).map(|_| free_port()).collect();
+    let mut lines = HashMap::new();
+    for from in 0..drivers.len() {
+        let mut others: BTreeMap<usize, Vec<SocketAddr>> = BTreeMap::new();
+        for (to, listens) in own.iter().enumerate() {
+            let site = world.site_of_driver(to);
+            if site != world.site_of_driver(from) {
+                let line = Line::new(seed ^ (1 << 23 | from << 8 | to) as u64);
+                others.entry(site).or_default().push(line.stream(*listens).await?);
+                lines.insert((from, to), line);
+            }
+        }
+        drivers.links(from, Gateway { listen: own[from], others });
+    }
+    Ok(lines)
+}
+
 async fn play(
     program: &[OsString],
     plan: &Plan,
@@ -121,6 +144,7 @@
     }
     let drivers = Rc::new(Drivers::new(&world, &discovery, agents, logs, program)?);
     let fellows = if plan.fellows { introduce(&drivers, seed).await? } else { HashMap::new() };
+    let links = if plan.sites > 1 { join(&world, &drivers, seed).await? } else { HashMap::new() };
     let mut addresses = vec![];
     for driver in 0..plan.drivers {
         let line = Line::new(seed ^ (1 << 21 | driver) as u64);
@@ -154,6 +178,7 @@
         to_lists,
         from_clients,
         fellows,
+        links,
     });
     let faults = spawn_local(stage.clone().play(seed));
     front.run().await;
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -53,6 +53,14 @@
         driver % self.plan.zones
     }
 
+    pub fn site_of_member(&self, member: usize) -> usize {
+        member % self.plan.members % self.plan.sites
+    }
+
+    pub fn site_of_driver(&self, driver: usize) -> usize {
+        driver % self.plan.sites
+    }
+
     pub fn group_of(&self, member: usize) -> usize {
         member / self.plan.members
     }
--- a/crates/operator/src/council.rs
+++ b/crates/operator/src/council.rs
@@ -13,6 +13,8 @@
     Zones,
     /// Where key ranges are cut.
     Splits,
+    /// Sites that hand their clients on.
+    Retire,
 }
 
 impl Duty {
@@ -20,11 +22,43 @@
         match self {
             Duty::Zones => "zones",
             Duty::Splits => "splits",
+            Duty::Retire => "retire",
         }
     }
 }
 
-/// What drivers decide in common. Off by default; needs `fellows`. Read at the start only.
+/// What a site that retires is to do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Pace {
+    /// Its clients go to the others, as quickly as those were measured to bear and while service stands.
+    #[default]
+    Goes,
+    /// Nothing moves until another word.
+    Held,
+    /// Its clients come back.
+    TakenBack,
+    /// As `goes`, also while service falls.
+    Hurried,
+}
+
+/// A site that retires. It is enough that one driver of the fleet is told, at its start or by SIGHUP.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Retiring {
+    /// The site's name, as its gateways give it.
+    #[schemars(length(min = 1, max = 64))]
+    pub site: String,
+    /// Of all words on a site that of the highest number stands: raise it with every change.
+    #[schemars(range(min = 1))]
+    pub number: u64,
+    #[serde(default)]
+    pub order: Pace,
+    /// By when it is to be empty, in Unix seconds. It is told where that cannot be.
+    pub by: u64,
+}
+
+/// What drivers decide in common. Off by default; needs `fellows`. Read at the start only, but for `cuts` and `retire`.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Council {
@@ -43,6 +77,9 @@
     /// Where a group's range was cut, by the operators themselves: by the group's number, the first key of the new range.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub cuts: BTreeMap<u64, String>,
+    /// Sites that retire; needs the duty `retire`, and a gateway at the drivers of each site.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub retire: Vec<Retiring>,
 }
 
 fn three_seconds() -> u32 {
@@ -65,6 +102,20 @@
         if self.duties.is_empty() {
             return Err(Wrong::needed("council.duties", "or leave `council` out"));
         }
+        if !self.retire.is_empty() && !self.duties.contains(&Duty::Retire) {
+            return Err(Wrong::needed(
+                "council.duties",
+                "with `retire` among them, as sites are named that retire",
+            ));
+        }
+        for (at, one) in self.retire.iter().enumerate() {
+            let path = format!("council.retire[{at}]");
+            Wrong::name(&format!("{path}.site"), &one.site)?;
+            Wrong::range(&format!("{path}.number"), one.number, 1, u64::MAX)?;
+            if self.retire[..at].iter().any(|other| other.site == one.site) {
+                return Err(Wrong::Twice { path: format!("{path}.site"), name: one.site.clone() });
+            }
+        }
         Wrong::range("council.lease_ms", self.lease_ms.into(), 500, 60_000)
     }
 }
--- a/crates/operator/src/gateway.rs
+++ b/crates/operator/src/gateway.rs
@@ -46,6 +46,10 @@
     /// Links that a task may cross; one by default.
     #[schemars(range(min = 1, max = 8))]
     pub hops: Option<u32>,
+    /// The field of a statement's comment that names its session: while a site retires, all that a session asks goes to one
+    /// site. Without it each task goes by itself.
+    #[schemars(length(min = 1, max = 64))]
+    pub session: Option<String>,
     /// A local socket's path, at which `aldermill sites` asks what is believed here.
     pub status: Option<String>,
 }
@@ -71,6 +75,7 @@
             }
             Wrong::range(&format!("{path}.links"), peer.links.unwrap_or(1).into(), 1, 16)?;
         }
+        self.session.as_ref().map_or(Ok(()), |name| Wrong::name("gateway.session", name))?;
         let homeless = self.homes.iter().find(|(_, site)| !seen.contains(site.as_str()));
         if let Some((group, site)) = homeless {
             return Err(Wrong::NoSite { path: format!("gateway.homes.{group}"), site: site.clone() });
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -14,7 +14,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-pub use council::{Council, Duty};
+pub use council::{Council, Duty, Pace, Retiring};
 pub use fellows::{FellowAt, Fellows};
 pub use gateway::{Gateway, PeerSite};
 pub use ipnet::IpNet;
@@ -48,7 +48,7 @@
     /// Drivers that know of one another. Off by default. Read at the start only.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub fellows: Option<Fellows>,
-    /// What drivers decide in common. Off by default; needs `fellows`. Read at the start only.
+    /// What drivers decide in common. Off by default; needs `fellows`. Read at the start only, but for `cuts` and `retire`.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub council: Option<Council>,
 }
@@ -168,6 +168,17 @@
         assert!(
             said(&format!(r#"{three},"duties":["zones"],"lease_ms":20"#)).starts_with("council.lease_ms: ")
         );
+        let word = r#"{"site":"a","number":1,"by":1}"#;
+        assert!(
+            said(&format!(r#"{three},"duties":["zones"],"retire":[{word}]"#)).starts_with("council.duties: ")
+        );
+        let twice = format!(r#"{three},"duties":["retire"],"retire":[{word},{word}]"#);
+        assert!(said(&twice).starts_with("council.retire[1].site: "));
+        let nought = word.replace(":1,", ":0,");
+        assert!(
+            said(&format!(r#"{three},"duties":["retire"],"retire":[{nought}]"#))
+                .starts_with("council.retire[0].number: ")
+        );
     }
 
     #[test]
--- a/crates/retire/src/farewell.rs
+++ b/crates/retire/src/farewell.rs
@@ -1,13 +1,17 @@
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Micros;
 
-/// What a driver has of a site that retires: sessions bound there, tasks out, fates that are open and promises not over.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// What a driver has of a site that retires: sessions bound there, tasks out, fates that are open and promises not over,
+/// groups whose primary it believes there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Open {
     pub sessions: u64,
     pub tasks: u64,
     pub fates: u64,
+    pub groups: u64,
 }
 
 impl Open {
--- a/crates/retire/src/homes.rs
+++ b/crates/retire/src/homes.rs
@@ -51,7 +51,7 @@
 }
 
 /// Both names hashed to a number between zero and one, neither of them.
-fn draw(session: &str, site: &str) -> f64 {
+pub(crate) fn draw(session: &str, site: &str) -> f64 {
     let mut hasher = FnvHasher::default();
     [session.as_bytes(), &[0], site.as_bytes()].into_iter().for_each(|part| hasher.write(part));
     // Mixed: names that differ in their last letter are far apart.
--- a/crates/retire/src/lib.rs
+++ b/crates/retire/src/lib.rs
@@ -6,15 +6,24 @@
 //! every driver that lives has said under this plan that nothing of it is left, and those that are not heard are past all
 //! that they could hold ([`Farewell`]).
 //!
-//! Nothing here does I/O or has a clock. Not in the program yet: see docs/retire.md.
+//! What the operator said is a [`Word`], what stands a [`Plan`]: the body of the duty's decree, which each driver keeps to
+//! ([`Obeyed`]) and which the holder of the duty carries on ([`Holder`]) by what drivers tell it ([`Told`]).
+//!
+//! Nothing here does I/O or has a clock.
 
 mod farewell;
+mod holder;
 mod homes;
+mod obeyed;
 mod pace;
+mod plan;
 
 pub use farewell::{Farewell, Left, Open};
+pub use holder::{Heard, Holder, Keeps, Told};
 pub use homes::{Homes, Unusable};
+pub use obeyed::Obeyed;
 pub use pace::{Looks, Order, Retirement, Site, State, Waits};
+pub use plan::{Binding, Malformed, Place, Plan, Stage, Word};
 
 /// Whole microseconds, on the caller's clock.
 pub type Micros = i64;
--- a/crates/retire/src/pace.rs
+++ b/crates/retire/src/pace.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{Micros, WHOLE};
 
 /// Each step waits for so long for what was served to confirm it.
@@ -16,8 +18,10 @@
 const HEARD: f64 = 0.8;
 
 /// What an operator said of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Order {
+    #[default]
     Goes,
     /// Nothing moves until another word.
     Held,
@@ -30,8 +34,9 @@
 /// What is known of a site.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Site {
-    /// Tasks a second of those bound to it, and how many more it was measured to bear.
+    /// Tasks a second there, those of them that come of sessions bound to it, and how many more it was measured to bear.
     pub rate: f64,
+    pub bound: f64,
     pub room: f64,
     /// The share served in time.
     pub served: f64,
@@ -78,6 +83,8 @@
 pub struct Retirement {
     site: String,
     by: Micros,
+    /// How its sessions are shared among the others; alike where nothing is said.
+    shares: BTreeMap<String, u32>,
     weight: u32,
     stepped: Micros,
     /// Service fell and is not back.
@@ -87,13 +94,30 @@
 impl Retirement {
     /// `weight` is what stands by an earlier holder's decree, or whole.
     pub fn goes_on(now: Micros, site: &str, by: Micros, weight: u32) -> Retirement {
-        Retirement { site: site.to_owned(), by, weight: weight.min(WHOLE), stepped: now, fallen: false }
+        let (site, shares, weight) = (site.to_owned(), BTreeMap::new(), weight.min(WHOLE));
+        Retirement { site, by, shares, weight, stepped: now, fallen: false }
+    }
+
+    /// Its sessions go to the others by these weights.
+    pub fn shared(mut self, shares: BTreeMap<String, u32>) -> Retirement {
+        self.shares = shares;
+        self
+    }
+
+    /// The operator named another time.
+    pub fn is_due(&mut self, by: Micros) {
+        self.by = by;
     }
 
     pub fn weight(&self) -> u32 {
         self.weight
     }
 
+    /// An earlier holder had got as far.
+    pub(crate) fn has_reached(&mut self, weight: u32) {
+        self.weight = self.weight.min(weight);
+    }
+
     /// Whether what is left cannot go by the operator's time, at the pace that room allows.
     pub fn is_late(&self, now: Micros, looks: &Looks) -> bool {
         let steps = match self.step(looks) {
@@ -109,19 +133,22 @@
 
     /// How much may move now, by the room of those that live.
     fn step(&self, looks: &Looks) -> u32 {
-        let room: f64 = self.survivors(looks).filter(|(_, site)| site.lives).map(|(_, site)| site.room).sum();
         let Some(own) =
-            looks.sites.get(&self.site).filter(|own| own.lives && own.rate > 0.0 && self.weight > 0)
+            looks.sites.get(&self.site).filter(|own| own.lives && own.bound > 0.0 && self.weight > 0)
         else {
             // Nobody asks there, or nobody can.
             return MOST.min(self.weight);
         };
-        // Of its weight of now so much is so many tasks a second. Survivors take alike, so that the least room of
-        // them bounds all.
-        let count = self.survivors(looks).filter(|(_, site)| site.lives).count().max(1) as f64;
-        let least = self.survivors(looks).filter(|(_, site)| site.lives).map(|(_, site)| site.room);
-        let least = least.fold(f64::INFINITY, f64::min) * count;
-        let part = room.min(least) * KEEPS / own.rate;
+        // Of its weight of now so much is so many tasks a second. Each survivor takes its share of what moves, so that the
+        // one with the least room for its share bounds all.
+        let share = |name: &String| f64::from(self.shares.get(name).copied().unwrap_or(WHOLE));
+        let takers = || self.survivors(looks).filter(|(_, site)| site.lives);
+        let all: f64 = takers().map(|(name, _)| share(name)).sum();
+        let bears = takers().map(|(name, site)| site.room * all / share(name).max(1.0));
+        let part = bears.fold(f64::INFINITY, f64::min) * KEEPS / own.bound;
+        if all == 0.0 {
+            return 0;
+        }
         ((part * f64::from(self.weight)) as u32).min(MOST).min(self.weight)
     }
 
--- a/crates/retire/tests/retire.rs
+++ b/crates/retire/tests/retire.rs
@@ -59,7 +59,13 @@
         let whole = self.load * 300.0;
         let own = f64::from(self.weight) / f64::from(self.weight + 2 * WHOLE);
         let other = whole * (1.0 - own) / 2.0;
-        let site = |rate: f64, lives, served| Site { rate, room: (100.0 - rate).max(0.0), served, lives };
+        let site = |rate: f64, lives, served| Site {
+            rate,
+            bound: rate,
+            room: (100.0 - rate).max(0.0),
+            served,
+            lives,
+        };
         let sites = [
             ("a".to_owned(), site(whole * own, true, 1.0)),
             ("b".to_owned(), site(other, self.lives, self.served)),
--- a/crates/sites/src/lib.rs
+++ b/crates/sites/src/lib.rs
@@ -8,6 +8,7 @@
 //! It carries the design of the router one level up: a believed home site for each group, corrected by answers; a
 //! walk over sites for writes; a hold after a round of 'not here'; bars on a gateway that expire.
 
+mod bound;
 mod credit;
 mod crossing;
 pub mod earlier;
@@ -15,6 +16,7 @@
 mod homes;
 mod sites;
 
+pub use bound::Opens;
 pub use credit::Offers;
 pub use crossing::{Crossing, Crossings, Settled};
 pub use earlier::{Earlier, Promise};
@@ -88,6 +90,8 @@
     pub ttl: Micros,
     /// Sites that it came by, its origin first; empty for a client's own.
     pub visited: Vec<SiteId>,
+    /// Which session it is of, where that is known; it belongs to one site while another retires.
+    pub session: Option<String>,
 }
 
 /// How another gateway answered a task.
--- a/crates/sites/src/sites.rs
+++ b/crates/sites/src/sites.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use aldermill_measured::{Histogram, Trip};
+use aldermill_retire::{Open, Plan};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::bound::{Bound, Opens};
 use crate::credit::Offers;
 use crate::crossing::{Crossing, Crossings, Settled};
 use crate::homes::Homes;
@@ -131,6 +133,7 @@
     rng: Pcg64Mcg,
     gates: BTreeMap<GateId, Gate>,
     homes: Homes,
+    bound: Bound,
     errands: HashMap<Handle, Errand>,
     next: u64,
     crossings: Crossings<Handle>,
@@ -149,6 +152,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             gates: BTreeMap::new(),
             homes: Homes::default(),
+            bound: Bound::default(),
             errands: HashMap::new(),
             next: 0,
             crossings: Crossings::default(),
@@ -182,6 +186,29 @@
         (handle, self.take_todo())
     }
 
+    /// What the fleet decided of sites that retire; `names` are all sites', by their index.
+    pub fn bind(&mut self, now: Micros, names: &[String], plans: Vec<Plan>) -> Todo {
+        self.bound = Bound::of(names, plans);
+        self.pump_all(now);
+        self.take_todo()
+    }
+
+    /// What is under way at each site that retires, as far as this gateway has part in it: what its own module has of it and
+    /// which groups have their primary there, or what crossed to there. `fates` are those open in the receiver's book.
+    pub fn open_at_retiring(&self, fates: u64) -> Opens {
+        let here = self.errands.values().filter(|errand| errand.here).count() as u64;
+        let groups = self.homes.known().filter(|&group| self.homes.home(group) == Some(OWN)).count() as u64;
+        let open = |site: SiteId, weight: u32| {
+            if site == OWN {
+                return Open { sessions: weight.into(), tasks: here, fates, groups };
+            }
+            let gates = self.gates.iter().filter(|(_, gate)| gate.site == site);
+            let out: usize = gates.map(|(&id, _)| self.crossings.open_at(id).len()).sum();
+            Open { tasks: out as u64, ..Open::default() }
+        };
+        self.bound.retiring().map(|(site, name, weight)| (name.to_owned(), open(site, weight))).collect()
+    }
+
     pub fn knows(&self, handle: Handle) -> bool {
         self.errands.contains_key(&handle)
     }
--- a/crates/sites/src/sites/place.rs
+++ b/crates/sites/src/sites/place.rs
@@ -61,7 +61,11 @@
         {
             return Some(site);
         }
-        let known = |&site: &SiteId| self.homes.is_at(group, site) && !errand.task.visited.contains(&site);
+        let known = |&site: &SiteId| {
+            self.homes.is_at(group, site)
+                && !errand.task.visited.contains(&site)
+                && !self.bound.is_retired(site)
+        };
         match offering.need {
             Need::Primary => {
                 let tried = |site: &SiteId| errand.tried.contains(site);
@@ -78,12 +82,44 @@
                     others.find(|&site| self.is_reached(site))
                 }
             }
-            // What can be answered at home stays at home.
-            Need::Any | Need::Recent(_) if self.homes.here(group) > 0 => Some(OWN),
-            Need::Any => self.nearest(now, errand, |_| true),
+            Need::Any => self.read_site(now, errand, |_| true),
             // It is measured from when it was sent: what is left of the bound beyond must be more than the way.
-            Need::Recent(bound) => self.nearest(now, errand, |gate| gate.trip.one_way() < bound),
+            Need::Recent(bound) => self.read_site(now, errand, |gate| gate.trip.one_way() < bound),
+        }
+    }
+
+    /// What can be answered at home stays at home, but for a session that a retiring site handed on: that belongs to the one
+    /// site that it was bound to, as long as that is reached.
+    ///
+    /// Protects sessions from moving to and fro, and survivors from sessions that they were not measured to bear. Harms a task
+    /// by the way; and a session whose new site is lost, by another move.
+    fn read_site(&self, now: Micros, errand: &Errand, fits: impl Fn(&Gate) -> bool) -> Option<SiteId> {
+        let group = errand.task.group;
+        let here = self.homes.here(group) > 0;
+        // A guest was sent here, by who knew why.
+        let own = self.bound.plan(OWN).filter(|_| errand.task.visited.is_empty());
+        let session = errand.task.session.as_deref().unwrap_or_default();
+        if let Some(own) = own.filter(|own| !own.stays(session)) {
+            let open = |gate: &&Gate| self.may_read(now, errand, gate) && fits(gate);
+            let reached = |site| self.gates.values().filter(open).any(|gate| gate.site == site);
+            if let Some(home) = self.bound.home(own, session, reached) {
+                return Some(home);
+            }
+            // Where nobody else is reached it is answered here as long as anybody is bound here.
+            return (here && own.plan.weight > 0).then_some(OWN);
+        }
+        if here && !self.bound.is_retired(OWN) {
+            return Some(OWN);
         }
+        let emptied = |gate: &Gate| self.bound.is_emptied(gate.site);
+        self.nearest(now, errand, |gate| fits(gate) && !emptied(gate))
+    }
+
+    fn may_read(&self, now: Micros, errand: &Errand, gate: &Gate) -> bool {
+        self.homes.is_at(errand.task.group, gate.site)
+            && !errand.task.visited.contains(&gate.site)
+            && !errand.tried.contains(&gate.site)
+            && self.usable(now, gate)
     }
 
     /// The site with the shortest round trip of those that have members of the group.
@@ -93,14 +129,7 @@
         errand: &Errand,
         fits: impl Fn(&Gate) -> bool,
     ) -> Option<SiteId> {
-        let group = errand.task.group;
-        let may = |gate: &&Gate| {
-            self.homes.is_at(group, gate.site)
-                && !errand.task.visited.contains(&gate.site)
-                && !errand.tried.contains(&gate.site)
-                && self.usable(now, gate)
-                && fits(gate)
-        };
+        let may = |gate: &&Gate| self.may_read(now, errand, gate) && fits(gate);
         self.gates.values().filter(may).min_by_key(|gate| gate.trip.mean()).map(|gate| gate.site)
     }
 
--- /dev/null
+++ b/crates/sites/tests/retiring.rs
@@ -0,0 +1,125 @@
+//! A gateway of three sites while one of them hands its sessions on.
+
+use std::collections::BTreeMap;
+
+use aldermill_retire::{Order, Plan, Stage, Word};
+use aldermill_sites::{Answer, Effect, HereEnded, Micros, Need, OWN, Offering, Sites, Step, Task, Terms};
+
+const MS: Micros = 1_000;
+const GROUP: u64 = 1;
+const READ: usize = 0;
+const WRITE: usize = 1;
+const LIMIT: Micros = 1_000 * MS;
+
+fn names() -> Vec<String> {
+    ["a", "b", "c"].map(str::to_owned).to_vec()
+}
+
+/// A gateway of site a, with links to one gateway of b and one of c; all have members of the group.
+fn gateway() -> Sites {
+    let offering = |effect, need| Offering { effect, need, quoted: 400 * MS, payoff: 1.0, late_share: 0.5 };
+    let offerings = vec![offering(Effect::Pure, Need::Any), offering(Effect::Effectful, Need::Primary)];
+    let terms = Terms { offerings, sites: 3, max_hops: 1, max_credit: 10_000, max_cool_down: 500 * MS };
+    let mut sites = Sites::start(terms, 1, 0);
+    sites.listed(0, &[(GROUP, 2)]);
+    for gate in 0..2 {
+        sites.links(0, gate, gate + 1, 1, true);
+        sites.room(0, gate, vec![10_000, 10_000], &[(GROUP, gate == 0)], false);
+    }
+    sites
+}
+
+fn plan(site: &str, stage: Stage, weight: u32) -> Plan {
+    let word = Word { site: site.to_owned(), number: 1, order: Order::Goes, by_ms: 0 };
+    let shares = names().into_iter().filter(|name| name != site).map(|name| (name, 1000)).collect();
+    Plan { word, stage, weight, shares, waits: None }
+}
+
+/// The site that the task goes to at once; `None` where it waits. It is answered there.
+fn goes(sites: &mut Sites, session: &str, offering: usize) -> Option<usize> {
+    let session = Some(session.to_owned());
+    let task = Task { offering, group: GROUP, ttl: LIMIT, visited: Vec::new(), session };
+    let (handle, todo) = sites.take(0, task);
+    match todo.steps[..] {
+        [] => None,
+        [(_, Step::Here { .. })] => {
+            handle.here_ended(sites, 0, HereEnded::Honoured);
+            Some(OWN)
+        }
+        [(_, Step::Cross { gate, number, .. })] => {
+            sites.answered(0, number, Answer::Honoured);
+            Some(gate + 1)
+        }
+        ref other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn each_session_moves_once_and_between_survivors_only_where_one_is_lost() {
+    let mut sites = gateway();
+    let all: Vec<String> = (0..300).map(|at| format!("session {at}")).collect();
+    let mut at: BTreeMap<&str, usize> = all.iter().map(|name| (name.as_str(), OWN)).collect();
+    let mut moves: BTreeMap<&str, u32> = BTreeMap::new();
+    for weight in [1000, 750, 600, 350, 100, 0] {
+        let stage = if weight > 0 { Stage::Moving } else { Stage::Emptied };
+        sites.bind(0, &names(), vec![plan("a", stage, weight)]);
+        for session in &all {
+            let to = goes(&mut sites, session, READ).unwrap();
+            if at.insert(session, to) != Some(to) {
+                *moves.entry(session).or_default() += 1;
+            }
+        }
+        let stay = at.values().filter(|site| **site == OWN).count() as u32;
+        assert!(stay.abs_diff(weight * 3 / 10) <= 30, "{stay} at {weight}");
+    }
+    assert!(moves.len() == 300 && moves.values().all(|moves| *moves == 1), "{moves:?}");
+    // b is lost: its sessions alone are bound anew.
+    sites.links(0, 0, 1, 0, true);
+    for session in &all {
+        assert_eq!(goes(&mut sites, session, READ), Some(2));
+    }
+    sites.links(0, 0, 1, 1, true);
+    sites.room(0, 0, vec![10_000, 10_000], &[(GROUP, true)], false);
+    assert!(all.iter().all(|session| goes(&mut sites, session, READ) == at.get(session.as_str()).copied()));
+}
+
+#[test]
+fn alone_it_answers_while_anybody_is_bound_here_and_nothing_new_once_it_is_retired() {
+    let mut sites = gateway();
+    (0..2).for_each(|gate| drop(sites.links(0, gate, gate + 1, 0, true)));
+    sites.bind(0, &names(), vec![plan("a", Stage::Moving, 1)]);
+    assert_eq!(goes(&mut sites, "s", READ), Some(OWN));
+    sites.bind(0, &names(), vec![plan("a", Stage::Emptied, 0)]);
+    assert_eq!(goes(&mut sites, "s", READ), None);
+    // Guests of gateways that have not heard of it are answered until it is retired.
+    let guest = |sites: &mut Sites, offering| {
+        let task = Task { offering, group: GROUP, ttl: LIMIT, visited: vec![1], session: None };
+        sites.take(0, task).1.steps[0].1
+    };
+    assert!(matches!(guest(&mut sites, READ), Step::Here { .. }));
+    let open = sites.open_at_retiring(3)["a"];
+    assert_eq!((open.sessions, open.tasks, open.fates, open.groups), (0, 1, 3, 0));
+    sites.primary_here(0, GROUP);
+    assert_eq!(sites.open_at_retiring(0)["a"].groups, 1);
+    assert!(matches!(guest(&mut sites, WRITE), Step::Here { .. }));
+    sites.bind(0, &names(), vec![plan("a", Stage::Retired, 0)]);
+    assert!(matches!(guest(&mut sites, READ), Step::NotHere { .. }));
+    assert!(matches!(guest(&mut sites, WRITE), Step::NotHere { .. }));
+    assert_eq!(goes(&mut sites, "s", WRITE), None);
+}
+
+#[test]
+fn others_send_no_reads_where_nobody_is_bound_and_no_writes_once_it_is_retired() {
+    let mut sites = gateway();
+    // No members here: reads go to the nearest, writes to b.
+    sites.listed(0, &[]);
+    sites.trip(0, 10 * MS);
+    sites.trip(1, 40 * MS);
+    assert_eq!(goes(&mut sites, "s", READ), Some(1));
+    sites.bind(0, &names(), vec![plan("b", Stage::Emptied, 0)]);
+    assert_eq!(goes(&mut sites, "s", READ), Some(2));
+    assert_eq!(goes(&mut sites, "s", WRITE), Some(1), "roles are not moved by anybody here");
+    assert_eq!(sites.open_at_retiring(0)["b"].tasks, 0);
+    sites.bind(0, &names(), vec![plan("b", Stage::Retired, 0)]);
+    assert_eq!(goes(&mut sites, "s", WRITE), Some(2));
+}
--- a/crates/sites/tests/two_sites.rs
+++ b/crates/sites/tests/two_sites.rs
@@ -178,7 +178,7 @@
         self.tasks.push(Asked { offering, limit: self.now + LIMIT, answered: None, left: false, runs: 0 });
         let (handle, todo) = self.sides[at]
             .sites
-            .take(self.now, Task { offering, group: GROUP, ttl: LIMIT, visited: Vec::new() });
+            .take(self.now, Task { offering, group: GROUP, ttl: LIMIT, visited: Vec::new(), session: None });
         self.sides[at].own.insert(handle, task);
         self.carry_out(at, todo);
     }
@@ -301,7 +301,13 @@
                     return;
                 }
                 self.sides[at].sites.guest_came(GATE, offering);
-                let task = Task { offering, group: GROUP, ttl: left - self.delay, visited: vec![FAR] };
+                let task = Task {
+                    offering,
+                    group: GROUP,
+                    ttl: left - self.delay,
+                    visited: vec![FAR],
+                    session: None,
+                };
                 let (handle, todo) = self.sides[at].sites.take(now, task);
                 self.sides[at].guests.insert(handle, (number, offering));
                 self.carry_out(at, todo);
@@ -436,7 +442,7 @@
     sites.links(0, GATE, FAR, 1, true);
     (0..30).for_each(|_| sites.trip(GATE, 300 * MS));
     sites.room(0, GATE, vec![9; 4], &[(GROUP, true)], false);
-    let task = |offering, ttl| Task { offering, group: GROUP, ttl, visited: Vec::new() };
+    let task = |offering, ttl| Task { offering, group: GROUP, ttl, visited: Vec::new(), session: None };
     let (handle, todo) = sites.take(0, task(1, 250 * MS));
     assert!(matches!(todo.steps[..], [(other, Step::Deny { .. })] if other == handle), "{todo:?}");
     let (_, todo) = sites.take(0, task(1, 1_000 * MS));
@@ -475,7 +481,10 @@
         sites.links(0, GATE, FAR, 1, true);
         sites.room(0, GATE, vec![50; 4], &[(GROUP, true)], false);
         for _ in 0..9 {
-            sites.take(0, Task { offering: 1, group: GROUP, ttl: 1_000 * MS, visited: Vec::new() });
+            sites.take(
+                0,
+                Task { offering: 1, group: GROUP, ttl: 1_000 * MS, visited: Vec::new(), session: None },
+            );
         }
         // Their answers came meanwhile, and nobody read them before their time was over.
         let now = 3_000 * MS;
@@ -498,7 +507,8 @@
     sites.links(0, GATE, FAR, 1, true);
     sites.room(0, GATE, vec![9; 4], &[(GROUP, true)], false);
     // Each believes the other to be home: the one that was asked says so, and nothing goes in a circle.
-    let (handle, todo) = sites.take(0, Task { offering: 1, group: GROUP, ttl: 900 * MS, visited: vec![FAR] });
+    let (handle, todo) =
+        sites.take(0, Task { offering: 1, group: GROUP, ttl: 900 * MS, visited: vec![FAR], session: None });
     assert!(matches!(todo.steps[..], [(_, Step::Here { .. })]), "{todo:?}");
     let mut last = Todo::default();
     for _ in 0..2 {
--- a/crates/warm/src/lib.rs
+++ b/crates/warm/src/lib.rs
@@ -33,6 +33,8 @@
     /// The highest term that a voter granted, and that a driver took a decree of, by duty.
     pub const GRANTED: u32 = 8;
     pub const DECREED: u32 = 9;
+    /// What stands of a site that retires, by its name.
+    pub const BOUND: u32 = 10;
 }
 
 /// A group's primary as it was believed, and the time of the word that proved it.
--- a/crates/warm/src/recall.rs
+++ b/crates/warm/src/recall.rs
@@ -92,7 +92,12 @@
         let group = || text.and_then(|text| text.parse::<u64>().ok());
         let beliefs = &mut self.beliefs;
         match of {
-            space::IDENTITY | space::BOOK | space::PROMISES | space::GRANTED | space::DECREED => true,
+            space::IDENTITY
+            | space::BOOK
+            | space::PROMISES
+            | space::GRANTED
+            | space::DECREED
+            | space::BOUND => true,
             space::LIST if key == ONE => {
                 beliefs.revision = read(value);
                 beliefs.revision.is_some()
--- a/crates/wire/src/statement.rs
+++ b/crates/wire/src/statement.rs
@@ -78,6 +78,14 @@
     }
 }
 
+/// What the comment at the statement's front says under that name.
+pub fn field<'a>(statement: &'a [u8], name: &str) -> Option<&'a str> {
+    let inner = statement.trim_ascii_start().strip_prefix(b"/*")?;
+    let inner = std::str::from_utf8(&inner[..memchr::memmem::find(inner, b"*/")?]).ok()?;
+    let pairs = inner.split(',').filter_map(|part| part.trim().split_once('='));
+    pairs.filter(|(known, _)| *known == name).map(|(_, value)| value).next()
+}
+
 /// Digits alone: no sign, no blanks.
 fn number<T: FromStr>(text: &str) -> Result<T, Malformed> {
     let digits = text.bytes().all(|byte| byte.is_ascii_digit());
