A task that may have run here is not taken back by the gateway, and so never denied

Cause: the gateway takes a write back from its module once all members here have said 'miss', and holds that it never ran (here_missed). The fault is older than retirement; any primary that moves shows it. here_ended likewise gave the module's denial through though the task may have run at another site.

Change: the desk tells the gateway of a launch that may have run (Handle::here_may_have_run); such a task stays with the module, which breaks it off. A denial by the module is one only if nothing may have run elsewhere.

Ruled out: the rig (the member's history has 'ran' at the first launch and none of the later ones), the module (it breaks off what may have run), the links (the task never crossed before it was taken back).

--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -345,8 +345,10 @@
         let (via, group) = open.map_or((None, 0), |open| (open.via, open.order.comment.group));
         // The gateway hears of a miss first: it may take the task back before the module sends it on.
         let (mut missed, mut taken_back) = (None, false);
-        if let Some(via) = via.filter(|_| verdict == Verdict::Miss) {
-            (missed, taken_back) = self.here_missed(via);
+        match via {
+            Some(via) if verdict == Verdict::Miss => (missed, taken_back) = self.here_missed(via),
+            Some(via) if verdict != Verdict::Honoured && !verdict.never_ran() => self.may_have_run(via, took),
+            _ => {}
         }
         let closed = taken_back || self.open.get(&handle).is_none_or(|open| open.client.is_none());
         let outcome = Outcome { verdict, took, told, closed };
--- a/crates/driver/src/desk/hub/trips.rs
+++ b/crates/driver/src/desk/hub/trips.rs
@@ -76,6 +76,14 @@
         self.carry_out_sites(todo, Some((handle, answer)));
     }
 
+    /// A launch here that lasted so long may have run.
+    pub(crate) fn may_have_run(&mut self, handle: Handle, took: Micros) {
+        let began = self.context.clock.now() - took;
+        if let Some(hub) = &mut self.hub {
+            handle.here_may_have_run(&mut hub.sites, began);
+        }
+    }
+
     /// A launch here was answered 'miss'. What follows is carried out once the module has heard it, too; whether the
     /// task was taken back from it.
     pub(crate) fn here_missed(&mut self, handle: Handle) -> (Option<Todo>, bool) {
--- a/crates/sites/src/sites.rs
+++ b/crates/sites/src/sites.rs
@@ -44,6 +44,13 @@
         sites.take_todo()
     }
 
+    /// A launch of it here, that began at that time, may have run.
+    pub fn here_may_have_run(self, sites: &mut Sites, began: Micros) {
+        if let Some(errand) = sites.errands.get_mut(&self).filter(|errand| errand.here) {
+            errand.may_have_run.get_or_insert((began, OWN));
+        }
+    }
+
     /// The own site's module is done with it.
     pub fn here_ended(self, sites: &mut Sites, now: Micros, ended: HereEnded) -> Todo {
         sites.here_ended(now, self, ended);
--- a/crates/sites/src/sites/place.rs
+++ b/crates/sites/src/sites/place.rs
@@ -204,6 +204,11 @@
 
     pub(super) fn here_missed(&mut self, now: Micros, handle: Handle) {
         let Some(errand) = self.errands.get_mut(&handle).filter(|errand| errand.here) else { return };
+        // Protects what the module knows: taken back it would be denied, or sent elsewhere, as one that never ran. Harms a
+        // receipted task whose group's primary moved to another site: it is broken off where it might have been honoured.
+        if matches!(errand.may_have_run, Some((_, OWN))) {
+            return;
+        }
         errand.misses += 1;
         let (group, misses) = (errand.task.group, errand.misses);
         // Once every member here has said that it is not the primary, the walk goes on at other sites. Where there
@@ -241,6 +246,10 @@
                 }
                 self.todo.steps.push((handle, Step::Honour));
             }
+            // The module knows nothing of what it did at another site.
+            HereEnded::Denied { cool_down } if errand.may_have_run.is_some_and(|(_, site)| site != OWN) => {
+                return self.deny(handle, cool_down);
+            }
             HereEnded::Denied { cool_down } => self.todo.steps.push((handle, Step::Deny { cool_down })),
             HereEnded::BrokenOff => self.todo.steps.push((handle, Step::BreakOff)),
         }
--- a/crates/sites/tests/two_sites.rs
+++ b/crates/sites/tests/two_sites.rs
@@ -518,3 +518,44 @@
     assert_eq!(sites.crossed(1), None);
     assert_eq!(OWN, 0);
 }
+
+#[test]
+fn what_may_have_run_here_is_not_taken_back_and_what_may_have_run_there_is_not_denied() {
+    let offerings = || {
+        let receipted = Effect::Receipted { window: 2_000 * MS, within_site: false };
+        vec![Offering { effect: receipted, ..terms().offerings[1] }]
+    };
+    let start = || {
+        let mut sites = Sites::start(Terms { offerings: offerings(), ..terms() }, 1, 0);
+        sites.listed(0, &[(GROUP, 2)]);
+        sites.links(0, GATE, FAR, 1, true);
+        sites.room(0, GATE, vec![9], &[(GROUP, false)], false);
+        sites
+    };
+    let task = |visited| Task { offering: 0, group: GROUP, ttl: LIMIT, visited, session: None };
+    // Its launch was broken off, and then all members here said that they are not the primary.
+    for visited in [vec![], vec![FAR]] {
+        let mut sites = start();
+        let (handle, _) = sites.take(0, task(visited));
+        handle.here_may_have_run(&mut sites, 0);
+        for _ in 0..6 {
+            let todo = handle.here_missed(&mut sites, MS);
+            assert!(todo.steps.is_empty(), "{todo:?}");
+        }
+        let todo = handle.here_ended(&mut sites, 2 * MS, HereEnded::BrokenOff);
+        assert_eq!(todo.steps, [(handle, Step::BreakOff)]);
+    }
+    // It crossed, and nobody can say what became of it there; the module here knows nothing of that.
+    let mut sites = start();
+    sites.room(0, GATE, vec![9], &[(GROUP, true)], false);
+    let (handle, todo) = sites.take(0, task(vec![]));
+    let Step::Cross { number, .. } = todo.steps[0].1 else { panic!("{todo:?}") };
+    let todo = sites.fate::<()>(MS, number, &Fate::Unknown);
+    assert!(matches!(todo.steps[..], [(_, Step::Cross { .. })]), "{todo:?}");
+    sites.primary_here(2 * MS, GROUP);
+    let Step::Cross { number, .. } = todo.steps[0].1 else { panic!("{todo:?}") };
+    let todo = sites.answered(3 * MS, number, Answer::NotHere { hint: None });
+    assert!(matches!(todo.steps[..], [(_, Step::Here { .. })]), "{todo:?}");
+    let todo = handle.here_ended(&mut sites, 4 * MS, HereEnded::Denied { cool_down: 0 });
+    assert_eq!(todo.steps, [(handle, Step::BreakOff)]);
+}
