A watch whose bytes trickle is silent; reasons of watches, links and the folder are types

Cause: the watch counted any byte as a sign of life (watch.rs, one limit on each read): bytes that trickle and never end a line kept a broken watch for ever, against 'a watch that stays silent is broken'.

Change: a whole line, or 8 KiB, within 5 s; a long list on a slow line is waited for. Lost, Over, Unwelcome and Unopened stand where texts stood in the list's reader, the links and the warm state's refusal; what an operator can do stands in each text or at its line in docs/on-call.md.

Ruled out: a limit on the whole line alone (a list of 4 MiB on a slow line would never be taken).

Measured: the case waits 5 s and is asked anew, a list that takes 7 s is taken (tests/list.rs); it fails without the change, which never asks again. Cases of lists and gateways pass.

--- a/crates/driver/src/gateway/link.rs
+++ b/crates/driver/src/gateway/link.rs
@@ -3,14 +3,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use aldermill_link::{Event, Link};
+use aldermill_link::{Broken, Event, Link};
 use aldermill_pace::Way;
 use slog::{info, warn};
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use super::Yard;
+use super::{Unwelcome, Yard};
 use crate::context::Context;
 use crate::gate::Presence;
 use crate::words::{Call, LinkCall, LinkId};
@@ -18,6 +19,25 @@
 /// What is read at once, and what is written at once.
 const PIECE: usize = 32 * 1024;
 
+/// Why a link is over.
+#[derive(Debug, Error)]
+enum Over {
+    #[error("closed")]
+    Closed,
+    #[error("not wanted")]
+    NotWanted,
+    #[error("stopped")]
+    Stopped,
+    #[error("too slow")]
+    TooSlow,
+    #[error("{0}")]
+    Connection(#[from] std::io::Error),
+    #[error("{0}")]
+    Broken(Broken),
+    #[error("{0}")]
+    Unwelcome(#[from] Unwelcome),
+}
+
 pub struct Wire {
     pub context: Rc<Context>,
     pub yard: Rc<Yard>,
@@ -34,19 +54,22 @@
         let id = self.yard.next_id();
         let (context, from) = (self.context.clone(), self.from);
         let mut met = None;
-        let ended = self.converse(id, &mut met).await;
-        let why = ended.unwrap_or_else(|why| why);
+        let why = self.converse(id, &mut met).await;
         match &met {
             Some(peer) => {
                 let _ = context.desk.send(Call::Link(id, LinkCall::Broke)).await;
-                warn!(context.log, "link down"; "link" => id, "site" => peer, "peer" => %from, "why" => why);
+                warn!(context.log, "link down"; "link" => id, "site" => peer, "peer" => %from, "why" => %why);
             }
-            None => warn!(context.log, "link refused"; "peer" => %from, "why" => why),
+            None => warn!(context.log, "link refused"; "peer" => %from, "why" => %why),
         }
         met.is_some()
     }
 
-    async fn converse(mut self, id: LinkId, met: &mut Option<String>) -> Result<String, String> {
+    async fn converse(mut self, id: LinkId, met: &mut Option<String>) -> Over {
+        self.talk(id, met).await.unwrap_or_else(|over| over)
+    }
+
+    async fn talk(&mut self, id: LinkId, met: &mut Option<String>) -> Result<Over, Over> {
         let context = self.context.clone();
         let clock = context.lived.clone();
         let mut link = Link::start(self.yard.bounds, &self.yard.own, clock.now());
@@ -78,7 +101,7 @@
                         }
                         break;
                     }
-                    Err(error) => return Err(error.to_string()),
+                    Err(error) => return Err(error.into()),
                 }
             }
             if at == waiting.len() && !waiting.is_empty() {
@@ -87,14 +110,14 @@
             let room = link.takes();
             tokio::select! {
                 biased;
-                () = self.presence.cut() => return Err("too slow".to_owned()),
+                () = self.presence.cut() => return Err(Over::TooSlow),
                 ready = self.stream.readable(), if room => {
-                    ready.map_err(|error| error.to_string())?;
+                    ready?;
                     match self.stream.try_read_buf(&mut bytes) {
-                        Ok(0) => return Ok("closed".to_owned()),
+                        Ok(0) => return Ok(Over::Closed),
                         Ok(_) => {}
                         Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => continue,
-                        Err(error) => return Err(error.to_string()),
+                        Err(error) => return Err(error.into()),
                     }
                     let events = link.receive(clock.now(), &bytes);
                     bytes.clear();
@@ -102,7 +125,7 @@
                         Ok(events) => events,
                         Err(why) => {
                             let _ = self.stream.try_write(&Link::close(&why.to_string()));
-                            return Err(why.to_string());
+                            return Err(Over::Broken(why));
                         }
                     };
                     for event in events {
@@ -110,8 +133,8 @@
                             let welcome =
                                 self.yard.is_welcome(peer, self.from.ip(), self.gone_to.as_deref());
                             if let Err(why) = welcome {
-                                let _ = self.stream.try_write(&Link::close(&why));
-                                return Err(why);
+                                let _ = self.stream.try_write(&Link::close(&why.to_string()));
+                                return Err(why.into());
                             }
                             info!(context.log, "link up"; "link" => id, "site" => &peer.site,
                                 "instance" => &peer.instance, "peer" => %self.from);
@@ -129,16 +152,16 @@
                     None => {
                         // The desk wants it no more: another link of this peer is from a newer start.
                         self.finish(&mut link, &waiting[at..], "not wanted").await;
-                        return Ok("not wanted".to_owned());
+                        return Ok(Over::NotWanted);
                     }
                 },
                 ready = self.stream.writable(), if at < waiting.len() => {
-                    ready.map_err(|error| error.to_string())?;
+                    ready?;
                 }
                 () = sleep_until(clock.instant(link.wake_at())) => {
                     if let Err(why) = link.wake(clock.now()) {
                         let _ = self.stream.try_write(&Link::close(&why.to_string()));
-                        return Err(why.to_string());
+                        return Err(Over::Broken(why));
                     }
                 }
             }
@@ -156,8 +179,8 @@
         let _ = timeout(self.context.limits.parting, write).await;
     }
 
-    async fn tell(&self, id: LinkId, call: LinkCall) -> Result<(), String> {
-        self.context.desk.send(Call::Link(id, call)).await.map_err(|_| "stopped".to_owned())
+    async fn tell(&self, id: LinkId, call: LinkCall) -> Result<(), Over> {
+        self.context.desk.send(Call::Link(id, call)).await.map_err(|_| Over::Stopped)
     }
 }
 
--- a/crates/driver/src/gateway/mod.rs
+++ b/crates/driver/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 
 use aldermill_link::{Bounds, Identity};
 use aldermill_operator::{Gateway, IpNet};
+use thiserror::Error;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::oneshot;
 
@@ -18,6 +19,17 @@
 use crate::status;
 use crate::words::{Call, LinkId};
 
+/// Why a gateway that greets may not be there.
+#[derive(Debug, Error)]
+pub enum Unwelcome {
+    #[error("site {0:?} is none of this gateway's peers, name it in `gateway.peers`")]
+    Stranger(String),
+    #[error("site {is:?} where site {wanted:?} was expected, see the addresses in `gateway.peers`")]
+    Other { is: String, wanted: String },
+    #[error("{from} is in none of the networks of site {site:?}, see `gateway.peers`")]
+    Elsewhere { from: IpAddr, site: String },
+}
+
 /// What the actors of links share.
 pub struct Yard {
     pub own: Identity,
@@ -49,15 +61,15 @@
     }
 
     /// Whether who greets so may be there: at an address that was gone to, or from one of its site's networks.
-    fn is_welcome(&self, greeted: &Identity, from: IpAddr, gone_to: Option<&str>) -> Result<(), String> {
+    fn is_welcome(&self, greeted: &Identity, from: IpAddr, gone_to: Option<&str>) -> Result<(), Unwelcome> {
         let Some(peer) = self.peers.iter().find(|peer| peer.site == greeted.site) else {
-            return Err(format!("site {:?} is none of this gateway's peers", greeted.site));
+            return Err(Unwelcome::Stranger(greeted.site.clone()));
         };
         match gone_to {
             Some(site) if site == peer.site => Ok(()),
-            Some(site) => Err(format!("site {:?} where site {site:?} was expected", greeted.site)),
+            Some(site) => Err(Unwelcome::Other { is: greeted.site.clone(), wanted: site.to_owned() }),
             None if peer.networks.iter().any(|network| network.contains(&from)) => Ok(()),
-            None => Err(format!("{from} is in none of the networks of site {:?}", greeted.site)),
+            None => Err(Unwelcome::Elsewhere { from, site: greeted.site.clone() }),
         }
     }
 }
--- a/crates/driver/src/keep.rs
+++ b/crates/driver/src/keep.rs
@@ -10,6 +10,7 @@
 use aldermill_store::{Batch, Bounds, Committer, Disk, Keeping, Snapshot, State, Store};
 use aldermill_warm::{Beliefs, Change, Kept, Recalled, recall};
 use slog::{Logger, info, warn};
+use thiserror::Error;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout};
@@ -45,31 +46,46 @@
     }
 }
 
+/// Why the program starts without what was kept.
+#[derive(Debug, Error)]
+enum Unopened {
+    #[error("not open within {0} ms; see the disk")]
+    Late(u128),
+    #[error("{0}")]
+    Store(aldermill_store::Problem),
+    #[error("{0}")]
+    Refused(aldermill_warm::Refused),
+    #[error("{0}; see that the folder may be written")]
+    Disk(std::io::Error),
+    #[error("{0} places are damaged, see aldermill store check")]
+    Damaged(usize),
+}
+
 /// Opens the folder and reads it back, on a thread of its own. A folder that is refused is left as it is.
-async fn open(path: &str, name: &str, memory: u64) -> Result<(Folder, Recalled), String> {
+async fn open(path: &str, name: &str, memory: u64) -> Result<(Folder, Recalled), Unopened> {
     let (sender, opened) = oneshot::channel();
     let (path, name) = (PathBuf::from(path), name.to_owned());
     std::thread::spawn(move || {
         let _ = sender.send(read(&path, &name, memory));
     });
-    let late = format!("not open within {} ms", OPENING.as_millis());
+    let late = Unopened::Late(OPENING.as_millis());
     timeout(OPENING, opened).await.ok().and_then(Result::ok).unwrap_or(Err(late))
 }
 
-fn read(path: &Path, name: &str, memory: u64) -> Result<(Folder, Recalled), String> {
+fn read(path: &Path, name: &str, memory: u64) -> Result<(Folder, Recalled), Unopened> {
     let bounds = Bounds::usual(memory);
     let now = unix_now();
     // First without changing anything: whose it is decides whether it is opened at all.
     let seen = match path.exists() {
-        true => Some(Store::look(Disk::look(path), bounds, now).map_err(|problem| problem.to_string())?.0),
+        true => Some(Store::look(Disk::look(path), bounds, now).map_err(Unopened::Store)?.0),
         false => None,
     };
     let records = || seen.iter().flat_map(Snapshot::everything);
-    let recalled = recall(name, now, records()).map_err(|refused| refused.to_string())?;
-    let disk = Disk::open(path).map_err(|error| error.to_string())?;
-    let (store, recovered) = Store::open(disk, bounds, now).map_err(|problem| problem.to_string())?;
+    let recalled = recall(name, now, records()).map_err(Unopened::Refused)?;
+    let disk = Disk::open(path).map_err(Unopened::Disk)?;
+    let (store, recovered) = Store::open(disk, bounds, now).map_err(Unopened::Store)?;
     if !recovered.damage.is_empty() {
-        return Err(format!("{} places are damaged, see aldermill store check", recovered.damage.len()));
+        return Err(Unopened::Damaged(recovered.damage.len()));
     }
     let read = records().map(|(space, key, value)| (space, key.to_vec(), value.to_vec())).collect();
     let committer = ManuallyDrop::new(Committer::start(store, QUEUE, unix_now));
@@ -87,7 +103,7 @@
 pub async fn start(warm: &Warm, name: &str, memory: u64, clock: Clock, log: &Logger) -> Option<Warmed> {
     let opened = open(&warm.folder, name, memory).await;
     let refused =
-        |why| warn!(log, "warm state refused, started without"; "folder" => &warm.folder, "why" => why);
+        |why| warn!(log, "warm state refused, started without"; "folder" => &warm.folder, "why" => %why);
     let (folder, recalled) = opened.map_err(refused).ok()?;
     info!(log, "warm state"; "revision" => recalled.beliefs.revision,
         "primaries" => recalled.beliefs.primaries.len(), "left_out" => recalled.left_out,
--- a/crates/driver/src/watch.rs
+++ b/crates/driver/src/watch.rs
@@ -5,20 +5,45 @@
 use std::time::Duration;
 
 use aldermill_vigil::apart;
-use aldermill_wire::{Buffer, http, json};
+use aldermill_wire::{Buffer, Malformed, http, json};
 use rand_pcg::Pcg64Mcg;
 use slog::{info, warn};
+use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::catalog::Catalog;
 use crate::clock::duration;
 use crate::context::Context;
 use crate::words::Bulletin;
 
-const SILENCE: &str = "silence";
+/// So much within the time of silence is no silence, though no line has come to its end: a long list on a slow line.
+const COMES: usize = 8 * 1024;
+
+/// Why a watch is over. What of it an operator can do stands in docs/on-call.md at `list lost`.
+#[derive(Debug, Error)]
+enum Lost {
+    #[error("silence")]
+    Silence,
+    #[error("{0}")]
+    Connection(#[from] std::io::Error),
+    #[error("closed")]
+    Closed,
+    #[error("ended")]
+    Ended,
+    #[error("status {0}")]
+    Status(u16),
+    #[error("{0}")]
+    Answer(Malformed),
+    #[error("a list without its end")]
+    Half,
+    #[error("{0}")]
+    List(serde_json::Error),
+    #[error("changes to another list than the one held")]
+    Other,
+}
 
 pub struct Watch {
     pub context: Rc<Context>,
@@ -66,13 +91,13 @@
             }
             if !std::mem::replace(&mut silent, true) {
                 warn!(self.context.log, "list lost, the last one stays in force";
-                    "peer" => %peer, "why" => &why, "revision" => self.revision);
+                    "peer" => %peer, "why" => %why, "revision" => self.revision);
             }
             if self.requests.is_some() {
                 if self.desk.send(Bulletin::Unavailable).await.is_err() {
                     return;
                 }
-            } else if why == SILENCE {
+            } else if matches!(why, Lost::Silence) {
                 // It was silent for long enough: what it has to tell counts at once when it speaks again.
                 wait = least;
             } else {
@@ -84,61 +109,62 @@
     }
 
     /// One watch, until it breaks; `Ok` when nobody wants the list any more.
-    async fn follow(&mut self, peer: SocketAddr, told: &mut bool, silent: &mut bool) -> Result<(), String> {
+    async fn follow(&mut self, peer: SocketAddr, told: &mut bool, silent: &mut bool) -> Result<(), Lost> {
         let context = self.context.clone();
         let limits = &context.limits;
-        let mut stream = timeout(limits.list_silence, TcpStream::connect(peer))
-            .await
-            .map_err(|_| SILENCE.to_owned())?
-            .map_err(|error| error.to_string())?;
+        let mut stream =
+            timeout(limits.list_silence, TcpStream::connect(peer)).await.map_err(|_| Lost::Silence)??;
         let index = self.revision.map_or(String::new(), |revision| format!("&index={revision}"));
         let mut request = Vec::new();
         let path = format!("/catalog/members?stream=1{index}");
         http::get(&mut request, &peer.to_string(), &path);
-        stream.write_all(&request).await.map_err(|error| error.to_string())?;
+        stream.write_all(&request).await?;
 
         let mut buffer = Buffer::default();
         let mut lines: Option<http::Lines> = None;
         let mut whole = json::Whole::default();
+        // By when a line must be whole, or enough of one have come: bytes that trickle tell nothing.
+        let mut due = Instant::now() + limits.list_silence;
+        let mut came = 0;
         loop {
-            let read = timeout(limits.list_silence, stream.read_buf(buffer.tail()));
-            match read.await {
-                Err(_) => return Err(SILENCE.to_owned()),
-                Ok(Err(error)) => return Err(error.to_string()),
-                Ok(Ok(0)) => return Err("closed".to_owned()),
-                Ok(Ok(_)) => {}
+            match timeout_at(due, stream.read_buf(buffer.tail())).await {
+                Err(_) if came >= COMES => (due, came) = (Instant::now() + limits.list_silence, 0),
+                Err(_) => return Err(Lost::Silence),
+                Ok(read) => match read? {
+                    0 => return Err(Lost::Closed),
+                    count => came += count,
+                },
             }
             if lines.is_none() {
-                let Some(head) =
-                    http::head(buffer.held(), limits.list_head).map_err(|bad| bad.to_string())?
-                else {
+                let Some(head) = http::head(buffer.held(), limits.list_head).map_err(Lost::Answer)? else {
                     continue;
                 };
                 if head.status != 200 {
-                    return Err(format!("status {}", head.status));
+                    return Err(Lost::Status(head.status));
                 }
                 buffer.consume(head.length);
                 lines = Some(http::Lines::new(head.body, limits.list_line));
             }
             let Some(lines) = &mut lines else { continue };
             loop {
-                let (used, line) = lines.next(buffer.held()).map_err(|bad| bad.to_string())?;
+                let (used, line) = lines.next(buffer.held()).map_err(Lost::Answer)?;
                 buffer.consume(used);
                 let Some(line) = line else { break };
                 if std::mem::take(silent) {
                     info!(context.log, "list back"; "peer" => %peer);
                 }
                 *told = true;
+                (due, came) = (Instant::now() + limits.list_silence, 0);
                 // An empty line stands between lists: one that it cuts in two has lost its end.
                 if line.trim_ascii().is_empty() {
                     if whole.is_open() {
                         self.revision = None;
-                        return Err("a list without its end".to_owned());
+                        return Err(Lost::Half);
                     }
                     continue;
                 }
                 // Lists may come indented, on many lines.
-                let list = whole.add(&line, limits.list_line).map_err(|bad| bad.to_string())?;
+                let list = whole.add(&line, limits.list_line).map_err(Lost::Answer)?;
                 if let Some(list) = list
                     && !self.tell(&list).await?
                 {
@@ -146,20 +172,20 @@
                 }
             }
             if lines.is_over() {
-                return Err("ended".to_owned());
+                return Err(Lost::Ended);
             }
         }
     }
 
-    async fn tell(&mut self, line: &[u8]) -> Result<bool, String> {
+    async fn tell(&mut self, line: &[u8]) -> Result<bool, Lost> {
         let catalog: Catalog = serde_json::from_slice(line).map_err(|error| {
             // What the list holds behind this line is unknown: ask for all of it.
             self.revision = None;
-            error.to_string()
+            Lost::List(error)
         })?;
         if !catalog.complete && self.revision.is_none_or(|revision| catalog.revision < revision) {
             self.revision = None;
-            return Err("changes to another list than the one held".to_owned());
+            return Err(Lost::Other);
         }
         // Counted as held once it is handed on: the watch may be broken off while it waits for that.
         let revision = catalog.revision;
--- a/crates/driver/tests/list.rs
+++ b/crates/driver/tests/list.rs
@@ -97,3 +97,39 @@
     let waited = silent.elapsed();
     assert!(waited < Duration::from_secs(6), "{waited:?}");
 }
+
+#[test]
+fn a_watch_that_trickles_is_silent() {
+    let member = sound("writer");
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let driver = Driver::of(&config(address, 256, &list(1, true, &[("a", &member, "in_service")])));
+    let (mut stream, _) = listener.accept().unwrap();
+    let _ = stream.read(&mut [0; 512]);
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+    let silent = Instant::now();
+    let trickling = thread::spawn(move || {
+        // A line that never ends, a byte at a time.
+        while stream.write_all(b"1\r\n{\r\n").is_ok() && silent.elapsed() < Duration::from_secs(9) {
+            thread::sleep(Duration::from_millis(200));
+        }
+    });
+    let (mut stream, _) = listener.accept().unwrap();
+    let waited = silent.elapsed();
+    assert!((4500..6000).contains(&waited.as_millis()), "{waited:?}");
+    assert!(driver.logged("list lost"));
+    // A long list on a slow line is none: it takes longer than any silence, and is taken.
+    let _ = stream.read(&mut [0; 512]);
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let told = list(2, true, &[("a", &member, "in_service")]).replace(",", &format!(",{}", " ".repeat(6000)));
+    let line = format!("{}\n", told);
+    assert!(line.len() > 30_000, "{}", line.len());
+    for piece in line.as_bytes().chunks(line.len() / 7 + 1) {
+        let _ = stream.write_all(format!("{:x}\r\n", piece.len()).as_bytes());
+        let _ = stream.write_all(piece);
+        let _ = stream.write_all(b"\r\n");
+        thread::sleep(Duration::from_secs(1));
+    }
+    until("the list", || driver.logged("revision: 2"));
+    trickling.join().unwrap();
+}
