Split points for groups cut into several ranges, and merges of cold ones

A group that was cut was looked at as if it were whole, so that a proposal after the cut could only be another cut of all of it.

Change: Ranges keeps an advisor for each range (by the operators' cuts, now a list); a range is cut only where it has 1.25 of its even share, the interval taken off; two neighbours that together cost under 0.3 of a usual range over three windows are better one. Ranges that are as they were keep what is known of them when cuts are read anew (SIGHUP). The state 'taken' is gone: a cut that was taken is where a range begins.

Ruled out: a cut of the largest range alone whatever its share (every range can be halved: it would never end); cold by the group's own mean (of two ranges one is always under it).

--- a/crates/driver/src/council/duties.rs
+++ b/crates/driver/src/council/duties.rs
@@ -77,8 +77,8 @@
     }
 
     /// The operator's file was read anew.
-    pub fn reread(&mut self, wanted: Wanted) {
+    pub fn reread(&mut self, now: Micros, wanted: Wanted) {
         self.leaving.iter_mut().for_each(|leaving| leaving.reread(&wanted.retire));
-        self.splits.iter_mut().for_each(|splits| splits.reread(&wanted.cuts));
+        self.splits.iter_mut().for_each(|splits| splits.reread(now, &wanted.cuts));
     }
 }
--- a/crates/driver/src/council/splits.rs
+++ b/crates/driver/src/council/splits.rs
@@ -4,7 +4,7 @@
 
 use aldermill_decrees::{About, Book, Ledger, Micros};
 use aldermill_duties::Term;
-use aldermill_splits::{Advice, Advisor, Group, Picture, Said, State, Summary, frame};
+use aldermill_splits::{Group, Picture, RangeAdvice, Ranges, Said, State, Summary, frame};
 use serde_json::{Value, json};
 use slog::{Logger, info};
 
@@ -16,15 +16,19 @@
 
 pub struct SplitsWork {
     /// Where the operators have cut.
-    cuts: BTreeMap<u64, String>,
+    cuts: BTreeMap<u64, Vec<String>>,
     /// While it holds the duty under this term.
-    holding: Option<(Term, BTreeMap<Group, Advisor>)>,
-    /// What was last said of each group, and which drivers were set aside.
-    said: BTreeMap<Group, (State, String)>,
+    holding: Option<(Term, BTreeMap<Group, Ranges>)>,
+    /// What was last said of each range, and which drivers were set aside.
+    said: BTreeMap<String, (State, String)>,
     aside: Vec<String>,
     log: Logger,
 }
 
+fn cuts_of(cuts: &BTreeMap<u64, Vec<String>>, group: Group) -> Vec<Vec<u8>> {
+    cuts.get(&group).into_iter().flatten().map(|cut| cut.clone().into_bytes()).collect()
+}
+
 fn hex(key: &[u8]) -> String {
     key.iter().map(|byte| format!("{byte:02x}")).collect()
 }
@@ -34,17 +38,24 @@
     pairs.map(|pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok()).collect()
 }
 
-/// What is said of a group, as it stands in the decree and on the status socket. Keys are in hexadecimal, and as text.
-fn body(advice: &Advice) -> Value {
+/// A range as a decree's subject: the group, and the range's first key where it is not the group's first.
+fn subject(group: Group, from: &[u8]) -> String {
+    if from.is_empty() { group.to_string() } else { format!("{group}+{}", hex(from)) }
+}
+
+/// What is said of a range, as it stands in the decree and on the status socket. Keys are in hexadecimal, and as text.
+fn body(of: &RangeAdvice, alone: bool) -> Value {
+    let advice = &of.advice;
     let state = match advice.state {
         State::Seen => "seen",
         State::Proposed => "proposed",
-        State::Taken => "taken",
         State::Withdrawn => "withdrawn",
     };
     let text = |key: &[u8]| String::from_utf8_lossy(key).into_owned();
     let rounded = |share: f64| (share * 1000.0).round() / 1000.0;
     let why = match &advice.said {
+        _ if of.merges => json!({"why": "it and the range before it are cold, give both to one"}),
+        Said::Balanced => json!({"why": "none too large among its group's ranges"}),
         Said::Unknown => json!({"why": "too little was seen"}),
         Said::Uncovered { heard, living } => {
             json!({"why": "too few drivers are heard", "heard": heard, "living": living})
@@ -64,34 +75,33 @@
     if let (Value::Object(body), Value::Object(why)) = (&mut body, why) {
         body.extend(why);
     }
+    if !alone {
+        (body["from"], body["from_text"]) = (json!(hex(&of.from)), json!(text(&of.from)));
+        (body["share"], body["share_within"]) = (json!(rounded(of.share)), json!(rounded(of.within)));
+    }
     body
 }
 
-/// What stands of a group by an earlier holder's word.
-fn standing(book: &Book, now: Micros) -> BTreeMap<Group, Vec<u8>> {
+/// The cuts proposed by an earlier holder's word, by subject.
+fn standing(book: &Book, now: Micros) -> BTreeMap<String, Vec<u8>> {
     let read = |(subject, body): (&str, &[u8])| {
         let body: Value = serde_json::from_slice(body).ok()?;
         let proposed = body["state"] == "proposed";
-        Some((subject.parse().ok()?, from_hex(body["at"].as_str().filter(|_| proposed)?)?))
+        Some((subject.to_owned(), from_hex(body["at"].as_str().filter(|_| proposed)?)?))
     };
     book.of_duty(now, DUTY).filter_map(read).collect()
 }
 
 impl SplitsWork {
-    pub fn start(cuts: BTreeMap<u64, String>, log: Logger) -> SplitsWork {
+    pub fn start(cuts: BTreeMap<u64, Vec<String>>, log: Logger) -> SplitsWork {
         SplitsWork { cuts, holding: None, said: BTreeMap::new(), aside: Vec::new(), log }
     }
 
-    /// The operators have cut elsewhere: it is looked at anew from there.
-    pub fn reread(&mut self, cuts: &BTreeMap<u64, String>) {
-        if self.cuts != *cuts {
-            self.cuts.clone_from(cuts);
-            let advisors = self.holding.iter_mut().flat_map(|(_, advisors)| advisors);
-            advisors.for_each(|(group, advisor)| {
-                if let Some(cut) = cuts.get(group) {
-                    advisor.taken(cut.clone().into_bytes());
-                }
-            });
+    /// The operators have cut elsewhere: ranges that are as they were keep what is known of them.
+    pub fn reread(&mut self, now: Micros, cuts: &BTreeMap<u64, Vec<String>>) {
+        self.cuts.clone_from(cuts);
+        for (group, ranges) in self.holding.iter_mut().flat_map(|(_, groups)| groups) {
+            ranges.cut(now, &cuts_of(cuts, *group), |_| None);
         }
     }
 
@@ -114,38 +124,42 @@
             return Vec::new();
         };
         if self.holding.as_ref().is_none_or(|holding| holding.0 != term) {
-            let standing = standing(book, now).into_iter();
-            let advisors = standing.map(|(group, at)| (group, Advisor::start(now, Some(at)))).collect();
-            self.holding = Some((term, advisors));
+            self.holding = Some((term, BTreeMap::new()));
         }
-        let Some((_, advisors)) = &mut self.holding else { return Vec::new() };
+        let Some((_, groups)) = &mut self.holding else { return Vec::new() };
         let mut told: BTreeMap<Group, BTreeMap<String, Summary>> = BTreeMap::new();
         for (driver, group, _, body) in ledger.told(now, COUNTS, DUTY) {
             if let (Ok(group), Ok(summary)) = (group.parse(), frame::decode(body)) {
                 told.entry(group).or_default().insert(driver.to_owned(), summary);
             }
         }
+        let pictures: BTreeMap<Group, Picture> =
+            told.into_iter().map(|(group, told)| (group, Picture::of(&told))).collect();
+        let standing = standing(book, now);
+        for group in pictures.keys() {
+            groups.entry(*group).or_insert_with(|| {
+                let stands = |from: &[u8]| standing.get(&subject(*group, from)).cloned();
+                Ranges::start(now, &cuts_of(&self.cuts, *group), stands)
+            });
+        }
+        let ranges: usize = groups.values().map(Ranges::len).sum();
+        let usual = pictures.values().map(Picture::cost).sum::<f64>() / ranges.max(1) as f64;
         let mut bodies = Vec::new();
         self.aside.clear();
-        for (group, told) in told {
-            let advisor = advisors.entry(group).or_insert_with(|| {
-                let mut advisor = Advisor::start(now, None);
-                if let Some(cut) = self.cuts.get(&group) {
-                    advisor.taken(cut.clone().into_bytes());
-                }
-                advisor
-            });
-            let picture = Picture::of(&told);
+        for (group, picture) in pictures {
+            let Some(ranges) = groups.get_mut(&group) else { continue };
             self.aside.extend(picture.aside.iter().cloned());
-            let advice = advisor.look(now, picture, living);
-            let body = body(&advice);
-            let what = body["at_text"].as_str().or(body["why"].as_str()).unwrap_or_default().to_owned();
-            let said = (advice.state, what);
-            if self.said.get(&group) != Some(&said) {
-                info!(self.log, "splits"; "says" => body.to_string(), "group" => group);
-                self.said.insert(group, said);
+            let all = ranges.look(now, &picture, living, usual);
+            for of in &all {
+                let (subject, body) = (subject(group, &of.from), body(of, all.len() == 1));
+                let what = body["at_text"].as_str().or(body["why"].as_str()).unwrap_or_default().to_owned();
+                let said = (of.advice.state, what);
+                if self.said.get(&subject) != Some(&said) {
+                    info!(self.log, "splits"; "says" => body.to_string(), "range" => &subject);
+                    self.said.insert(subject.clone(), said);
+                }
+                bodies.push((subject, body.to_string().into_bytes()));
             }
-            bodies.push((group.to_string(), body.to_string().into_bytes()));
         }
         bodies
     }
--- a/crates/driver/src/fellows.rs
+++ b/crates/driver/src/fellows.rs
@@ -138,7 +138,7 @@
                 // Seldom, and before what may never end.
                 _ = stopping.wait_for(Option::is_some) => break,
                 Ok((stream, _)) = asked => self.describe(stream),
-                Some(wanted) = anew(&mut self.reread) => self.counsel(|council, _, _| council.reread(wanted)),
+                Some(wanted) = anew(&mut self.reread) => self.counsel(|council, at, _| council.reread(at.now, wanted)),
                 Some(well) = confirmed(&mut self.council) => {
                     self.counsel(|council, at, others| council.told(at, well, others));
                 }
--- a/crates/operator/src/council.rs
+++ b/crates/operator/src/council.rs
@@ -74,9 +74,9 @@
     /// No term is lower. Only needed where all voters lost their state and the machines' clocks went back.
     #[serde(default)]
     pub least_term: u64,
-    /// Where a group's range was cut, by the operators themselves: by the group's number, the first key of the new range.
+    /// Where groups were cut, by the operators themselves: by the group's number, the first key of each range but the first.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub cuts: BTreeMap<u64, String>,
+    pub cuts: BTreeMap<u64, Vec<String>>,
     /// Sites that retire; needs the duty `retire`, and a gateway at the drivers of each site.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub retire: Vec<Retiring>,
--- a/crates/splits/src/advice.rs
+++ b/crates/splits/src/advice.rs
@@ -17,8 +17,6 @@
     /// Nothing to say, or not yet.
     Seen,
     Proposed,
-    /// The operator has cut there.
-    Taken,
     /// It held, and does not any more.
     Withdrawn,
 }
@@ -41,6 +39,8 @@
     Front {
         from: Vec<u8>,
     },
+    /// It is one of several ranges, and none too large among them.
+    Balanced,
     /// It has not held for long enough.
     Waits,
     Cut(Cut),
@@ -62,7 +62,7 @@
     /// The last windows' pictures, the newest last.
     windows: VecDeque<Picture>,
     shapes: VecDeque<Shape>,
-    standing: Option<(State, Vec<u8>)>,
+    standing: Option<Vec<u8>>,
     /// For how many windows a standing point has not been worth keeping.
     off: usize,
 }
@@ -70,15 +70,9 @@
 impl Advisor {
     /// `standing` is what an earlier holder of the duty proposed.
     pub fn start(now: Micros, standing: Option<Vec<u8>>) -> Advisor {
-        let standing = standing.map(|at| (State::Proposed, at));
         Advisor { next: now, windows: VecDeque::new(), shapes: VecDeque::new(), standing, off: 0 }
     }
 
-    /// The operator has cut the range there.
-    pub fn taken(&mut self, at: Vec<u8>) {
-        (self.standing, self.off) = (Some((State::Taken, at)), 0);
-    }
-
     /// What is said now. Windows are counted here, whenever it is called; `living` is how many drivers there are.
     ///
     /// Protects operators from moves for the load of some seconds, or for what few drivers saw. Harms a group whose load
@@ -88,7 +82,7 @@
         let advice = |state, said| Advice { state, said, drivers, cost };
         if (drivers as f64) < COVERAGE * living as f64 {
             // What stands goes on standing: nothing is known against it.
-            let state = self.standing.as_ref().map_or(State::Seen, |(state, _)| *state);
+            let state = self.standing.as_ref().map_or(State::Seen, |_| State::Proposed);
             return advice(state, Said::Uncovered { heard: drivers, living });
         }
         if now >= self.next {
@@ -101,13 +95,13 @@
             }
             self.settle(&picture);
         }
-        if let Some((state, at)) = &self.standing {
+        if let Some(at) = &self.standing {
             let (left, within) = picture.below(at);
             let mut cut = Cut { at: at.clone(), left, within, writes: [0.0; 2] };
             if let Some(Shape::Cuts(now)) = self.shapes.back() {
                 cut.writes = now.writes;
             }
-            return advice(*state, Said::Cut(cut));
+            return advice(State::Proposed, Said::Cut(cut));
         }
         let said = match (self.front(), self.shapes.back()) {
             (_, None | Some(Shape::Unknown)) => Said::Unknown,
@@ -121,22 +115,19 @@
 
     /// Once a window: whether a point is proposed, changed or withdrawn.
     fn settle(&mut self, picture: &Picture) {
-        if let Some((state, at)) = &self.standing {
+        if let Some(at) = &self.standing {
             let (left, within) = picture.below(at);
             let worse = left.max(1.0 - left) - within > WORTH;
-            // A point that was taken is a fact; only a new proposal may follow it.
             let helps = !matches!(self.shapes.back(), Some(Shape::HotKey { .. }));
             self.off = if worse && helps { self.off + 1 } else { 0 };
             if self.off < HOLDS {
                 return;
             }
-            if *state == State::Proposed {
-                self.standing = None;
-            }
+            self.standing = None;
         }
         let Some(Shape::Cuts(cut)) = self.shapes.back().cloned() else { return };
         if self.windows.len() >= HOLDS && self.agree(&cut) && self.front().is_none() {
-            (self.standing, self.off) = (Some((State::Proposed, cut.at)), 0);
+            (self.standing, self.off) = (Some(cut.at), 0);
         }
     }
 
--- a/crates/splits/src/lib.rs
+++ b/crates/splits/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each driver keeps a [`Sketch`] of each group's accesses over the key, as bytes in order, by cost. Its newest form is
 //! reported; the holder of the duty puts all of them together ([`Picture`]) and keeps a recommendation for each group
-//! ([`Advice`]): a point, the load on each side with an interval, who stands behind it, or why a cut would not help.
+//! ([`Advice`], for each range that its operators have cut it into [`Ranges`]): a point, the load on each side with an interval, who stands behind it, or why a cut would not help.
 //!
 //! The sketch is a priority sample (Duffield, Lund, Thorup: Priority sampling for estimation of arbitrary subset sums, 2007):
 //! of n accesses with weights the k of highest weight / u are kept, u by chance from (0, 1]; each stands for the larger of its
@@ -15,10 +15,12 @@
 mod advice;
 pub mod frame;
 mod picture;
+mod ranges;
 mod sketch;
 
 pub use advice::{Advice, Advisor, Said, State};
 pub use picture::{Cut, Picture, Shape};
+pub use ranges::{RangeAdvice, Ranges};
 pub use sketch::{Heavy, Sample, Sketch, Summary};
 
 /// Whole microseconds, on the caller's clock.
--- a/crates/splits/src/picture.rs
+++ b/crates/splits/src/picture.rs
@@ -77,6 +77,22 @@
         self.cost
     }
 
+    /// The keys from `from` on, below `to`. Drivers that saw none of them stand behind that as well.
+    pub fn between(&self, from: &[u8], to: Option<&[u8]>) -> Picture {
+        let within = |key: &[u8]| key >= from && to.is_none_or(|to| key < to);
+        let samples: Vec<Sample> =
+            self.samples.iter().filter(|sample| within(&sample.key)).cloned().collect();
+        let share = samples.iter().map(|sample| sample.weight).sum::<f64>() / self.weight().max(f64::EPSILON);
+        let heavy = self.heavy.iter().filter(|(key, _)| within(key));
+        Picture {
+            samples,
+            cost: self.cost * share,
+            drivers: self.drivers,
+            aside: self.aside.clone(),
+            heavy: heavy.map(|(key, cost)| (key.clone(), *cost)).collect(),
+        }
+    }
+
     fn weight(&self) -> f64 {
         self.samples.iter().map(|sample| sample.weight).sum()
     }
@@ -89,7 +105,7 @@
     }
 
     /// Of a share of samples that weigh alike; unequal weights make fewer of them.
-    fn within(&self) -> f64 {
+    pub(crate) fn within(&self) -> f64 {
         let all = self.weight();
         let squares: f64 = self.samples.iter().map(|sample| sample.weight * sample.weight).sum();
         let as_many = all * all / squares.max(f64::EPSILON);
