--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -19,6 +19,12 @@
 use crate::gate::{Presence, Room};
 use crate::words::{Answer, Call, ClientId, Mail, Order};
 
+mod asking;
+mod ending;
+
+pub use ending::turn_away;
+use ending::{encode, part};
+
 /// What the listener sees of a client: since when nothing is under way, and whether anything ever was.
 #[derive(Default)]
 pub struct Seat {
@@ -235,133 +241,6 @@
         }
     }
 
-    /// Takes a whole message of such a length from the buffer, and its text where it is a query.
-    fn statement(&mut self, tag: u8, length: usize) -> Vec<u8> {
-        if tag != b'Q' {
-            self.buffer.consume(length);
-            return Vec::new();
-        }
-        if length > self.context.limits.small {
-            // Held once: what was the buffer becomes the statement.
-            let mut message = self.buffer.take(length);
-            message.pop();
-            message.drain(..pg::BEFORE_BODY);
-            return message;
-        }
-        let statement = self.buffer.held()[pg::BEFORE_BODY..length - 1].to_vec();
-        self.buffer.consume(length);
-        statement
-    }
-
-    /// Whether a statement is on the key of a write that is under way.
-    fn must_wait(&self, statement: &[u8]) -> bool {
-        if self.owed.iter().all(|owed| owed.key.is_none()) {
-            return false;
-        }
-        let Ok(comment) = Comment::parse(statement) else { return false };
-        let key = quoted(&statement[comment.end..]);
-        key.is_some() && self.owed.iter().any(|owed| owed.answer.is_none() && owed.key == key)
-    }
-
-    /// One whole message: a task goes to the desk, anything else has its answer at once.
-    async fn handle(
-        &mut self,
-        tag: u8,
-        statement: Vec<u8>,
-        passing_over: &mut bool,
-        large: &mut Option<Room>,
-    ) -> Result<(), End> {
-        let mut out = Vec::new();
-        match tag {
-            b'Q' if is_empty(&statement) => {
-                self.context.ready.clone().wait_for(|&ready| ready).await.map_err(|_| End::Quiet)?;
-                pg::empty_query(&mut out);
-                pg::ready(&mut out);
-            }
-            b'Q' => match Comment::parse(&statement) {
-                Ok(comment) => return self.ask(statement, comment, large.take()).await,
-                Err(bad) => {
-                    pg::error(&mut out, false, "08P01", bad.0, None);
-                    pg::ready(&mut out);
-                }
-            },
-            b'S' => {
-                *passing_over = false;
-                pg::ready(&mut out);
-            }
-            b'P' | b'B' | b'D' | b'E' | b'C' | b'H' => {
-                if !std::mem::replace(passing_over, true) {
-                    pg::error(&mut out, false, "0A000", "only simple queries are served", None);
-                }
-            }
-            b'F' => {
-                pg::error(&mut out, false, "0A000", "only simple queries are served", None);
-                pg::ready(&mut out);
-            }
-            // Left over from a copy that failed.
-            b'd' | b'c' | b'f' => {}
-            _ => return Err(Malformed("unknown message type").into()),
-        }
-        *large = None;
-        if !out.is_empty() {
-            let (answer, key, rows) = (Some(vec![out]), None, None);
-            self.owed.push_back(Owed { task: ClientId::MAX, key, answer, statement: None, rows });
-        }
-        Ok(())
-    }
-
-    /// Room for a large message, which the client is denied where others have taken it all and nobody who is too
-    /// slow can give it up.
-    async fn reserve(&mut self, size: usize) -> Result<Room, End> {
-        let limits = &self.context.limits;
-        let text = self.buffer.held().get(pg::BEFORE_BODY..).and_then(|text| Comment::parse(text).ok());
-        let best = text.is_some_and(|comment| self.context.best_paid.contains(&comment.offering));
-        let until = Instant::now() + limits.room_wait;
-        if let Some(room) = self.presence.room(size, best, until).await {
-            self.buffer.expect(size + 1);
-            return Ok(room);
-        }
-        if self.presence.is_cut() {
-            return Err(End::Cut);
-        }
-        let mut out = Vec::new();
-        pg::error(&mut out, true, "53300", "no room for a statement of this size", None);
-        self.send(vec![out], None).await?;
-        Err(End::Quiet)
-    }
-
-    /// Hands the task to the desk.
-    async fn ask(&mut self, statement: Vec<u8>, comment: Comment, large: Option<Room>) -> Result<(), End> {
-        self.asked += 1;
-        let client = (self.id << 24) + (self.asked & 0xff_ffff);
-        let text = &statement[comment.end..];
-        let reads = text.trim_ascii_start().get(..6).is_some_and(|verb| verb.eq_ignore_ascii_case(b"SELECT"));
-        let key = if reads { None } else { quoted(text) };
-        self.owed.push_back(Owed { task: client, key, answer: None, statement: large, rows: None });
-        // The system tells when the last bytes came; a statement before these came at some time before.
-        let old = self.old.map(|(first, last)| if self.buffer.is_empty() { last } else { first });
-        let arrived = self.context.clock.at(old.unwrap_or_else(Instant::now));
-        let mailbox = self.address.clone();
-        let order = Order {
-            client,
-            holder: self.presence.peer,
-            mailbox,
-            arrived,
-            statement,
-            comment,
-            written_ago: None,
-        };
-        self.context.desk.send(Call::Take(order)).await.map_err(|_| End::Quiet)
-    }
-
-    /// Dates what was just read, where that may have waited for this process.
-    fn date(&mut self) {
-        let came = self.context.lived.came(&self.stream, self.read.replace(Instant::now()));
-        // What is left of an earlier read is as old as that.
-        let (first, began) = (came.map(|(first, _)| first), self.old.map(|(first, _)| first));
-        self.old = came.map(|(_, last)| (first.into_iter().chain(began).min().unwrap_or(last), last));
-    }
-
     /// Waits for an answer, for more bytes, or for the client to leave.
     async fn hear(&mut self) -> Result<(), End> {
         let room = self.buffer.held().len() < self.context.limits.ahead;
@@ -491,48 +370,3 @@
         Ok(())
     }
 }
-
-/// Ends a connection so that what was sent last arrives: closed with bytes unread, it would be reset. Of a client
-/// that goes on sending no more than so many bytes are taken in.
-async fn part(mut stream: TcpStream, limit: Duration, mut scrap: usize) {
-    let until_end = async {
-        stream.shutdown().await?;
-        let mut bytes = Vec::with_capacity(16 * 1024);
-        while scrap > 0 {
-            bytes.clear();
-            match stream.read_buf(&mut bytes).await? {
-                0 => return Ok(()),
-                count => scrap = scrap.saturating_sub(count),
-            }
-        }
-        sleep(limit).await;
-        std::io::Result::Ok(())
-    };
-    let _ = timeout(limit, until_end).await;
-}
-
-/// The bytes of an answer, and the room that they hold.
-fn encode(answer: Answer) -> (Vec<Vec<u8>>, Option<Room>) {
-    let mut out = Vec::new();
-    match answer {
-        Answer::Honoured(rows) => return (rows.pieces, rows.room),
-        Answer::Denied { cool_down } => {
-            let millis = (cool_down + 999) / 1000;
-            let detail = (millis > 0).then(|| millis.to_string());
-            pg::error(&mut out, false, "53300", "denied, trying again is harmless", detail.as_deref());
-        }
-        Answer::BrokenOff => {
-            pg::error(&mut out, false, "40003", "broken off, it is not known whether it took effect", None);
-        }
-        Answer::Wrong(why) => pg::error(&mut out, false, "08P01", why, None),
-    }
-    (vec![out], None)
-}
-
-/// Tells a client for which there is no room, and parts with it.
-pub async fn turn_away(context: Rc<Context>, mut stream: TcpStream) {
-    let mut out = Vec::new();
-    pg::error(&mut out, true, "53300", "too many connections", None);
-    let _ = timeout(context.limits.accepting, stream.write_all(&out)).await;
-    part(stream, context.limits.parting, context.limits.scrap).await;
-}
--- /dev/null
+++ b/crates/driver/src/client/ending.rs
@@ -0,0 +1,48 @@
+//! How connections end, and the bytes of an answer.
+
+use super::*;
+
+/// Ends a connection so that what was sent last arrives: closed with bytes unread, it would be reset. Of a client
+/// that goes on sending no more than so many bytes are taken in.
+pub(super) async fn part(mut stream: TcpStream, limit: Duration, mut scrap: usize) {
+    let until_end = async {
+        stream.shutdown().await?;
+        let mut bytes = Vec::with_capacity(16 * 1024);
+        while scrap > 0 {
+            bytes.clear();
+            match stream.read_buf(&mut bytes).await? {
+                0 => return Ok(()),
+                count => scrap = scrap.saturating_sub(count),
+            }
+        }
+        sleep(limit).await;
+        std::io::Result::Ok(())
+    };
+    let _ = timeout(limit, until_end).await;
+}
+
+/// The bytes of an answer, and the room that they hold.
+pub(super) fn encode(answer: Answer) -> (Vec<Vec<u8>>, Option<Room>) {
+    let mut out = Vec::new();
+    match answer {
+        Answer::Honoured(rows) => return (rows.pieces, rows.room),
+        Answer::Denied { cool_down } => {
+            let millis = (cool_down + 999) / 1000;
+            let detail = (millis > 0).then(|| millis.to_string());
+            pg::error(&mut out, false, "53300", "denied, trying again is harmless", detail.as_deref());
+        }
+        Answer::BrokenOff => {
+            pg::error(&mut out, false, "40003", "broken off, it is not known whether it took effect", None);
+        }
+        Answer::Wrong(why) => pg::error(&mut out, false, "08P01", why, None),
+    }
+    (vec![out], None)
+}
+
+/// Tells a client for which there is no room, and parts with it.
+pub async fn turn_away(context: Rc<Context>, mut stream: TcpStream) {
+    let mut out = Vec::new();
+    pg::error(&mut out, true, "53300", "too many connections", None);
+    let _ = timeout(context.limits.accepting, stream.write_all(&out)).await;
+    part(stream, context.limits.parting, context.limits.scrap).await;
+}
--- /dev/null
+++ b/crates/driver/tests/members.rs
@@ -0,0 +1,173 @@
+//! Members that fail, close, break off and say too much, over loopback.
+
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use aldermill_stand_ins::{Client, Driver, LONG, Member, honour, honoured, look, named, order, sound, until};
+use aldermill_wire::pg;
+
+#[test]
+fn reads_go_past_a_member_that_fails_them() {
+    let broken = Member::start(|_, stream| stream.shutdown(std::net::Shutdown::Both).unwrap());
+    let primary = sound("writer");
+    let driver = Driver::before(&[("a", &broken), ("b", &primary)]);
+    let mut client = Client::connect(driver.address);
+    for _ in 0..10 {
+        assert!(honoured(&client.ask(&look(15000))));
+    }
+    until("the line on that member", || driver.logged("answers nothing that can be used"));
+    let lines = driver
+        .log
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|line| line.contains("answers nothing that can be used"))
+        .count();
+    assert_eq!(lines, 1, "once, not once a task");
+}
+
+#[test]
+fn a_probe_that_finds_no_connection_in_time_is_no_sign_of_a_dead_process() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let refuses = || loop {
+        thread::sleep(LONG);
+    };
+    let silent = Member::at(listener, move |_, _| refuses(), |_, _| {});
+    let driver = Driver::before(&[("a", &silent)]);
+    until("a second probe", || silent.connections.load(Ordering::SeqCst) >= 2);
+    thread::sleep(Duration::from_millis(200));
+    assert!(!driver.logged("symptom: Unconnected"));
+}
+
+#[test]
+fn a_connection_that_breaks_alone_or_an_answer_that_cannot_be_read_costs_one_launch() {
+    let member = Member::start(|text, stream| match text {
+        text if text.contains("id=slow") => {
+            thread::sleep(Duration::from_millis(300));
+            honour(text, "writer", stream);
+        }
+        text if text.contains("id=cut") => stream.shutdown(std::net::Shutdown::Both).unwrap(),
+        text if text.contains("id=noise") => stream.write_all(b"?\0\0what is this").unwrap(),
+        text => honour(text, "writer", stream),
+    });
+    let driver = Driver::before(&[("a", &member)]);
+    let mut clients: Vec<Client> = (0..4).map(|_| Client::connect(driver.address)).collect();
+    // Both without another connection to that member and beside some.
+    assert_eq!(clients[0].ask(&named(&order(15000), "cut")).code, "40003");
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.send(&named(&order(15000), &format!("slow{number}")));
+    }
+    assert!(clients.iter_mut().all(|client| honoured(&client.answer().unwrap())));
+    for bad in ["cut", "noise"] {
+        assert_eq!(clients[0].ask(&named(&order(15000), bad)).code, "40003");
+        assert!(honoured(&clients[0].ask(&order(15000))));
+    }
+    assert!(!driver.logged("member lost"), "the member stood all the while");
+}
+
+#[test]
+fn a_new_connection_that_breaks_is_no_death_and_a_refused_one_is() {
+    let opened = Arc::new(AtomicUsize::new(0));
+    let count = opened.clone();
+    // Two of three connections break at their opening.
+    let bears = move |_: &[u8], welcomed: bool| welcomed || count.fetch_add(1, Ordering::SeqCst) % 3 == 2;
+    let act = |text: &str, stream: &mut TcpStream| {
+        honour(text, "writer", stream);
+        stream.shutdown(std::net::Shutdown::Both).unwrap();
+    };
+    let member = Member::at(TcpListener::bind("127.0.0.1:0").unwrap(), bears, act);
+    let driver = Driver::before(&[("a", &member)]);
+    let mut client = Client::connect(driver.address);
+    for _ in 0..10 {
+        let said = client.ask(&order(15000));
+        assert!(honoured(&said), "{said:?}");
+    }
+    assert!(opened.load(Ordering::SeqCst) >= 30 && !driver.logged("member lost"));
+}
+
+#[test]
+fn a_connection_closed_as_idle_leaves_what_crossed_that_unread() {
+    let member = sound("writer");
+    let driver = Driver::before(&[("a", &member)]);
+    let mut client = Client::connect(driver.address);
+    assert!(honoured(&client.ask(&look(15000))));
+    assert!(client.ended(), "idle for long");
+    // It is gone as a whole, so that a statement written now is known not to be taken.
+    client.send(&look(15000));
+    until("the reset", || client.stream.take_error().unwrap().is_some());
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_never_taken_for_the_next_one() {
+    let member = Member::start(move |text, stream| {
+        honour(text, "writer", stream);
+        if text.starts_with("/*") {
+            // Late enough for the next statement to be decided on.
+            thread::sleep(Duration::from_millis(2));
+            let mut out = Vec::new();
+            pg::single_row(&mut out, "val", b"a stray value", "SELECT 1");
+            pg::ready(&mut out);
+            let _ = stream.write_all(&out);
+        }
+    });
+    let driver = Driver::before(&[("a", &member)]);
+    let mut client = Client::connect(driver.address);
+    for _ in 0..100 {
+        assert!(honoured(&client.ask(&look(15000))));
+    }
+    assert!(!driver.logged("member lost"));
+}
+
+#[test]
+fn lengths_that_claim_too_much_are_noticed_before_the_time_limit() {
+    let whole = |value: &[u8]| {
+        let mut out = Vec::new();
+        pg::single_row(&mut out, "val", value, "SELECT 1");
+        pg::ready(&mut out);
+        out
+    };
+    let member = Member::start(move |text, stream| {
+        let mut out = whole(b"the value");
+        let row = out.iter().position(|&byte| byte == b'D').unwrap();
+        if text.contains("id=long") {
+            // Row and value both claim 200 bytes more than there are.
+            (out[row + 4], out[row + 10]) = (out[row + 4] + 200, out[row + 10] + 200);
+        } else if text.contains("id=huge") {
+            out[row + 1..row + 5].copy_from_slice(&[0xc0, 0, 0, 0]);
+        } else if text.contains("id=short") {
+            out[row + 10] -= 3;
+        }
+        let _ = stream.write_all(&out);
+    });
+    let driver = Driver::before(&[("a", &member)]);
+    let mut client = Client::connect(driver.address);
+    assert!(honoured(&client.ask(&look(15000))));
+    for bad in ["long", "huge", "short"] {
+        let start = Instant::now();
+        let said = client.ask(&named(&look(19000), bad));
+        assert!(said.value.is_none() && start.elapsed() < Duration::from_secs(15), "{bad}: {said:?}");
+        assert!(honoured(&client.ask(&look(15000))), "{bad}");
+    }
+}
+
+#[test]
+fn an_id_under_way_is_an_error_and_leaves_its_task_alone() {
+    let member = Member::start(|text, stream| {
+        if text.starts_with("/*") {
+            thread::sleep(Duration::from_millis(300));
+        }
+        honour(text, "writer", stream);
+    });
+    let driver = Driver::before(&[("a", &member)]);
+    let (mut first, mut second) = (Client::connect(driver.address), Client::connect(driver.address));
+    let statement = order(15000);
+    first.send(&statement);
+    until("the launch", || member.tasks().len() == 1);
+    assert_eq!(second.ask(&statement).code, "08P01");
+    assert!(honoured(&first.answer().unwrap()));
+    assert_eq!(member.tasks().len(), 1);
+}
--- a/crates/store/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -5,7 +5,8 @@
 
 use crate::Micros;
 use crate::files::Files;
-use crate::store::{Batch, Problem, Snapshot, Store};
+use crate::store::Store;
+use crate::{Batch, Problem, Snapshot};
 
 /// Called on the committer's thread once a batch is confirmed, or is known not to be.
 pub type Done = Box<dyn FnOnce(bool) + Send>;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,15 +5,19 @@
 //! `docs/store.md`.
 
 mod commit;
+mod contents;
 mod files;
 mod keeping;
 mod log;
+mod problem;
 mod store;
 
 pub use commit::{Committer, Done};
+pub use contents::{Batch, Snapshot};
 pub use files::{Disk, Files};
 pub use keeping::{Keeping, State};
-pub use store::{Batch, Bounds, Damage, Problem, Recovered, Snapshot, Store};
+pub use problem::{Damage, Problem, Recovered};
+pub use store::{Bounds, Store};
 
 /// Whole microseconds since 1970, as the caller's clock has them; the store never believes that time went back.
 pub type Micros = i64;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -1,12 +1,9 @@
 use std::collections::BTreeMap;
-use std::io;
-use std::sync::Arc;
 
-use imbl::OrdMap;
-
-use crate::Micros;
+use crate::contents::{Entry, Index, over};
 use crate::files::Files;
 use crate::log::{BadHead, Body, Change, FRONT, HEAD, Kind, head, read_head, read_record, record};
+use crate::{Batch, Damage, Micros, Problem, Recovered, Snapshot};
 
 /// The limits of a store, all stated at its start. Sizes in bytes.
 #[derive(Clone, Copy, Debug)]
@@ -27,118 +24,6 @@
     }
 }
 
-/// Why something cannot be done.
-#[derive(Debug)]
-pub enum Problem {
-    Io(io::Error),
-    /// Written by a later version, which is left alone.
-    Newer(u32),
-    /// A batch over the bound, or more live data than the bound.
-    TooLarge,
-    /// A write failed before; the store must be opened anew to know what it holds.
-    Failed,
-}
-
-impl std::fmt::Display for Problem {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Problem::Io(error) => write!(f, "{error}"),
-            Problem::Newer(version) => {
-                write!(f, "of version {version} of the format, newer than this program's")
-            }
-            Problem::TooLarge => f.write_str("more than the limits allow"),
-            Problem::Failed => f.write_str("a write failed before"),
-        }
-    }
-}
-
-impl std::error::Error for Problem {}
-
-impl From<io::Error> for Problem {
-    fn from(error: io::Error) -> Problem {
-        Problem::Io(error)
-    }
-}
-
-/// What was found unreadable where something sound had been confirmed. It is reported, never served.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Damage {
-    pub segment: u64,
-    pub from: u64,
-    pub to: u64,
-}
-
-/// What a recovery found.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Recovered {
-    pub segments: usize,
-    pub records: u64,
-    pub damage: Vec<Damage>,
-    /// Bytes of a torn tail that were cut off: never confirmed.
-    pub torn: u64,
-}
-
-/// Changes that take effect together.
-#[derive(Clone, Debug, Default)]
-pub struct Batch {
-    changes: Vec<Change>,
-}
-
-impl Batch {
-    pub fn put(&mut self, space: u32, key: &[u8], value: &[u8], until: Option<Micros>) {
-        let (key, value, until) = (key.to_vec(), Some(value.to_vec()), until.unwrap_or(0));
-        self.changes.push(Change { space, key, value, until });
-    }
-
-    pub fn remove(&mut self, space: u32, key: &[u8]) {
-        self.changes.push(Change { space, key: key.to_vec(), value: None, until: 0 });
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.changes.is_empty()
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Entry {
-    value: Arc<[u8]>,
-    until: Micros,
-}
-
-type Index = OrdMap<(u32, Vec<u8>), Entry>;
-
-/// What the store held at one moment; stays as it was whatever is written or compacted later.
-#[derive(Clone)]
-pub struct Snapshot {
-    index: Index,
-    at: Micros,
-}
-
-impl Snapshot {
-    pub fn get(&self, space: u32, key: &[u8]) -> Option<Arc<[u8]>> {
-        let entry = self.index.get(&(space, key.to_vec()))?;
-        (!over(entry, self.at)).then(|| entry.value.clone())
-    }
-
-    /// All that is there: namespace, key and value.
-    pub fn everything(&self) -> impl Iterator<Item = (u32, &[u8], &[u8])> {
-        let live = self.index.iter().filter(|(_, entry)| !over(entry, self.at));
-        live.map(|((space, key), entry)| (*space, key.as_slice(), &entry.value[..]))
-    }
-
-    /// All keys of a namespace with their values, in the order of the keys.
-    pub fn all(&self, space: u32) -> impl Iterator<Item = (&[u8], &[u8])> {
-        let range =
-            self.index.range((space, Vec::new())..).take_while(move |((other, _), _)| *other == space);
-        let live = range.filter(|(_, entry)| !over(entry, self.at));
-        live.map(|((_, key), entry)| (key.as_slice(), &entry.value[..]))
-    }
-}
-
-fn over(entry: &Entry, at: Micros) -> bool {
-    entry.until != 0 && entry.until <= at
-}
-
 /// The store over one folder.
 pub struct Store<F: Files> {
     files: F,
--- a/crates/warm/src/recall.rs
+++ b/crates/warm/src/recall.rs
@@ -1,6 +1,5 @@
-use std::fmt;
-
 use serde::de::DeserializeOwned;
+use thiserror::Error;
 
 use crate::{Beliefs, FORMAT, Identity, Micros, ONE, Paces, Primary, space};
 
@@ -22,26 +21,16 @@
 }
 
 /// Why nothing of a folder is believed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum Refused {
-    /// It is another driver's.
+    #[error("kept by another driver, {0}; name a folder of its own for each driver")]
     Foreign(String),
-    /// Written by a later version of this program.
+    #[error("records of form {0}, newer than this program's; run that version, or name another folder")]
     Newer(u32),
-    /// Whose it is cannot be read.
+    #[error("it does not say whose it is; name a new folder, or one that this program wrote")]
     Unsigned,
 }
 
-impl fmt::Display for Refused {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Refused::Foreign(name) => write!(f, "kept by another driver, {name}"),
-            Refused::Newer(format) => write!(f, "records of form {format}, newer than this program's"),
-            Refused::Unsigned => f.write_str("it does not say whose it is"),
-        }
-    }
-}
-
 /// Reads records back: `(space, key, value)`. No record at all is a new folder.
 ///
 /// Protects members from walks and from work at those that are gone, and clients from the wait for the list. Harms,
