The rig's refusals are types; one gateway's cases stand by themselves

Need: Result<_, String> in the rig (eight functions), and two_sites.rs with 560 lines.

Change: fleet::Trouble by thiserror, each with what can be done; sites/tests/one_site.rs has the cases of one gateway without a world.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,5 +22,8 @@
 pub mod run;
 pub mod sites;
 pub mod terms;
+mod trouble;
 pub mod what;
 pub mod world;
+
+pub use trouble::Trouble;
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use aldermill_fleet::Trouble;
 use aldermill_fleet::plan::Plan;
 use aldermill_fleet::report;
 use aldermill_fleet::run::run;
@@ -65,7 +66,7 @@
     }
 }
 
-fn find(name: &str, seed: u64) -> Result<Plan, String> {
+fn find(name: &str, seed: u64) -> Result<Plan, Trouble> {
     if name == "drawn-retire" {
         return Ok(Plan::drawn_retiring(seed));
     }
@@ -74,12 +75,12 @@
     }
     let kept = PathBuf::from(PLANS).join(format!("{name}.json"));
     let path = if kept.exists() { kept } else { PathBuf::from(name) };
-    let text = std::fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))?;
-    Plan::parse(&text).map_err(|why| format!("{}: {why}", path.display()))
+    let text = std::fs::read_to_string(&path).map_err(|why| Trouble::File { path: path.clone(), why })?;
+    Plan::parse(&text).map_err(|why| Trouble::Plan { path, why: Box::new(why) })
 }
 
-fn plans() -> Result<(), String> {
-    let entries = std::fs::read_dir(PLANS).map_err(|error| format!("{PLANS}: {error}"))?;
+fn plans() -> Result<(), Trouble> {
+    let entries = std::fs::read_dir(PLANS).map_err(|why| Trouble::File { path: PLANS.into(), why })?;
     let mut paths: Vec<PathBuf> = entries.flatten().map(|entry| entry.path()).collect();
     paths.sort();
     for path in paths {
@@ -90,7 +91,7 @@
 }
 
 /// Whether all runs held.
-fn play(name: &str, seed: u64, runs: u64, out: Option<PathBuf>) -> Result<bool, String> {
+fn play(name: &str, seed: u64, runs: u64, out: Option<PathBuf>) -> Result<bool, Trouble> {
     let (mut held, mut took) = (0, Vec::new());
     for seed in seed..seed + runs {
         let plan = find(name, seed)?;
@@ -100,7 +101,7 @@
         println!("{}", report::table(&run));
         if let Some(folder) = &folder {
             let wrote = std::fs::write(folder.join("run.jsonl"), report::lines(&run));
-            wrote.map_err(|error| format!("{}: {error}", folder.display()))?;
+            wrote.map_err(|why| Trouble::File { path: folder.clone(), why })?;
             report::picture(&run, &folder.join("run.svg"))?;
         }
         held += u64::from(run.verdict.broken.is_empty());
@@ -117,10 +118,10 @@
 }
 
 /// Leaves out one fault after the other, then drivers, as long as it goes on failing.
-fn shrink(mut plan: Plan, seed: u64) -> Result<bool, String> {
+fn shrink(mut plan: Plan, seed: u64) -> Result<bool, Trouble> {
     let fails = |plan: &Plan| run(plan, seed, None).map(|run| !run.verdict.broken.is_empty());
     if !fails(&plan)? {
-        return Err("the plan does not fail".to_owned());
+        return Err(Trouble::Sound);
     }
     let mut at = 0;
     while at < plan.faults.len() {
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -3,6 +3,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use crate::Trouble;
 pub use crate::figures::Wants;
 pub use crate::keys::Keys;
 pub use crate::what::{Agent, Between, Fault, Folder, Known, Order, Strike, Way, What};
@@ -95,15 +96,15 @@
 }
 
 impl Plan {
-    pub fn parse(text: &str) -> Result<Plan, String> {
-        let plan: Plan = serde_json::from_str(text).map_err(|error| error.to_string())?;
+    pub fn parse(text: &str) -> Result<Plan, Trouble> {
+        let plan: Plan = serde_json::from_str(text)?;
         plan.check().map(|()| plan)
     }
 
-    fn check(&self) -> Result<(), String> {
+    fn check(&self) -> Result<(), Trouble> {
         let within = |field: &str, value: f64, least: f64, most: f64| {
             let fits = (least..=most).contains(&value);
-            fits.then_some(()).ok_or_else(|| format!("{field}: {value} is not from {least} to {most}"))
+            fits.then_some(()).ok_or_else(|| Trouble::Range { field: field.to_owned(), value, least, most })
         };
         within("drivers", self.drivers as f64, 3.0, 40.0)?;
         within("groups", self.groups as f64, 1.0, 12.0)?;
@@ -113,13 +114,13 @@
         within("zones", self.zones as f64, 1.0, 5.0)?;
         within("sites", self.sites as f64, 1.0, 5.0)?;
         if self.sites > 1 && (self.zones > 1 || self.sites > self.members || self.sites > self.drivers) {
-            return Err(format!("sites: {} need as many drivers and members, and one zone", self.sites));
+            return Err(Trouble::Sites(self.sites));
         }
         if !(matches!(self.voters, 0 | 3 | 5 | 7) && self.voters <= self.drivers) {
-            return Err(format!("voters: {} is not 0, 3, 5 or 7 of {} drivers", self.voters, self.drivers));
+            return Err(Trouble::Voters { voters: self.voters, drivers: self.drivers });
         }
         if self.voters > 0 && !self.fellows {
-            return Err("voters: needs `fellows`".to_owned());
+            return Err(Trouble::Alone);
         }
         within("seconds", self.seconds, 1.0, 600.0)?;
         for (at, fault) in self.faults.iter().enumerate() {
@@ -176,7 +177,7 @@
 
     #[test]
     fn what_cannot_be_meant_is_refused_by_its_field() {
-        let said = |text: &str| Plan::parse(text).unwrap_err();
+        let said = |text: &str| Plan::parse(text).unwrap_err().to_string();
         assert!(said(r#"{"name":"a","drivers":2,"load":0.5,"seconds":5}"#).starts_with("drivers: "));
         assert!(said(r#"{"name":"a","drivers":3,"load":0.5,"seconds":5,"faluts":[]}"#).contains("faluts"));
         let stop = r#"{"name":"a","drivers":3,"load":0.5,"seconds":5,"faults":[{"at_ms":1,"do":{"stop":{"share":7,"for_ms":1}}}]}"#;
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -6,6 +6,7 @@
 use plotters::prelude::*;
 use serde_json::json;
 
+use crate::Trouble;
 use crate::figures::{Bin, bins};
 use crate::history::{At, Event};
 use crate::run::Run;
@@ -60,8 +61,8 @@
 }
 
 /// Served share, launches, connections, probes and list calls for each 100 ms, with the faults marked.
-pub fn picture(run: &Run, path: &Path) -> Result<(), String> {
-    draw(run, path).map_err(|error| error.to_string())
+pub fn picture(run: &Run, path: &Path) -> Result<(), Trouble> {
+    draw(run, path).map_err(|why| Trouble::Picture { path: path.to_owned(), why: why.to_string() })
 }
 
 fn draw(run: &Run, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -12,6 +12,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
+use crate::Trouble;
 use crate::cable::{BACK, Line, THERE};
 use crate::council;
 use crate::discovery::Discovery;
@@ -34,14 +35,14 @@
 }
 
 /// Plays a plan to its end with the built program. Logs of the drivers go to that folder, if one is named.
-pub fn run(plan: &Plan, seed: u64, logs: Option<&Path>) -> Result<Run, String> {
+pub fn run(plan: &Plan, seed: u64, logs: Option<&Path>) -> Result<Run, Trouble> {
     run_of(&[program().into()], plan, seed, logs)
 }
 
 /// With another program in the drivers' place, and what stands before its own arguments.
-pub fn run_of(program: &[OsString], plan: &Plan, seed: u64, logs: Option<&Path>) -> Result<Run, String> {
+pub fn run_of(program: &[OsString], plan: &Plan, seed: u64, logs: Option<&Path>) -> Result<Run, Trouble> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|error| error.to_string())?;
+    let runtime = runtime?;
     // Told to stop, it still ends the processes that it started.
     let told_to_stop = async {
         let mut terminate = signal(SignalKind::terminate())?;
@@ -57,7 +58,7 @@
             stopped = told_to_stop => stopped,
         }
     };
-    let events = LocalSet::new().block_on(&runtime, played).map_err(|error| error.to_string())?;
+    let events = LocalSet::new().block_on(&runtime, played)?;
     let verdict = judge(plan, &events);
     Ok(Run { plan: plan.clone(), seed, events, verdict })
 }
--- /dev/null
+++ b/crates/sites/tests/one_site.rs
@@ -0,0 +1,153 @@
+//! One gateway by itself: what it sends, holds, and gives up.
+
+use aldermill_sites::{
+    Answer, Effect, Fate, HereEnded, Micros, Need, OWN, Offering, Sites, Step, Task, Terms, Todo,
+};
+
+const MS: Micros = 1_000;
+const LIMIT: Micros = 2_000 * MS;
+const GROUP: u64 = 2;
+/// The other gateway, at either end.
+const GATE: usize = 0;
+const FAR: usize = 1;
+
+fn terms() -> Terms {
+    let offering =
+        |effect, need, payoff| Offering { effect, need, quoted: 700 * MS, payoff, late_share: 0.5 };
+    Terms {
+        offerings: vec![
+            offering(Effect::Pure, Need::Any, 1.0),
+            offering(Effect::Effectful, Need::Primary, 6.0),
+            offering(Effect::Pure, Need::Primary, 2.0),
+            offering(Effect::Pure, Need::Recent(10 * MS), 1.0),
+        ],
+        sites: 2,
+        max_hops: 1,
+        max_credit: 64,
+        max_cool_down: 1_000 * MS,
+    }
+}
+
+#[test]
+fn what_cannot_be_back_in_time_is_denied_before_it_is_sent() {
+    let mut sites = Sites::start(terms(), 1, 0);
+    sites.links(0, GATE, FAR, 1, true);
+    (0..30).for_each(|_| sites.trip(GATE, 300 * MS));
+    sites.room(0, GATE, vec![9; 4], &[(GROUP, true)], false);
+    let task = |offering, ttl| Task { offering, group: GROUP, ttl, visited: Vec::new(), session: None };
+    let (handle, todo) = sites.take(0, task(1, 250 * MS));
+    assert!(matches!(todo.steps[..], [(other, Step::Deny { .. })] if other == handle), "{todo:?}");
+    let (_, todo) = sites.take(0, task(1, 1_000 * MS));
+    assert!(matches!(todo.steps[..], [(_, Step::Cross { left, .. })] if left <= 850 * MS), "{todo:?}");
+    // A read whose bound is shorter than the way waits for nothing there.
+    let (_, todo) = sites.take(0, task(3, 1_000 * MS));
+    assert!(todo.steps.is_empty(), "{todo:?}");
+    // No more than there is credit for; the rest is held, and goes as room comes.
+    let mut crossed = 1;
+    for _ in 0..20 {
+        crossed += sites.take(0, task(1, 1_000 * MS)).1.steps.len();
+    }
+    assert_eq!(crossed, 9);
+    assert_eq!(sites.room(0, GATE, vec![12; 4], &[(GROUP, true)], false).steps.len(), 3);
+    // Over a long line more may be out than it takes at once: most of them are on the way.
+    let out: Vec<u64> = (1..=12).collect();
+    out.iter().for_each(|&number| drop(sites.answered(310 * MS, number, Answer::Honoured)));
+    let mut crossed = Vec::new();
+    for number in 13..60 {
+        let (_, todo) = sites.take(310 * MS, task(1, 1_000 * MS));
+        crossed.extend(todo.steps);
+        drop(sites.answered(620 * MS, number, Answer::Honoured));
+    }
+    assert!(crossed.len() > 40, "{}", crossed.len());
+    let more = (0..60).map(|_| sites.take(620 * MS, task(1, 1_000 * MS)).1.steps.len()).sum::<usize>();
+    assert!(more > 12, "{more}");
+    // Nothing goes to one that drains.
+    sites.room(0, GATE, vec![50; 4], &[(GROUP, true)], true);
+    assert!(sites.take(0, task(1, 1_000 * MS)).1.steps.is_empty());
+}
+
+#[test]
+fn what_fell_into_a_standstill_here_bars_no_gateway() {
+    let barred = |told: bool| {
+        let mut sites = Sites::start(terms(), 1, 0);
+        sites.links(0, GATE, FAR, 1, true);
+        sites.room(0, GATE, vec![50; 4], &[(GROUP, true)], false);
+        for _ in 0..9 {
+            sites.take(
+                0,
+                Task { offering: 1, group: GROUP, ttl: 1_000 * MS, visited: Vec::new(), session: None },
+            );
+        }
+        // Their answers came meanwhile, and nobody read them before their time was over.
+        let now = 3_000 * MS;
+        if told {
+            sites.stood_still(now);
+        }
+        let todo = sites.wake(now);
+        let ended = todo.steps.iter().filter(|(_, step)| matches!(step, Step::BreakOff)).count();
+        assert_eq!(ended, 9, "{todo:?}");
+        sites.view(now, GATE).barred
+    };
+    assert!(!barred(true));
+    assert!(barred(false), "gateways that lose tasks are barred");
+}
+
+#[test]
+fn a_task_is_never_sent_back_where_it_came_from() {
+    let mut sites = Sites::start(terms(), 1, 0);
+    sites.listed(0, &[(GROUP, 2)]);
+    sites.links(0, GATE, FAR, 1, true);
+    sites.room(0, GATE, vec![9; 4], &[(GROUP, true)], false);
+    // Each believes the other to be home: the one that was asked says so, and nothing goes in a circle.
+    let (handle, todo) =
+        sites.take(0, Task { offering: 1, group: GROUP, ttl: 900 * MS, visited: vec![FAR], session: None });
+    assert!(matches!(todo.steps[..], [(_, Step::Here { .. })]), "{todo:?}");
+    let mut last = Todo::default();
+    for _ in 0..2 {
+        last = handle.here_missed(&mut sites, 10 * MS);
+    }
+    assert_eq!(last.steps, [(handle, Step::TakeBack), (handle, Step::NotHere { hint: None })]);
+    assert_eq!(sites.crossed(1), None);
+    assert_eq!(OWN, 0);
+}
+
+#[test]
+fn what_may_have_run_here_is_not_taken_back_and_what_may_have_run_there_is_not_denied() {
+    let offerings = || {
+        let receipted = Effect::Receipted { window: 2_000 * MS, within_site: false };
+        vec![Offering { effect: receipted, ..terms().offerings[1] }]
+    };
+    let start = || {
+        let mut sites = Sites::start(Terms { offerings: offerings(), ..terms() }, 1, 0);
+        sites.listed(0, &[(GROUP, 2)]);
+        sites.links(0, GATE, FAR, 1, true);
+        sites.room(0, GATE, vec![9], &[(GROUP, false)], false);
+        sites
+    };
+    let task = |visited| Task { offering: 0, group: GROUP, ttl: LIMIT, visited, session: None };
+    // Its launch was broken off, and then all members here said that they are not the primary.
+    for visited in [vec![], vec![FAR]] {
+        let mut sites = start();
+        let (handle, _) = sites.take(0, task(visited));
+        handle.here_may_have_run(&mut sites, 0);
+        for _ in 0..6 {
+            let todo = handle.here_missed(&mut sites, MS);
+            assert!(todo.steps.is_empty(), "{todo:?}");
+        }
+        let todo = handle.here_ended(&mut sites, 2 * MS, HereEnded::BrokenOff);
+        assert_eq!(todo.steps, [(handle, Step::BreakOff)]);
+    }
+    // It crossed, and nobody can say what became of it there; the module here knows nothing of that.
+    let mut sites = start();
+    sites.room(0, GATE, vec![9], &[(GROUP, true)], false);
+    let (handle, todo) = sites.take(0, task(vec![]));
+    let Step::Cross { number, .. } = todo.steps[0].1 else { panic!("{todo:?}") };
+    let todo = sites.fate::<()>(MS, number, &Fate::Unknown);
+    assert!(matches!(todo.steps[..], [(_, Step::Cross { .. })]), "{todo:?}");
+    sites.primary_here(2 * MS, GROUP);
+    let Step::Cross { number, .. } = todo.steps[0].1 else { panic!("{todo:?}") };
+    let todo = sites.answered(3 * MS, number, Answer::NotHere { hint: None });
+    assert!(matches!(todo.steps[..], [(_, Step::Here { .. })]), "{todo:?}");
+    let todo = handle.here_ended(&mut sites, 4 * MS, HereEnded::Denied { cool_down: 0 });
+    assert_eq!(todo.steps, [(handle, Step::BreakOff)]);
+}
