--- a/crates/fleet/src/duties.rs
+++ b/crates/fleet/src/duties.rs
@@ -67,6 +67,27 @@
     figures.held = (all > 0).then(|| 1.0 - without as f64 / all as f64);
 }
 
+/// How long each duty was without a holder that works, from each strike at its holder.
+pub fn hand_overs(figures: &mut Figures, events: &[(At, Event)]) {
+    let holder = |text: &str| {
+        let (driver, duty) = text.strip_prefix('n')?.split_once(" holds ")?;
+        Some((driver.parse::<usize>().ok()?, duty.to_owned()))
+    };
+    for (at, (struck, event)) in events.iter().enumerate() {
+        let Event::Fault { text } = event else { continue };
+        let Some((driver, duty)) = holder(text) else { continue };
+        let term = |(_, event): &(At, Event)| match event {
+            Event::Holds { driver, duty: of, term, .. } if *of == duty => Some((*driver, *term)),
+            _ => None,
+        };
+        let last = events[..at].iter().rev().find_map(term).map_or(0, |(_, term)| term);
+        let next = events[at..]
+            .iter()
+            .find(|event| term(event).is_some_and(|(other, of)| other != driver && of > last));
+        figures.handed_over_ms.push(next.map_or(-1, |(at, _)| (at - struck) / 1000));
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -105,5 +126,10 @@
         ];
         measure(&mut figures, &held);
         assert_eq!((figures.held, figures.longest_unheld_ms), (Some(1.0 - 15.0 / 20.0), 1_000));
+        let strike = |at, driver: usize| (at, Event::Fault { text: format!("n{driver} holds zones") });
+        let struck =
+            [held[0].clone(), strike(50_000, 0), held[1].clone(), held[2].clone(), strike(2_000_000, 1)];
+        hand_overs(&mut figures, &struck);
+        assert_eq!(figures.handed_over_ms, [1_250, -1]);
     }
 }
--- a/crates/fleet/src/figures.rs
+++ b/crates/fleet/src/figures.rs
@@ -59,6 +59,8 @@
     /// Of the time from when a duty was first held, how much it was held, and the longest time that it was not.
     pub held: Option<f64>,
     pub longest_unheld_ms: At,
+    /// From each strike at a duty's holder until another was seen to hold it; -1 is never.
+    pub handed_over_ms: Vec<At>,
     /// From an operator's word that a site retires until it was said to be empty, and retired.
     pub emptied_ms: Option<At>,
     pub retired_ms: Option<At>,
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -123,6 +123,7 @@
     }
     measure(&mut figures, plan, events);
     duties::measure(&mut figures, events);
+    duties::hand_overs(&mut figures, events);
     sites::measure(&mut figures, plan, events);
     wants(&mut broken, plan, &figures);
     broken.sort();
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -92,7 +92,7 @@
 
 /// Whether all runs held.
 fn play(name: &str, seed: u64, runs: u64, out: Option<PathBuf>) -> Result<bool, Trouble> {
-    let (mut held, mut took) = (0, Vec::new());
+    let (mut held, mut took, mut handed) = (0, Vec::new(), Vec::new());
     for seed in seed..seed + runs {
         let plan = find(name, seed)?;
         eprintln!("{} seed {seed}: {} drivers, {} s", plan.name, plan.drivers, plan.seconds);
@@ -106,6 +106,7 @@
         }
         held += u64::from(run.verdict.broken.is_empty());
         took.extend(run.verdict.figures.full_service_ms);
+        handed.extend(run.verdict.figures.handed_over_ms);
     }
     if runs > 1 {
         println!("{held} of {runs} runs held");
@@ -114,6 +115,17 @@
             println!("full service after, ms: median {median}, worst {worst}");
         }
     }
+    handed.sort_unstable_by_key(|&took| if took < 0 { i64::MAX } else { took });
+    if handed.len() > 1 {
+        let at = |share: usize| handed[(handed.len() * share / 100).min(handed.len() - 1)];
+        println!(
+            "{} handed over after, ms: median {}, 99% {}, worst {}",
+            handed.len(),
+            at(50),
+            at(99),
+            at(100)
+        );
+    }
     Ok(held == runs)
 }
 
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -40,6 +40,9 @@
     if let Some(held) = figures.held {
         row("duties held, longest without, ms", format!("{held:.4}, {}", figures.longest_unheld_ms));
     }
+    if !figures.handed_over_ms.is_empty() {
+        row("handed over after, ms", format!("{:?}", figures.handed_over_ms));
+    }
     if let Some(took) = figures.emptied_ms {
         let retired = figures.retired_ms.map_or("not".to_owned(), |took| took.to_string());
         row("site empty, retired after, ms", format!("{took}, {retired}"));
--- a/crates/retire/tests/holder.rs
+++ b/crates/retire/tests/holder.rs
@@ -165,3 +165,37 @@
     assert_eq!(Told::decode(&told.encode()).unwrap(), told);
     assert!(told.encode().len() < 900 && Plan::decode(b"{").is_err());
 }
+
+#[test]
+fn the_nearest_site_takes_all_where_it_has_the_room_and_those_beyond_a_thousandth() {
+    let told = |site: &str, rate: u32, words: Vec<Word>| {
+        let trips = BTreeMap::from([("a".to_owned(), 10), ("b".to_owned(), 100)]);
+        let of = Told {
+            site: site.to_owned(),
+            over_ms: 1000,
+            ended: rate,
+            in_time: rate,
+            bound: rate,
+            trips,
+            ..Told::default()
+        };
+        Told { words, ..of }
+    };
+    for (rate, far) in [(800, 1), (100, 1000)] {
+        let mut holder = Holder::start(0, ACTS);
+        let mut second = |now: Micros, busy: u32, words: Vec<Word>| {
+            let all = [
+                ("n0", told("a", busy, words)),
+                ("n1", told("b", 100, vec![])),
+                ("n2", told("c", 100, vec![])),
+            ];
+            let all = all.map(|(name, told)| (name.to_owned(), (1, now, told)));
+            holder.decide(now, 0, &all.into_iter().collect(), &["n0", "n1", "n2"], &[])
+        };
+        // The nearer one was once seen to bear that much.
+        (0..5).for_each(|at| drop(second(at * S, rate, vec![])));
+        (5..15).for_each(|at| drop(second(at * S, 100, vec![])));
+        let plans = second(15 * S, 100, vec![word(1, Order::Goes)]);
+        assert_eq!((plans[0].shares["a"], plans[0].shares["b"]), (1000, far), "{plans:?}");
+    }
+}
