A read that no site has room for by half of its time is denied then

Need: reads that a retiring site handed on wait at its gateway for room at theirs; held to their limit they were denied 20 ms before it: sitting on what is given up.

Change: hold() gives up a read at half of its time, as the module does with what was never launched. Writes wait as ever: their group may have no primary just now.

Ruled out: at once (credits come and go with every answer over the link).

Measured: the case denies at half and not before; the cases of sites and gateways pass.

--- a/crates/sites/src/sites/place.rs
+++ b/crates/sites/src/sites/place.rs
@@ -186,6 +186,12 @@
             // Who sent it holds it; here it only takes up time.
             return self.not_here(handle, OWN);
         }
+        // Protects a client from a long wait for nothing, as the module does: a read that no site has room for by half of its
+        // time is denied then. Harms what finds room later.
+        let reads = self.terms.offerings[errand.task.offering].need != Need::Primary;
+        if reads && now + errand.task.ttl / 2 >= errand.limit {
+            return self.give_up(handle);
+        }
         let round = !errand.tried.is_empty();
         errand.tried.clear();
         let group = errand.task.group;
--- a/crates/sites/tests/retiring.rs
+++ b/crates/sites/tests/retiring.rs
@@ -91,6 +91,10 @@
     assert_eq!(goes(&mut sites, "s", READ), Some(OWN));
     sites.bind(0, &names(), vec![plan("a", Stage::Emptied, 0)]);
     assert_eq!(goes(&mut sites, "s", READ), None);
+    // It is denied by half of its time, not at the end of it.
+    assert!(sites.wake(LIMIT / 2 - MS).steps.is_empty());
+    let said = sites.wake(LIMIT / 2 + 20 * MS).steps;
+    assert!(matches!(said[..], [(_, Step::Deny { .. })]), "{said:?}");
     // Guests of gateways that have not heard of it are answered until it is retired.
     let guest = |sites: &mut Sites, offering| {
         let task = Task { offering, group: GROUP, ttl: LIMIT, visited: vec![1], session: None };
