A driver that starts again knows what it kept of a retiring site before its first task

Change: Company::bound is read and given to the desk before it runs.

Ruled out: the folder (the plan of weight 0 was kept, and in force 110 ms later), the decree (the driver had it from its folder), the front (clients came to their own site).

--- a/crates/driver/src/fellows.rs
+++ b/crates/driver/src/fellows.rs
@@ -7,6 +7,7 @@
 use aldermill_duties::Driver;
 use aldermill_fellows::{Change, Dropped, Fellow, Micros, Own, Peer, Tempo, Todo, View};
 use aldermill_operator::{Council as Wanted, Fellows as Terms};
+use aldermill_retire::Plan;
 use serde_json::{Value, json};
 use slog::{info, warn};
 use tokio::io::AsyncWriteExt;
@@ -119,6 +120,12 @@
         Ok(company)
     }
 
+    /// What an earlier start knew of sites that retire, before the desk takes its first task.
+    pub fn bound(&mut self) -> Vec<Plan> {
+        let now = self.context.clock.now();
+        self.council.as_mut().and_then(|(council, _)| council.plans(now)).unwrap_or_default()
+    }
+
     /// Until the driver is to stop; then the others are told.
     pub async fn run(mut self) {
         let mut stopping = self.context.stopping.clone();
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -298,15 +298,18 @@
     };
     let warmth = Warmth { recalled: recalled.beliefs, keeping };
     let sight = council.is_some().then(|| Sight::start(clock.now(), seed.rotate_left(24)));
+    let mut bound = Vec::new();
     if let Some(terms) = fellows {
         let place = (zone, limit);
         let wanted = council.map(|wanted| Sitting { wanted, folder: kept_in, place, reread });
         let own = (&*name, drivers, hub.is_some());
-        let company = Company::open(context.clone(), terms, wanted, own, seed.rotate_left(16)).await?;
+        let mut company = Company::open(context.clone(), terms, wanted, own, seed.rotate_left(16)).await?;
+        bound = company.bound();
         spawn_local(company.run());
     }
     let request = on_request.then_some(request);
-    let desk = Desk::new(context.clone(), decoded, seed, hub, trial, warmth, sight, ready, request);
+    let mut desk = Desk::new(context.clone(), decoded, seed, hub, trial, warmth, sight, ready, request);
+    desk.bind(bound);
     let deciding = spawn_local(desk.run(bulletins, calls));
     let requests = on_request.then_some(requests);
     let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(32));
