Read again: a report of keys always fits, and pieces written twice are one

Change, found by reading the whole once more: - splits/frame.rs sized a report by the first six heavy keys in their order and sent the six costliest: with keys of unlike length it grew over what a datagram's body holds, and its last sample was cut (a case). The summary gives them costliest first; samples are no longer made twice for each report. - Keys were sketched where the council has no duty 'splits': they are not any more (desk/sight.rs). - Standing cuts were read from JSON each second; now only for a group that is new to the holder. - Two duties began a term alike: council::duties::Holding. The rig cut lines in four places: faults::lose, cut_off. - What a plan waits for was stripped at three places: Obeyed keeps none. Its one gateway's cases use the world's terms. - Nothing called Agreement::voters, Agreement::holds, Book::next_end, Ledger::wake.

--- a/crates/decrees/src/book.rs
+++ b/crates/decrees/src/book.rs
@@ -143,11 +143,6 @@
         of.max_by_key(|(_, of)| of.place.0).map(|(_, of)| (of.by.as_str(), of.place.0))
     }
 
-    /// When the first of them runs out.
-    pub fn next_end(&self) -> Option<Micros> {
-        self.of.values().map(|of| of.until).min()
-    }
-
     pub fn all(&self, now: Micros) -> impl Iterator<Item = Decree> {
         let live = self.of.iter().filter(move |(_, of)| now < of.until);
         live.map(move |(about, of)| Decree {
--- a/crates/decrees/src/ledger.rs
+++ b/crates/decrees/src/ledger.rs
@@ -122,12 +122,4 @@
             .filter(move |(_, (about, told))| about.duty == duty && now - told.at <= within)
             .map(|(name, (about, told))| (name.as_str(), about.subject.as_str(), told.at, &told.body[..]))
     }
-
-    /// Forgets what is older than that.
-    pub fn wake(&mut self, now: Micros, within: Micros) {
-        for (_, parts) in self.of.values_mut() {
-            parts.retain(|_, told| now - told.at <= within);
-        }
-        self.of.retain(|_, (_, parts)| !parts.is_empty());
-    }
 }
--- a/crates/driver/src/council/duties.rs
+++ b/crates/driver/src/council/duties.rs
@@ -2,6 +2,31 @@
 
 use super::*;
 
+/// What a driver has while it holds a duty under one term.
+pub(super) struct Holding<T>(Option<(Term, T)>);
+
+impl<T> Holding<T> {
+    pub(super) fn none() -> Holding<T> {
+        Holding(None)
+    }
+
+    /// What it has under this term, begun anew with each; nothing without a term.
+    pub(super) fn under(&mut self, term: Option<Term>, begin: impl FnOnce() -> T) -> Option<&mut T> {
+        if self.0.as_ref().map(|(of, _)| *of) != term {
+            self.0 = term.map(|term| (term, begin()));
+        }
+        self.get_mut()
+    }
+
+    pub(super) fn get(&self) -> Option<&T> {
+        self.0.as_ref().map(|(_, of)| of)
+    }
+
+    pub(super) fn get_mut(&mut self) -> Option<&mut T> {
+        self.0.as_mut().map(|(_, of)| of)
+    }
+}
+
 impl Council {
     /// Says anew what it decrees under the duties that it holds; whether it may is asked before each.
     pub(super) fn decree(&mut self, now: Micros, others: &[Rc<str>]) {
--- a/crates/driver/src/council/leaving.rs
+++ b/crates/driver/src/council/leaving.rs
@@ -94,7 +94,7 @@
         for plan in self.obeyed.plans() {
             let site = &plan.word.site;
             // What the desk does not know of yet says nothing.
-            let Some(place) = self.obeyed.place(site).filter(|_| self.acted.contains(&acted(plan))) else {
+            let Some(place) = self.obeyed.place(site).filter(|_| self.acted.contains(plan)) else {
                 continue;
             };
             let (number, open) = (plan.word.number, open.get(site).copied().unwrap_or_default());
@@ -171,7 +171,3 @@
         json!({"acts_by": self.acted, "words": self.words})
     }
 }
-
-fn acted(plan: &Plan) -> Plan {
-    Plan { waits: None, ..plan.clone() }
-}
--- a/crates/driver/src/council/splits.rs
+++ b/crates/driver/src/council/splits.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 use slog::{Logger, info};
 
+use super::duties::Holding;
 use crate::words::Seen;
 
 pub const DUTY: &str = "splits";
@@ -18,7 +19,7 @@
     /// Where the operators have cut.
     cuts: BTreeMap<u64, Vec<String>>,
     /// While it holds the duty under this term.
-    holding: Option<(Term, BTreeMap<Group, Ranges>)>,
+    holding: Holding<BTreeMap<Group, Ranges>>,
     /// What was last said of each range, and which drivers were set aside.
     said: BTreeMap<String, (State, String)>,
     aside: Vec<String>,
@@ -82,25 +83,22 @@
     body
 }
 
-/// The cuts proposed by an earlier holder's word, by subject.
-fn standing(book: &Book, now: Micros) -> BTreeMap<String, Vec<u8>> {
-    let read = |(subject, body): (&str, &[u8])| {
-        let body: Value = serde_json::from_slice(body).ok()?;
-        let proposed = body["state"] == "proposed";
-        Some((subject.to_owned(), from_hex(body["at"].as_str().filter(|_| proposed)?)?))
-    };
-    book.of_duty(now, DUTY).filter_map(read).collect()
+/// The cut proposed for a range by an earlier holder's word.
+fn standing(book: &Book, now: Micros, subject: &str) -> Option<Vec<u8>> {
+    let body: Value = serde_json::from_slice(book.in_force(now, &About::new(DUTY, subject))?).ok()?;
+    let proposed = body["state"] == "proposed";
+    from_hex(body["at"].as_str().filter(|_| proposed)?)
 }
 
 impl SplitsWork {
     pub fn start(cuts: BTreeMap<u64, Vec<String>>, log: Logger) -> SplitsWork {
-        SplitsWork { cuts, holding: None, said: BTreeMap::new(), aside: Vec::new(), log }
+        SplitsWork { cuts, holding: Holding::none(), said: BTreeMap::new(), aside: Vec::new(), log }
     }
 
     /// The operators have cut elsewhere: ranges that are as they were keep what is known of them.
     pub fn reread(&mut self, now: Micros, cuts: &BTreeMap<u64, Vec<String>>) {
         self.cuts.clone_from(cuts);
-        for (group, ranges) in self.holding.iter_mut().flat_map(|(_, groups)| groups) {
+        for (group, ranges) in self.holding.get_mut().into_iter().flatten() {
             ranges.cut(now, &cuts_of(cuts, *group), |_| None);
         }
     }
@@ -119,14 +117,7 @@
         book: &Book,
         living: usize,
     ) -> Vec<(String, Vec<u8>)> {
-        let Some(term) = term else {
-            self.holding = None;
-            return Vec::new();
-        };
-        if self.holding.as_ref().is_none_or(|holding| holding.0 != term) {
-            self.holding = Some((term, BTreeMap::new()));
-        }
-        let Some((_, groups)) = &mut self.holding else { return Vec::new() };
+        let Some(groups) = self.holding.under(term, BTreeMap::new) else { return Vec::new() };
         let mut told: BTreeMap<Group, BTreeMap<String, Summary>> = BTreeMap::new();
         for (driver, group, _, body) in ledger.told(now, COUNTS, DUTY) {
             if let (Ok(group), Ok(summary)) = (group.parse(), frame::decode(body)) {
@@ -135,10 +126,9 @@
         }
         let pictures: BTreeMap<Group, Picture> =
             told.into_iter().map(|(group, told)| (group, Picture::of(&told))).collect();
-        let standing = standing(book, now);
         for group in pictures.keys() {
             groups.entry(*group).or_insert_with(|| {
-                let stands = |from: &[u8]| standing.get(&subject(*group, from)).cloned();
+                let stands = |from: &[u8]| standing(book, now, &subject(*group, from));
                 Ranges::start(now, &cuts_of(&self.cuts, *group), stands)
             });
         }
--- a/crates/driver/src/council/work.rs
+++ b/crates/driver/src/council/work.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 use slog::{Logger, info};
 
+use super::duties::Holding;
 use crate::words::Seen;
 
 pub const DUTY: &str = "zones";
@@ -37,7 +38,7 @@
 pub struct ZonesWork {
     own: Zone,
     /// While it holds the duty under this term.
-    holding: Option<(Term, Evidence, Zones)>,
+    holding: Holding<(Evidence, Zones)>,
     /// What was last obeyed.
     obeyed: Vec<(Group, Lean)>,
     log: Logger,
@@ -45,7 +46,7 @@
 
 impl ZonesWork {
     pub fn start(own: Zone, log: Logger) -> ZonesWork {
-        ZonesWork { own, holding: None, obeyed: Vec::new(), log }
+        ZonesWork { own, holding: Holding::none(), obeyed: Vec::new(), log }
     }
 
     /// What is to be reported of what was seen, in parts.
@@ -65,18 +66,14 @@
         ledger: &Ledger,
         book: &Book,
     ) -> Vec<(String, Vec<u8>)> {
-        let Some(term) = term else {
-            self.holding = None;
-            return Vec::new();
-        };
-        if self.holding.as_ref().is_none_or(|holding| holding.0 != term) {
+        let begin = || {
             let mut zones = Zones::default();
             for (group, zone, lean) in standing(book, now) {
                 zones.goes_on(now, group, zone, &lean);
             }
-            self.holding = Some((term, Evidence::default(), zones));
-        }
-        let Some((_, evidence, zones)) = &mut self.holding else { return Vec::new() };
+            (Evidence::default(), zones)
+        };
+        let Some((evidence, zones)) = self.holding.under(term, begin) else { return Vec::new() };
         let mut told: BTreeMap<String, Vec<Told>> = BTreeMap::new();
         for (driver, _, _, body) in ledger.told(now, COUNTS, DUTY) {
             if let Ok(one) = frame::read_report(body) {
@@ -112,7 +109,7 @@
 
     /// What the holder of the duty makes of all reports.
     pub fn describe(&self) -> Value {
-        let Some((_, evidence, zones)) = &self.holding else { return Value::Null };
+        let Some((evidence, zones)) = self.holding.get() else { return Value::Null };
         let views = evidence.views().iter().map(|(&(group, zone), view)| {
             json!({"group": group, "zone": zone, "finding": format!("{:?}", view.finding),
                 "level": zones.level(group, zone).map(|level| format!("{level:?}")), "asked": view.asked,
--- a/crates/driver/src/desk/sight.rs
+++ b/crates/driver/src/desk/sight.rs
@@ -28,14 +28,16 @@
 pub struct Sight {
     tally: Tally,
     out: HashMap<Handle, Out>,
-    /// By group, which keys cost what.
-    keys: BTreeMap<u64, Sketch>,
+    /// By group, which keys cost what; nothing where nobody asks for that.
+    keys: Option<BTreeMap<u64, Sketch>>,
     seed: u64,
 }
 
 impl Sight {
-    pub fn start(now: Micros, seed: u64) -> Sight {
-        Sight { tally: Tally::start(now), out: HashMap::new(), keys: BTreeMap::new(), seed }
+    /// `splits` says whether the fleet decides where key ranges are cut.
+    pub fn start(now: Micros, seed: u64, splits: bool) -> Sight {
+        let keys = splits.then(BTreeMap::new);
+        Sight { tally: Tally::start(now), out: HashMap::new(), keys, seed }
     }
 
     pub(super) fn launched(
@@ -48,18 +50,22 @@
         let Ok(offering) = decoded.offering(&order.comment.offering) else { return };
         let offering = &decoded.terms.offerings[offering];
         let Some((group, zone)) = place else { return };
-        let key = quoted(&order.statement[order.comment.end..]).unwrap_or_default().into_bytes();
+        let key = self.keys.as_ref().and_then(|_| quoted(&order.statement[order.comment.end..]));
+        let key = key.unwrap_or_default().into_bytes();
         let (quoted, write) = (offering.quoted, offering.need == Need::Write);
         self.out.insert(handle, Out { group, zone, quoted, write, key });
     }
 
     fn ended(&mut self, now: Micros, handle: Handle, verdict: Verdict, took: Micros) {
         let Some(Out { group, zone, quoted, write, key }) = self.out.remove(&handle) else { return };
-        let known = self.keys.len() < GROUPS || self.keys.contains_key(&group);
-        if verdict == Verdict::Honoured && !key.is_empty() && known {
+        if let Some(keys) = &mut self.keys
+            && verdict == Verdict::Honoured
+            && !key.is_empty()
+            && (keys.len() < GROUPS || keys.contains_key(&group))
+        {
             // What an access costs: the time that the member took, in milliseconds.
             let seed = self.seed ^ group;
-            let sketch = self.keys.entry(group).or_insert_with(|| Sketch::start(now, seed));
+            let sketch = keys.entry(group).or_insert_with(|| Sketch::start(now, seed));
             sketch.access(now, &key, write, took as f64 / 1000.0);
         }
         // Writes go wherever the primary is, and say nothing of zones.
@@ -91,7 +97,7 @@
             let (over, rows) = sight.tally.take(now);
             let summary =
                 |(&group, sketch): (&u64, &mut Sketch)| (group, aldermill_splits::frame::encode(sketch, now));
-            let keys = sight.keys.iter_mut().map(summary).collect();
+            let keys = sight.keys.iter_mut().flatten().map(summary).collect();
             let site = self.hub.as_mut().map(|hub| hub.seen(now));
             let _ = asked.send(Seen { over, rows, keys, site });
         }
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -26,7 +26,7 @@
 use std::sync::Arc;
 
 use aldermill_link::{Bounds as LinkBounds, Identity};
-use aldermill_operator::{Gateway, Operator};
+use aldermill_operator::{Duty, Gateway, Operator};
 use aldermill_terms::Decoded;
 use aldermill_vigil::apart;
 use bpaf::Bpaf;
@@ -297,7 +297,10 @@
         None => None,
     };
     let warmth = Warmth { recalled: recalled.beliefs, keeping };
-    let sight = council.is_some().then(|| Sight::start(clock.now(), seed.rotate_left(24)));
+    let sight = council.as_ref().map(|council| {
+        let splits = council.duties.contains(&Duty::Splits);
+        Sight::start(clock.now(), seed.rotate_left(24), splits)
+    });
     let mut bound = Vec::new();
     if let Some(terms) = fellows {
         let place = (zone, limit);
--- a/crates/duties/src/agreement.rs
+++ b/crates/duties/src/agreement.rs
@@ -114,20 +114,11 @@
         self.voter.is_some()
     }
 
-    pub fn voters(&self) -> &[String] {
-        &self.voters
-    }
-
     /// To be asked immediately before each act.
     pub fn may_act(&self, now: Micros, duty: &str) -> Option<Term> {
         self.seekers.get(duty)?.may_act(now)
     }
 
-    /// The duties that it holds now.
-    pub fn holds(&self, now: Micros) -> impl Iterator<Item = (&String, Term)> {
-        self.seekers.iter().filter_map(move |(duty, seeker)| Some((duty, seeker.may_act(now)?)))
-    }
-
     /// `wall` is the Unix time in milliseconds, here and below.
     pub fn wake(&mut self, now: Micros, wall: u64) -> Todo {
         for duty in self.seekers.keys().cloned().collect::<Vec<_>>() {
--- a/crates/fleet/src/council.rs
+++ b/crates/fleet/src/council.rs
@@ -15,7 +15,7 @@
 
 use crate::cable::Line;
 use crate::drivers::{self, Drivers};
-use crate::faults::{Stage, millis, seen};
+use crate::faults::{Stage, cut_off, lose, millis};
 use crate::history::{Event, Told};
 use crate::plan::{Between, Folder, Known as List, Order, Strike, Way};
 use crate::world::World;
@@ -113,15 +113,7 @@
             Strike::CutBoth => Way::Both,
         };
         let lines = self.lines(Between::DriversDrivers, vec![holder]);
-        let set = |lost| {
-            for (line, turned) in &lines {
-                let each = seen(way, *turned).each();
-                (0..2).filter(|&at| each[at]).for_each(|at| line.lost[at].set(lost));
-            }
-        };
-        set(true);
-        sleep(millis(for_ms)).await;
-        set(false);
+        lose(&lines, way, for_ms).await;
     }
 
     /// Members die, primaries are elected anew, and those that died come back cold.
@@ -158,17 +150,13 @@
 
     pub(crate) async fn cut_zone(&self, zone: usize, for_ms: u64) {
         let side = |driver: usize| self.world.zone_of_driver(driver) == zone;
-        let mut lines = Vec::new();
+        let mut lines: Vec<Rc<Line>> = Vec::new();
         for (driver, to) in self.to_members.iter().enumerate() {
             let crosses = |member: &usize| (self.world.zone_of_member(*member) == zone) != side(driver);
             lines.extend((0..to.len()).filter(crosses).map(|member| to[member].clone()));
         }
         let between = self.fellows.iter().filter(|((low, high), _)| side(*low) != side(*high));
         lines.extend(between.map(|(_, line)| line.clone()));
-        let set = |lost| lines.iter().for_each(|line| (0..2).for_each(|way| line.lost[way].set(lost)));
-        set(true);
-        sleep(millis(for_ms)).await;
-        set(false);
-        lines.iter().for_each(|line| line.cut());
+        cut_off(lines.into_iter().map(|line| (line, false)).collect(), Way::Both, for_ms).await;
     }
 }
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -101,18 +101,7 @@
             }
             What::Cut { between, share, way, for_ms } => {
                 let lines = self.lines(between, some(share, &drivers, &mut rng));
-                let set = |lost| {
-                    for (line, turned) in &lines {
-                        for (at, struck) in seen(way, *turned).each().into_iter().enumerate() {
-                            line.lost[at].set(lost && struck);
-                        }
-                    }
-                };
-                set(true);
-                sleep(millis(for_ms)).await;
-                set(false);
-                // Once the way is back, what had stood is found to be gone.
-                lines.iter().for_each(|(line, _)| line.cut());
+                cut_off(lines, way, for_ms).await;
             }
             What::Hold { between, share, way, for_ms } => {
                 let lines = self.lines(between, some(share, &drivers, &mut rng));
@@ -196,13 +185,7 @@
             What::SiteCut { site, for_ms } => {
                 let of = |driver: usize| self.world.site_of_driver(driver) == site;
                 let lines = self.links.iter().filter(|((from, to), _)| of(*from) != of(*to));
-                let lines: Vec<Rc<Line>> = lines.map(|(_, line)| line.clone()).collect();
-                let set =
-                    |lost| lines.iter().for_each(|line| (0..2).for_each(|way| line.lost[way].set(lost)));
-                set(true);
-                sleep(millis(for_ms)).await;
-                set(false);
-                lines.iter().for_each(|line| line.cut());
+                cut_off(lines.map(|(_, line)| (line.clone(), false)).collect(), Way::Both, for_ms).await;
             }
             What::List { how, for_ms } => {
                 self.discovery.be(how);
@@ -284,6 +267,25 @@
     }
 }
 
+/// Nothing comes through for so long, the way that is said; of each line whether that is seen from its other side.
+pub(crate) async fn lose(lines: &[(Rc<Line>, bool)], way: Way, for_ms: u64) {
+    let set = |lost| {
+        for (line, turned) in lines {
+            let each = seen(way, *turned).each();
+            [THERE, BACK].into_iter().filter(|&at| each[at]).for_each(|at| line.lost[at].set(lost));
+        }
+    };
+    set(true);
+    sleep(millis(for_ms)).await;
+    set(false);
+}
+
+/// The same; once the way is back, what had stood is found to be gone.
+pub(crate) async fn cut_off(lines: Vec<(Rc<Line>, bool)>, way: Way, for_ms: u64) {
+    lose(&lines, way, for_ms).await;
+    lines.iter().for_each(|(line, _)| line.cut());
+}
+
 pub(crate) fn seen(way: Way, turned: bool) -> Way {
     if turned { way.turned() } else { way }
 }
--- a/crates/fleet/src/sites.rs
+++ b/crates/fleet/src/sites.rs
@@ -125,8 +125,9 @@
     let first =
         events.iter().find(|(_, event)| matches!(event, Event::Asked { .. })).map_or(0, |(at, _)| *at);
     let Some(said) = said.map(|fault| first + fault.at_ms as At * 1000) else { return };
+    let stages = stages(events);
     let when = |wanted: &str| {
-        let all = stages(events).into_values().flatten();
+        let all = stages.values().flatten();
         all.filter(|(_, stage)| stage == wanted).map(|(at, _)| (at - said) / 1000).min()
     };
     (figures.emptied_ms, figures.retired_ms) = (when("emptied"), when("retired"));
--- a/crates/retire/src/holder.rs
+++ b/crates/retire/src/holder.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
@@ -104,8 +104,8 @@
         self.going.clear();
     }
 
-    /// Once a second: what is decreed now. `told` is what drivers said of late, with their starts and when they said it; `standing` what stands by
-    /// decrees, `wall` is Unix milliseconds.
+    /// Once a second: what is decreed now. `told` is what drivers said of late, with their starts and when they said it;
+    /// `standing` what stands by decrees, `wall` is Unix milliseconds.
     pub fn decide(
         &mut self,
         now: Micros,
@@ -115,8 +115,7 @@
         standing: &[(Plan, Place)],
     ) -> Vec<Plan> {
         let acts = self.acts;
-        self.gone.retain(|_, at| now - *at <= acts);
-        self.gone.retain(|driver, _| !told.contains_key(driver));
+        self.gone.retain(|driver, at| now - *at <= acts && !told.contains_key(driver));
         self.measure(told);
         let sites = self.sites.iter().map(|(name, (site, _))| (name.clone(), *site)).collect();
         let looks = Looks { sites, heard: told.len(), living: living.len() };
@@ -127,8 +126,10 @@
         }
         self.catch_up(told);
         let words = told.values().flat_map(|(_, _, told)| &told.words);
-        let known: BTreeSet<String> = self.sites.keys().cloned().collect();
-        for word in words.filter(|word| known.contains(&word.site)) {
+        for word in words {
+            if !self.sites.contains_key(&word.site) {
+                continue;
+            }
             match self.going.get_mut(&word.site) {
                 Some(going) if word.number <= going.word.number => {}
                 Some(going) => going.word = word.clone(),
--- a/crates/retire/src/obeyed.rs
+++ b/crates/retire/src/obeyed.rs
@@ -28,6 +28,8 @@
 
     /// A decree in force. Says whether anything has changed that is to be kept.
     pub fn hear(&mut self, now: Micros, plan: Plan, place: Place) -> bool {
+        // What the next step waits for changes nothing here.
+        let plan = Plan { waits: None, ..plan };
         let known = self.plans.get_mut(&plan.word.site);
         match known {
             Some((_, at, _)) if place < *at => false,
@@ -36,8 +38,7 @@
             Some((old, at, heard)) => {
                 (*at, *heard) = (place, now);
                 let plan = old.followed_by(plan);
-                let waits = Plan { waits: old.waits.clone(), ..plan.clone() };
-                let news = *old != waits;
+                let news = *old != plan;
                 *old = plan;
                 news
             }
@@ -69,8 +70,8 @@
         let acting = |(plan, _, heard): &(Plan, Place, Micros)| {
             let fenced = plan.word.site == own && now - heard > GOES_ON && plan.stage != Stage::Back;
             match fenced {
-                true => Plan { weight: 0, stage: Stage::Retired, waits: None, ..plan.clone() },
-                false => Plan { waits: None, ..plan.clone() },
+                true => Plan { weight: 0, stage: Stage::Retired, ..plan.clone() },
+                false => plan.clone(),
             }
         };
         self.plans.values().map(acting).filter(|plan| plan.stage != Stage::Back).collect()
--- a/crates/sites/tests/two_sites/main.rs
+++ b/crates/sites/tests/two_sites/main.rs
@@ -1,5 +1,6 @@
 //! Two cores joined by a simulated link that delays, cuts and restarts; the rules are checked at every step.
 
+mod one_site;
 mod world;
 
 use std::collections::HashMap;
--- a/crates/sites/tests/one_site.rs
+++ b/crates/sites/tests/two_sites/one_site.rs
@@ -1,32 +1,8 @@
 //! One gateway by itself: what it sends, holds, and gives up.
 
-use aldermill_sites::{
-    Answer, Effect, Fate, HereEnded, Micros, Need, OWN, Offering, Sites, Step, Task, Terms, Todo,
-};
+use aldermill_sites::{Answer, Effect, Fate, HereEnded, OWN, Offering, Sites, Step, Task, Terms, Todo};
 
-const MS: Micros = 1_000;
-const LIMIT: Micros = 2_000 * MS;
-const GROUP: u64 = 2;
-/// The other gateway, at either end.
-const GATE: usize = 0;
-const FAR: usize = 1;
-
-fn terms() -> Terms {
-    let offering =
-        |effect, need, payoff| Offering { effect, need, quoted: 700 * MS, payoff, late_share: 0.5 };
-    Terms {
-        offerings: vec![
-            offering(Effect::Pure, Need::Any, 1.0),
-            offering(Effect::Effectful, Need::Primary, 6.0),
-            offering(Effect::Pure, Need::Primary, 2.0),
-            offering(Effect::Pure, Need::Recent(10 * MS), 1.0),
-        ],
-        sites: 2,
-        max_hops: 1,
-        max_credit: 64,
-        max_cool_down: 1_000 * MS,
-    }
-}
+use crate::world::{FAR, GATE, GROUP, LIMIT, MS, terms};
 
 #[test]
 fn what_cannot_be_back_in_time_is_denied_before_it_is_sent() {
--- a/crates/splits/src/frame.rs
+++ b/crates/splits/src/frame.rs
@@ -25,20 +25,16 @@
 
 /// The newest summary, with as many samples as fit.
 pub fn encode(sketch: &mut Sketch, now: Micros) -> Vec<u8> {
-    let longest =
-        |summary: &Summary| summary.samples.iter().map(|sample| sample.key.len() + 5).max().unwrap_or(1);
-    let all = sketch.summary(now, 256);
-    let heavy: usize = all.heavy.iter().take(HEAVY).map(|heavy| heavy.key.len() + 9).sum();
-    let fit = (MOST - 5 - heavy) / longest(&all);
+    let heavy = sketch.summary(now, 0).heavy;
+    let heavy: usize = heavy.iter().take(HEAVY).map(|heavy| heavy.key.len() + 9).sum();
+    let fit = (MOST - 5 - heavy) / (sketch.longest() + 5);
     put(&sketch.summary(now, fit))
 }
 
-pub fn put(of: &Summary) -> Vec<u8> {
+fn put(of: &Summary) -> Vec<u8> {
     let mut to = Vec::with_capacity(MOST);
     to.put_f32(of.cost as f32);
-    let mut heavy: Vec<&Heavy> = of.heavy.iter().collect();
-    heavy.sort_by(|a, b| b.cost.total_cmp(&a.cost));
-    heavy.truncate(HEAVY);
+    let heavy = &of.heavy[..of.heavy.len().min(HEAVY)];
     to.put_u8(heavy.len() as u8);
     for Heavy { key, cost, error } in heavy {
         to.put_f32(*cost as f32);
--- a/crates/splits/src/sketch.rs
+++ b/crates/splits/src/sketch.rs
@@ -110,7 +110,13 @@
         }
     }
 
-    /// The best so many samples, which are a priority sample themselves, and keys that have a twentieth of the cost.
+    /// The longest key of all samples.
+    pub(crate) fn longest(&self) -> usize {
+        self.kept.iter().map(|kept| kept.key.len()).max().unwrap_or(0)
+    }
+
+    /// The best so many samples, which are a priority sample themselves, and keys that have a twentieth of the cost, the
+    /// costliest first.
     pub fn summary(&mut self, now: Micros, most: usize) -> Summary {
         self.age(now);
         let left_out = self.kept.get(most).map_or(self.threshold, |kept| kept.priority);
@@ -120,6 +126,8 @@
         });
         let heavy = self.heavy.iter().filter(|(_, (count, error))| count - error > self.cost / 20.0);
         let heavy = heavy.map(|(key, &(cost, error))| Heavy { key: key.clone(), cost, error });
-        Summary { cost: self.cost, samples: samples.collect(), heavy: heavy.collect() }
+        let mut heavy: Vec<Heavy> = heavy.collect();
+        heavy.sort_by(|a, b| b.cost.total_cmp(&a.cost));
+        Summary { cost: self.cost, samples: samples.collect(), heavy }
     }
 }
