--- a/crates/splits/tests/splits.rs
+++ b/crates/splits/tests/splits.rs
@@ -246,14 +246,17 @@
 
 #[test]
 fn a_report_of_many_heavy_keys_of_unlike_length_fits_and_is_read() {
-    let mut sketch = Sketch::start(0, 1);
-    // Six short ones first in their order, and six long ones that cost more.
-    for _ in 0..200 {
-        (0..6).for_each(|at| sketch.access(0, format!("a{at}").as_bytes(), false, 10.0));
-        (0..6).for_each(|at| sketch.access(0, format!("b{at}{}", "x".repeat(46)).as_bytes(), false, 12.0));
+    for seed in 0..20 {
+        let mut sketch = Sketch::start(0, seed);
+        // Six short ones first in their order, just heavy enough, and six long ones that cost most of it.
+        for _ in 0..200 {
+            (0..6).for_each(|at| sketch.access(0, format!("a{at}").as_bytes(), false, 5.3));
+            let long = |at| format!("b{at}{}", "x".repeat(46));
+            (0..6).for_each(|at| sketch.access(0, long(at).as_bytes(), false, 11.4));
+        }
+        let bytes = frame::encode(&mut sketch, 0);
+        assert!(bytes.len() <= frame::MOST, "{}", bytes.len());
+        let summary = frame::decode(&bytes).unwrap();
+        assert!(summary.heavy.len() == 6 && summary.heavy.iter().all(|heavy| heavy.key.starts_with(b"b")));
     }
-    let bytes = frame::encode(&mut sketch, 0);
-    assert!(bytes.len() <= frame::MOST, "{}", bytes.len());
-    let summary = frame::decode(&bytes).unwrap();
-    assert!(summary.heavy.len() == 6 && summary.heavy.iter().all(|heavy| heavy.key.starts_with(b"b")));
 }
