What an attempt rests on is looked at again when it leaves, and a replica's word holds

Cause: between the decision and the last byte an attempt waits in the member's mailbox and for a connection, which comes up as late as 1.5 s. `Member::visit` looked again at the drain, the time limit and the proof of freshness, not at the client: a request whose client left meanwhile went out. Two more things were fixed at the decision: the time told to the member (`Desk::launch` worded the statement, so a member was told up to the connect time too much), and the window of repeats (`place` compared it with the decision's time alone).

Mend, at the one place where attempts leave: `Departure::may_leave`. The statement is worded there; `Open::withdraw` marks a request that nobody waits for; `Validity` takes the place of `Proof` and carries the end of the window of repeats, too.

A primary that stepped down and stands still tells a position older than the last answer's date, so its word was dropped and reads went on to it as to a primary. The word now holds unless its position shows it to be older than what the member told as primary. - Two answers of one member come through one mailbox in any order. A word `writer` asked for before the member was heard to be a replica makes it no primary for reads any more. - A member that drained, went or started again kept `seen_primary`; with the list's guess reads went there. - A word that the member's actor had heard and the router had not: the look at departure compared times, so that a decision made before the router heard it passed. It compares counts now.

Each has a case that fails without it (checked by taking the lines out one by one; the three socket cases against the old program).

--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -26,7 +26,7 @@
 use crate::context::Context;
 use crate::desk::lists::Peer;
 use crate::trial::Trial;
-use crate::words::{Answer, Bulletin, Call, ClientId, Ended, Gave, Mail, Order};
+use crate::words::{Answer, Bulletin, Call, ClientId, Ended, Gave, Mail, Order, Withdrawal};
 
 /// A task under way and the client that waits for it.
 pub(crate) struct Open {
@@ -35,9 +35,19 @@
     /// Of the best paid offering.
     best: bool,
     pub client: Option<(ClientId, mpsc::Sender<Mail>)>,
+    /// Set when the client left, or the gateway took the request back.
+    withdrawal: Withdrawal,
     order: Rc<Order>,
 }
 
+impl Open {
+    /// Nobody waits for it here any more.
+    fn withdraw(&mut self) {
+        self.client = None;
+        self.withdrawal.set();
+    }
+}
+
 /// Where a client's task is.
 #[derive(Clone, Copy)]
 pub(crate) enum Holder {
@@ -219,7 +229,7 @@
                     None => return,
                 };
                 if let Some(open) = self.open.get_mut(&handle) {
-                    open.client = None;
+                    open.withdraw();
                 }
                 let now = self.context.clock.now();
                 let ((), todo) = self.ask(|router| ((), handle.left(router, now)));
@@ -227,7 +237,8 @@
                 self.release(handle);
             }
             Call::Ended(ended) => self.ended(ended),
-            Call::Probed { member, verdict, took, told } => {
+            Call::Probed { member, verdict, took, told, replica_words } => {
+                self.said_replica(member, replica_words);
                 let now = self.context.clock.now();
                 let ((), todo) = self.ask(|router| ((), router.probed(now, member, verdict, took, told)));
                 self.carry_out(todo);
@@ -329,12 +340,15 @@
         };
         let (handle, todo) = self.ask(|router| router.take(now, task.clone()));
         let best = self.context.best_paid.contains(&order.comment.offering);
-        self.open.insert(handle, Open { via, best, client, order });
+        self.open.insert(handle, Open { via, best, client, withdrawal: Withdrawal::default(), order });
         (handle, todo)
     }
 
     fn ended(&mut self, ended: Ended) {
-        let Ended { handle, verdict, took, told, gave } = ended;
+        let Ended { handle, verdict, took, told, gave, replica_words } = ended;
+        if let Some((member, words)) = replica_words {
+            self.said_replica(member, words);
+        }
         self.sees_end(handle, verdict, took);
         match gave {
             Gave::Rows(rows) => self.answer(handle, Answer::Honoured(rows)),
--- a/crates/driver/src/desk/hub/trips.rs
+++ b/crates/driver/src/desk/hub/trips.rs
@@ -216,7 +216,7 @@
     /// The module here is to forget a task; what it has sent goes on.
     pub(super) fn leave_here(&mut self, here: HereHandle) {
         if let Some(open) = self.open.get_mut(&here) {
-            open.client = None;
+            open.withdraw();
         }
         let now = self.context.clock.now();
         let ((), todo) = self.ask(|router| ((), here.left(router, now)));
--- a/crates/driver/src/desk/lists.rs
+++ b/crates/driver/src/desk/lists.rs
@@ -26,6 +26,8 @@
     /// Its last start as the list tells it, and on the router's clock.
     pub(super) up_since: f64,
     pub(super) since: Option<Micros>,
+    /// How often the router has heard it say that it is a replica.
+    pub(super) replica_words: u64,
 }
 
 impl Desk {
@@ -131,6 +133,13 @@
         })
     }
 
+    /// The router is about to hear this word, and decides with it from now on.
+    pub(super) fn said_replica(&mut self, member: MemberId, words: u64) {
+        if let Some(peer) = self.peers.get_mut(member).and_then(Option::as_mut) {
+            peer.replica_words = peer.replica_words.max(words);
+        }
+    }
+
     /// Starts the actor of a member that was never listed before.
     fn meet(&mut self, entry: &Entry, address: SocketAddr) -> MemberId {
         let id = self.peers.iter().position(Option::is_none).unwrap_or(self.peers.len());
@@ -143,8 +152,17 @@
             self.peers.push(None);
         }
         let (group, ready, zone) = (entry.cell, false, self.decoded.zone(&entry.locality));
-        self.peers[id] =
-            Some(Peer { group, zone, ready, errands, open, address, up_since: entry.up_since_ms, since });
+        self.peers[id] = Some(Peer {
+            group,
+            zone,
+            ready,
+            errands,
+            open,
+            address,
+            up_since: entry.up_since_ms,
+            since,
+            replica_words: 0,
+        });
         self.member_ids.insert(entry.id.clone(), id);
         id
     }
--- a/crates/driver/src/desk/steps.rs
+++ b/crates/driver/src/desk/steps.rs
@@ -1,12 +1,12 @@
 //! Carries out what the router says is to be done: answers, launches, probes.
 
-use aldermill_routing::{Effect, Handle, MemberId, Micros, Proof, Step, Todo, Told, Verdict};
+use aldermill_routing::{Effect, Handle, MemberId, Micros, Step, Todo, Told, Validity, Verdict};
 use slog::warn;
 use tokio::time::Instant;
 
 use super::Desk;
 use crate::clock::duration;
-use crate::words::{Answer, Call, Ended, Errand, Gave, Launch, Mail, Query};
+use crate::words::{Answer, Call, Ended, Errand, Gave, Launch, Mail};
 
 impl Desk {
     /// Its member answered, but there is no room for that: what is pure may be denied, anything else did run.
@@ -43,8 +43,8 @@
     pub(crate) fn carry_out(&mut self, todo: Todo) {
         for (handle, step) in todo.steps {
             match step {
-                Step::Launch { member, limit, afresh, proof } => {
-                    self.launch(handle, member, limit, afresh, proof)
+                Step::Launch { member, limit, afresh, validity } => {
+                    self.launch(handle, member, limit, afresh, validity)
                 }
                 Step::Deny { cool_down } => self.answer(handle, Answer::Denied { cool_down }),
                 Step::BreakOff => self.answer(handle, Answer::BrokenOff),
@@ -57,7 +57,8 @@
             let peer = self.peers[member].as_ref();
             if peer.is_none_or(|peer| peer.errands.try_send(Errand::Probe { sent, until }).is_err()) {
                 let (verdict, told) = (Verdict::Moot, Told::default());
-                self.pending.push_back(Call::Probed { member, verdict, took: 0, told });
+                let replica_words = peer.map_or(0, |peer| peer.replica_words);
+                self.pending.push_back(Call::Probed { member, verdict, took: 0, told, replica_words });
             }
         }
         for member in todo.shut {
@@ -76,22 +77,31 @@
         }
     }
 
-    fn launch(&mut self, handle: Handle, member: MemberId, limit: Micros, afresh: bool, proof: Proof) {
+    fn launch(&mut self, handle: Handle, member: MemberId, limit: Micros, afresh: bool, validity: Validity) {
         let Some(open) = self.open.get(&handle) else { return };
         let sent = Instant::now();
-        let wait = ((limit.max(0) + 999) / 1000).to_string();
-        let query = Query::of(&open.order, &wait);
         let holder = (open.order.holder, open.best);
         if let Some(sight) = &mut self.sight {
             let place = self.peers[member].as_ref().map(|peer| (peer.group, peer.zone));
             sight.launched(handle, place, &self.decoded, &open.order);
         }
-        let launch = Launch { handle, query, holder, sent, until: sent + duration(limit), afresh, proof };
         let peer = self.peers[member].as_ref();
+        let launch = Launch {
+            handle,
+            order: open.order.clone(),
+            withdrawal: open.withdrawal.clone(),
+            holder,
+            sent,
+            until: sent + duration(limit),
+            afresh,
+            validity,
+            replica_words: peer.map_or(0, |peer| peer.replica_words),
+        };
         if peer.is_none_or(|peer| peer.errands.try_send(Errand::Launch(launch)).is_err()) {
             warn!(self.context.log, "member's mailbox full, launch not sent"; "member" => member);
             let (verdict, told) = (Verdict::Moot, Told::default());
-            let ended = Ended { handle, verdict, took: 0, told, gave: Gave::Nothing };
+            let gave = Gave::Nothing;
+            let ended = Ended { handle, verdict, took: 0, told, gave, replica_words: None };
             self.pending.push_back(Call::Ended(ended));
         }
     }
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -9,10 +9,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use aldermill_pace::Peer;
-use aldermill_routing::{Handle, MemberId, Micros, Proof, Role, Told, Verdict};
+use aldermill_routing::{Handle, MemberId, Micros, Role, Told, Verdict};
 use aldermill_terms::Decoded;
-use aldermill_wire::{Exchange, pg};
+use aldermill_wire::Exchange;
 use slog::{error, info, warn};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{self, JoinSet};
@@ -20,13 +19,13 @@
 
 use crate::context::Context;
 use crate::gate::Room;
-use crate::words::{Call, Ended, Errand, Gave, Launch, Query, Rows};
+use crate::words::{Call, Ended, Errand, Gave, Launch, Rows};
 use connection::{Connection, connect, settled};
-use visit::{Fresh, Visit};
+use visit::{Departure, Visit};
 
 /// What a launch or a probe is for.
 enum Purpose {
-    Task { handle: Handle, sent: Instant, proof: Proof },
+    Task { handle: Handle, sent: Instant },
     Probe { sent: Instant },
 }
 
@@ -58,8 +57,8 @@
     era: u64,
     /// When it last answered anything.
     heard: Instant,
-    /// When it last said that it is a replica.
-    replica: Rc<Cell<Option<Instant>>>,
+    /// How often it has said that it is a replica.
+    replica_words: Rc<Cell<u64>>,
     /// Answers in a row that were cut short or could not be read.
     spoilt: usize,
     /// It could not be reached or broke connections, and that was logged.
@@ -85,7 +84,7 @@
             purposes: HashMap::new(),
             era: 0,
             heard: Instant::now(),
-            replica: Rc::new(Cell::new(None)),
+            replica_words: Rc::default(),
             spoilt: 0,
             lost: false,
         }
@@ -114,16 +113,15 @@
                     }
                 }
                 errand = errands.recv() => match errand {
-                    Some(Errand::Launch(Launch { handle, query, holder, sent, until, afresh, proof })) => {
-                        if afresh {
+                    Some(Errand::Launch(launch)) => {
+                        if launch.afresh {
                             self.idle.clear();
                         }
-                        self.visit(Purpose::Task { handle, sent, proof }, query, Some(holder), until);
+                        let Launch { handle, sent, until, .. } = launch;
+                        self.visit(Purpose::Task { handle, sent }, Some(launch), until);
                     }
                     Some(Errand::Probe { sent, until }) => {
-                        let mut query = Vec::new();
-                        pg::query(&mut query, &[b"SHOW usage"]);
-                        self.visit(Purpose::Probe { sent }, Query::Whole(query), None, until);
+                        self.visit(Purpose::Probe { sent }, None, until);
                     }
                     Some(Errand::Renew(address)) => {
                         self.address = address;
@@ -173,16 +171,15 @@
         None
     }
 
-    /// Starts one query on a connection of its own, to its end or its time limit.
-    fn visit(&mut self, purpose: Purpose, query: Query, holder: Option<(Peer, bool)>, until: Instant) {
-        let for_task = matches!(purpose, Purpose::Task { .. });
-        let fresh = match purpose {
-            Purpose::Task { sent, proof, .. } => Fresh { proof, sent, replica: self.replica.clone() },
-            Purpose::Probe { sent } => Fresh { proof: Proof::Lasting, sent, replica: self.replica.clone() },
-        };
+    /// Starts one query on a connection of its own, to its end or its time limit: an attempt, or else a probe.
+    fn visit(&mut self, purpose: Purpose, attempt: Option<Launch>, until: Instant) {
+        let for_task = attempt.is_some();
+        let holder = attempt.as_ref().map(|attempt| attempt.holder);
+        let departure =
+            Departure { attempt, until, open: self.open.clone(), replica_words: self.replica_words.clone() };
         let (began, pooled) = (Instant::now(), self.pooled());
         let context = self.context.clone();
-        let (id, address, open, era) = (self.id, self.address, self.open.clone(), self.era);
+        let (id, address, era) = (self.id, self.address, self.era);
         let visit = self.under_way.spawn_local(async move {
             let (mut exchange, mut room, mut crowded_out, mut age) = (Exchange::default(), None, false, 0);
             let opened = match settled(pooled, until, &context.limits).await {
@@ -190,12 +187,9 @@
                 None => connect(&context, id, address, until).await,
             };
             let (verdict, connection) = match opened {
-                // A drain that was told since the decision forbids it, and so does its time limit, which a standstill
-                // may have passed over, and the end of what proved its member fresh enough.
-                Ok(connection) if !*open.borrow() || Instant::now() >= until || !fresh.stands(&context) => {
-                    (Verdict::Moot, Some(connection))
-                }
+                Ok(connection) if !departure.may_leave(&context) => (Verdict::Moot, Some(connection)),
                 Ok(mut connection) => {
+                    let query = departure.query();
                     let mut visit = Visit { context: &context, holder, until, exchange, room, crowded_out };
                     let verdict = visit.converse(&mut connection, &query).await;
                     (exchange, room, crowded_out) = (visit.exchange, visit.room, visit.crowded_out);
@@ -260,8 +254,9 @@
             self.idle.push(connection);
         }
         if exchange.role.as_deref() == Some("reader") {
-            self.replica.set(Some(Instant::now()));
+            self.replica_words.set(self.replica_words.get() + 1);
         }
+        let replica_words = self.replica_words.get();
         let call = match purpose {
             Purpose::Task { handle, sent, .. } => {
                 let told = self.told(&exchange, exchange.usage.as_deref(), age);
@@ -271,7 +266,8 @@
                     Verdict::Honoured => Gave::Rows(Rows { pieces: exchange.rows, room }),
                     _ => Gave::Nothing,
                 };
-                Call::Ended(Ended { handle, verdict, took, told, gave })
+                let replica_words = Some((self.id, replica_words));
+                Call::Ended(Ended { handle, verdict, took, told, gave, replica_words })
             }
             Purpose::Probe { sent } => {
                 if exchange.error.as_deref() == Some("57P03") {
@@ -279,7 +275,7 @@
                 }
                 let told = self.told(&exchange, std::str::from_utf8(exchange.value()).ok(), age);
                 let took = self.context.lived.since(sent);
-                Call::Probed { member: self.id, verdict, took, told }
+                Call::Probed { member: self.id, verdict, took, told, replica_words }
             }
         };
         self.context.desk.send(call).await
--- a/crates/driver/src/member/visit.rs
+++ b/crates/driver/src/member/visit.rs
@@ -4,31 +4,57 @@
 use std::rc::Rc;
 
 use aldermill_pace::{Meter, Peer};
-use aldermill_routing::{Proof, Verdict};
+use aldermill_routing::{Validity, Verdict};
 use aldermill_wire::{Exchange, pg};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::watch;
 use tokio::task;
 use tokio::time::{Instant, timeout_at};
 
 use super::connection::Connection;
 use crate::context::Context;
 use crate::gate::Room;
-use crate::words::Query;
+use crate::words::{Launch, Query};
 
-/// What proves a launch's member fresh enough, from the decision on.
-pub(super) struct Fresh {
-    pub(super) proof: Proof,
-    pub(super) sent: Instant,
-    pub(super) replica: Rc<Cell<Option<Instant>>>,
+/// The probe, as members know it.
+const PROBE: &[u8] = b"SHOW usage";
+
+/// What is asked for again when the connection is there, however long that took: whether the query may leave.
+pub(super) struct Departure {
+    /// None for a probe.
+    pub(super) attempt: Option<Launch>,
+    pub(super) until: Instant,
+    /// Whether the list's last word lets anything new be sent to the member.
+    pub(super) open: watch::Receiver<bool>,
+    /// How often the member has said that it is a replica.
+    pub(super) replica_words: Rc<Cell<u64>>,
 }
 
-impl Fresh {
-    pub(super) fn stands(&self, context: &Context) -> bool {
-        match self.proof {
-            Proof::Lasting => true,
-            Proof::Until(at) => context.clock.now() < at,
-            Proof::WhilePrimary => self.replica.get().is_none_or(|at| at < self.sent),
-        }
+impl Departure {
+    /// A drain that was told since the decision forbids it, and so does the time limit, which a standstill may have
+    /// passed over; for an attempt its client's leaving, and the end of what made it valid.
+    pub(super) fn may_leave(&self, context: &Context) -> bool {
+        let in_time = Instant::now() < self.until;
+        let allowed = *self.open.borrow();
+        in_time && allowed && self.attempt.as_ref().is_none_or(|attempt| self.is_valid(attempt, context))
+    }
+
+    fn is_valid(&self, attempt: &Launch, context: &Context) -> bool {
+        let Validity { until, while_primary } = attempt.validity;
+        let still_primary = self.replica_words.get() == attempt.replica_words;
+        !attempt.withdrawal.is_set() && context.clock.now() < until && (still_primary || !while_primary)
+    }
+
+    /// The query in its words of now: a member is told what is left of the client's time, in whole milliseconds.
+    pub(super) fn query(&self) -> Query {
+        let Some(attempt) = &self.attempt else {
+            let mut probe = Vec::new();
+            pg::query(&mut probe, &[PROBE]);
+            return Query::Whole(probe);
+        };
+        let left = self.until.saturating_duration_since(Instant::now());
+        let wait = left.as_micros().div_ceil(1000).max(1);
+        Query::of(&attempt.order, &wait.to_string())
     }
 }
 
--- a/crates/driver/src/words.rs
+++ b/crates/driver/src/words.rs
@@ -1,12 +1,13 @@
 //! What actors say to each other; no actor is named here.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use aldermill_link::{Event, Said};
 use aldermill_pace::Peer;
 use aldermill_retire::Plan;
-use aldermill_routing::{Handle, MemberId, Micros, Proof, Told, Verdict};
+use aldermill_routing::{Handle, MemberId, Micros, Told, Validity, Verdict};
 use aldermill_sites::Opens;
 use aldermill_wire::pg;
 use aldermill_wire::statement::Comment;
@@ -31,6 +32,7 @@
         verdict: Verdict,
         took: Micros,
         told: Told,
+        replica_words: u64,
     },
     /// The settings that are on trial from now on.
     Trial(Option<Box<Trial>>),
@@ -114,6 +116,8 @@
     pub told: Told,
     /// What the member gave.
     pub gave: Gave,
+    /// The member, and how often it has said that it is a replica, this answer included.
+    pub replica_words: Option<(MemberId, u64)>,
 }
 
 /// What a launch brought.
@@ -166,15 +170,34 @@
 
 pub struct Launch {
     pub handle: Handle,
-    pub query: Query,
+    /// Worded when it leaves: what it tells the member is the time that the client has left then.
+    pub order: Rc<Order>,
+    pub withdrawal: Withdrawal,
     /// For whom room is asked for the answer, and whether the task is of the best paid.
     pub holder: (Peer, bool),
     pub sent: Instant,
     pub until: Instant,
     /// On a new connection, the idle ones being closed.
     pub afresh: bool,
-    /// Up to when it may leave at all.
-    pub proof: Proof,
+    /// Whether it may still leave.
+    pub validity: Validity,
+    /// How often the member had been heard to say that it is a replica, when this was decided.
+    pub replica_words: u64,
+}
+
+/// Set once nobody waits for a request any more: a first or further attempt that has not left by then is not to
+/// leave, whatever it waits for.
+#[derive(Clone, Default)]
+pub struct Withdrawal(Rc<Cell<bool>>);
+
+impl Withdrawal {
+    pub fn set(&self) {
+        self.0.set(true);
+    }
+
+    pub fn is_set(&self) -> bool {
+        self.0.get()
+    }
 }
 
 /// What the list's actor tells the desk.
--- /dev/null
+++ b/crates/driver/tests/departure.rs
@@ -0,0 +1,100 @@
+//! What changes between the decision on an attempt and its last byte, over loopback: every connection to the member
+//! comes up only when the test lets it.
+
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use aldermill_stand_ins::{
+    Client, Discovery, Driver, Hold, Member, config, honour, honoured, list, look, named, order, refuse,
+};
+
+/// A member whose new connections wait at `hold` before they are welcomed.
+fn late(hold: &Hold, act: impl Fn(&str, &mut TcpStream) + Send + Sync + 'static) -> Member {
+    let hold = hold.clone();
+    let bears = move |_: &[u8], welcomed: bool| {
+        if !welcomed {
+            hold.pass();
+        }
+        true
+    };
+    Member::at(TcpListener::bind("127.0.0.1:0").unwrap(), bears, act)
+}
+
+/// A proxy before this member alone, which sends no probes; `settings` changes its settings.
+fn before(member: &Member, settings: impl Fn(String) -> String) -> Driver {
+    let known = list(1, true, &[("a", member, "in_service")]);
+    let discovery = Discovery::default();
+    discovery.say(known.clone());
+    let config = config(discovery.start(), 256, &known).replace(r#""probes":true"#, r#""probes":false"#);
+    Driver::of(&settings(config))
+}
+
+/// By the time that this many round trips are over, the proxy has seen all that was sent before them.
+fn settle(client: &mut Client) {
+    for _ in 0..3 {
+        assert!(client.ask("").empty);
+    }
+}
+
+#[test]
+fn an_attempt_whose_client_left_while_its_connection_came_up_is_not_sent() {
+    for statement in [look(15000), order(15000)] {
+        let hold = Hold::default();
+        let member = late(&hold, |text, stream| honour(text, "writer", stream));
+        let driver = before(&member, |config| config);
+        let mut other = Client::connect(driver.address);
+        hold.close();
+        let mut client = Client::connect(driver.address);
+        client.send(&named(&statement, "left"));
+        hold.reached();
+        drop(client);
+        settle(&mut other);
+        hold.open();
+        assert!(honoured(&other.ask(&look(15000))));
+        settle(&mut other);
+        assert!(member.tasks().iter().all(|task| !task.contains("id=left")), "{:?}", member.tasks());
+    }
+}
+
+#[test]
+fn a_member_is_told_no_more_time_than_the_client_has_left_when_its_connection_is_there() {
+    let hold = Hold::default();
+    let member = late(&hold, |text, stream| honour(text, "writer", stream));
+    let driver = before(&member, |config| config);
+    let mut client = Client::connect(driver.address);
+    hold.close();
+    let held = Duration::from_millis(400);
+    client.send(&look(5000));
+    hold.reached();
+    thread::sleep(held);
+    hold.open();
+    assert!(honoured(&client.answer().unwrap()));
+    let task = member.tasks().pop().unwrap();
+    let told: u128 = task.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
+    assert!(told <= 5000 - held.as_millis() + 1, "told {told} ms");
+}
+
+#[test]
+fn a_repeat_whose_window_ends_while_its_connection_comes_up_is_not_sent() {
+    let window = Duration::from_millis(600);
+    let hold = Hold::default();
+    let seen = hold.clone();
+    // The first attempt may have run, and takes its connection along.
+    let member = late(&hold, move |_, stream| {
+        seen.close();
+        refuse("XX000", "writer", stream);
+        let _ = stream.shutdown(Shutdown::Both);
+    });
+    let receipted = r#""effect":"token","dedupScope":"cell","windowMs":600"#;
+    let driver = before(&member, |config| {
+        config.replace(r#""effect":"side_effect","dedupScope":"all","windowMs":0"#, receipted)
+    });
+    let mut client = Client::connect(driver.address);
+    client.send(&order(15000));
+    hold.reached();
+    thread::sleep(window);
+    hold.open();
+    assert_eq!(client.answer().unwrap().code, "40003", "it may have run, and cannot be repeated");
+    assert_eq!(member.tasks().len(), 1, "{:?}", member.tasks());
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -193,15 +193,20 @@
     pub windows: Vec<(MemberId, i32)>,
 }
 
-/// Up to when a read's member is proven fresh enough. A launch whose last byte would leave later is not to leave:
-/// it is `Moot`. Source: the rule on stale reads, by which a bound counts from the launch, not from the decision.
+/// What must still hold when an attempt's last byte leaves, however long it waited for a connection; where it does
+/// not, the attempt is not sent, and ends as `Moot`. Sources: the rule on stale reads, by which a bound counts from
+/// the send, not from the decision; the rule on effects, by which a repeat stays within its window.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Proof {
-    Lasting,
-    /// On the router's clock.
-    Until(Micros),
-    /// As long as the member has not said that it is a replica.
-    WhilePrimary,
+pub struct Validity {
+    /// On the router's clock; `Micros::MAX` where nothing runs out.
+    pub until: Micros,
+    /// The member must not have said since that it is a replica.
+    pub while_primary: bool,
+}
+
+impl Validity {
+    /// Nothing runs out.
+    pub const LASTING: Validity = Validity { until: Micros::MAX, while_primary: false };
 }
 
 /// What is to be done for one task.
@@ -212,7 +217,7 @@
         member: MemberId,
         limit: Micros,
         afresh: bool,
-        proof: Proof,
+        validity: Validity,
     },
     Deny {
         cool_down: Micros,
--- a/crates/routing/src/policy/decide.rs
+++ b/crates/routing/src/policy/decide.rs
@@ -57,7 +57,7 @@
         };
         self.account(now, id);
         let rested = self.rested(now, id);
-        let proof = self.proof(&self.errands[&handle], id);
+        let validity = self.validity(&self.errands[&handle], id);
         let afresh = rested.is_some_and(|rest| self.reaped(rest));
         let errand = self.errands.get_mut(&handle).expect("held by its handle");
         let member = &mut self.members[id];
@@ -66,7 +66,7 @@
         (errand.launches, errand.rested) = (errand.launches + 1, rested.filter(|_| !afresh));
         (errand.out, errand.waits_from) = (Some((id, now)), now);
         (self.launched, self.rush) = (self.launched + 1.0, self.rush - 1.0);
-        self.todo.steps.push((handle, Step::Launch { member: id, limit: useful - now, afresh, proof }));
+        self.todo.steps.push((handle, Step::Launch { member: id, limit: useful - now, afresh, validity }));
     }
 
     /// A launch uses up what was saved for its member; the primary is owed its part of its group's launches.
@@ -223,7 +223,7 @@
         }
         let errand = &self.errands[&handle];
         let over = outcome.closed || errand.closed;
-        self.note(id, told, now - told.age);
+        self.note(now, id, told, sent, now - told.age);
         if verdict == Verdict::Miss && self.groups[group].primary.is_none() {
             let round = self.groups[group].members.len().min(self.terms.max_launches as usize / 2);
             let errand = self.errands.get_mut(&handle).expect("not yet closed");
--- a/crates/routing/src/policy/fresh.rs
+++ b/crates/routing/src/policy/fresh.rs
@@ -98,18 +98,23 @@
         (lacks / 2).clamp(PROBE_NEEDED, PROBE_EVERY)
     }
 
-    /// What makes the member fresh enough, and for how long. Protects reads from the time between the
-    /// decision and the launch's last byte: connections that come up late, a primary that steps down
-    /// meanwhile.
-    pub(super) fn proof(&self, errand: &Errand, id: MemberId) -> Proof {
-        let primary = self.groups[errand.group].primary == Some(id);
-        match self.terms.offerings[errand.task.offering].need {
-            Need::Write | Need::Loose => Proof::Lasting,
-            _ if self.terms.members_check => Proof::Lasting,
-            _ if primary && self.members[id].seen_primary => Proof::WhilePrimary,
-            Need::Recent(bound) => Proof::Until(self.members[id].position.saturating_add(bound - MS)),
-            Need::Latest | Need::OwnWrites => Proof::Lasting,
-        }
+    /// Until when the attempt may leave. Protects reads and repeats from what comes between the decision and the
+    /// last byte: a connection that comes up late, a primary that steps down, a window of repeats that ends.
+    pub(super) fn validity(&self, errand: &Errand, id: MemberId) -> Validity {
+        let Offering { effect, need, .. } = self.terms.offerings[errand.task.offering];
+        let repeats_until = match (effect, errand.may_have_run) {
+            (Effect::Receipted { window, .. }, Some((first, _))) => first + window,
+            _ => Micros::MAX,
+        };
+        let member = &self.members[id];
+        let primary = self.groups[errand.group].primary == Some(id) && member.seen_primary;
+        let (fresh_until, while_primary) = match need {
+            Need::Write | Need::Loose => (Micros::MAX, false),
+            _ if self.terms.members_check => (Micros::MAX, false),
+            Need::Recent(bound) if !primary => (member.position.saturating_add(bound - MS), false),
+            _ => (Micros::MAX, primary),
+        };
+        Validity { until: repeats_until.min(fresh_until), while_primary }
     }
 
     /// Protects the freshness of replicas from reads of which a few in a row hold up their log for longer
@@ -172,24 +177,32 @@
         kept && self.usable(now, id)
     }
 
-    /// Takes in what a member says of itself, `at` being the time it was true. Protects against reports that
-    /// come late: an older word never beats a newer one, neither on the member nor on its group.
-    pub(super) fn note(&mut self, id: MemberId, told: Told, at: Micros) {
+    /// Takes in what a member says of itself: true at `at`, and asked for no earlier than `asked`. Protects from
+    /// words that come late or out of order: an older one never beats a newer one, and reads take a member for
+    /// primary only by a word asked for after it was last heard to be a replica, which holds unless provably
+    /// older, as positions never go back. Harms reads without a fresh replica just after a hand-over.
+    pub(super) fn note(&mut self, now: Micros, id: MemberId, told: Told, asked: Micros, at: Micros) {
         let member = &mut self.members[id];
-        member.position = member.position.max(told.position.unwrap_or(Micros::MIN));
+        let position = told.position.unwrap_or(Micros::MIN);
+        member.position = member.position.max(position);
         let group = &mut self.groups[member.group];
         match told.role {
             Some(Role::Primary) if at >= member.demoted => {
-                member.seen_primary = true;
+                member.seen_primary |= asked >= member.replica_heard;
+                member.primary_position = member.primary_position.max(position);
                 if member.standing == Standing::Ready && (at >= group.word || group.primary.is_none()) {
                     (group.primary, group.word) = (Some(id), at);
                 }
             }
-            Some(Role::Replica) if at >= group.word || group.primary != Some(id) => {
-                (member.seen_primary, member.demoted) = (false, member.demoted.max(at));
-                if group.primary == Some(id) {
+            Some(Role::Replica) => {
+                let newer = at >= group.word || position >= member.primary_position;
+                if newer && group.primary == Some(id) {
                     (group.primary, group.word) = (None, at);
                 }
+                if newer || group.primary != Some(id) {
+                    (member.seen_primary, member.replica_heard) = (false, now);
+                    member.demoted = member.demoted.max(at);
+                }
             }
             _ => {}
         }
--- a/crates/routing/src/policy/members.rs
+++ b/crates/routing/src/policy/members.rs
@@ -41,7 +41,7 @@
         }
         let member = &mut self.members[id];
         if !known || member.since != line.since && line.standing == Standing::Ready {
-            member.barred_until = member.barred_until.min(now);
+            (member.barred_until, member.seen_primary) = (member.barred_until.min(now), false);
             (member.since, member.credit, member.credited) = (line.since, credit, now);
         }
         self.stand(now, id, line.standing);
@@ -64,6 +64,7 @@
 
     pub(super) fn stand(&mut self, now: Micros, id: MemberId, standing: Standing) {
         self.members[id].standing = standing;
+        self.members[id].seen_primary &= standing == Standing::Ready;
         let hold = self.hold();
         let group = &mut self.groups[self.members[id].group];
         if standing != Standing::Ready && group.primary == Some(id) {
@@ -222,7 +223,8 @@
             member.barred_until = if was_barred { now } else { member.barred_until };
             member.probe_misses = 0;
             member.hear(now, credit);
-            self.note(id, told, told.position.unwrap_or(now - HOLD - told.age));
+            let at = told.position.unwrap_or(now - HOLD - told.age);
+            self.note(now, id, told, at, at);
         } else {
             member.probe_misses += 1;
             member.fell = member.fell.or((verdict == Verdict::Unconnected).then_some(now));
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -14,8 +14,8 @@
 
 use crate::state::{Errand, Group, Handle, Member, Router};
 use crate::{
-    Effect, Learnt, Listed, ListedRoles, MemberId, Micros, Need, Offering, Outcome, Proof, Role, Scope,
-    Standing, Step, Task, Terms, Todo, Told, Verdict,
+    Effect, Learnt, Listed, ListedRoles, MemberId, Micros, Need, Offering, Outcome, Role, Scope, Standing,
+    Step, Task, Terms, Todo, Told, Validity, Verdict,
 };
 
 mod decide;
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -40,6 +40,8 @@
     pub(crate) position: Micros,
     pub(crate) seen_primary: bool, // by its own word, and not since seen as replica
     pub(crate) demoted: Micros,    // the time of its newest word that it is a replica
+    pub(crate) replica_heard: Micros, // when such a word was last heard
+    pub(crate) primary_position: Micros, // the newest that it told as primary, or zero
     pub(crate) heard: Micros,
     pub(crate) answered: Micros,
     pub(crate) overtaken: Micros, // when the newest launch that it answered was sent
--- a/crates/routing/tests/router/fresh.rs
+++ b/crates/routing/tests/router/fresh.rs
@@ -1,7 +1,7 @@
 //! What makes a read's member fresh enough, where no position proves it.
 
-use crate::world::{BOUND, MS, OWN, READ, RECEIPTED, WRITE, World, heard, many, target, terms};
-use aldermill_routing::{Terms, Verdict};
+use crate::world::{BOUND, MS, OWN, READ, RECEIPTED, WRITE, World, heard, line, many, target, terms};
+use aldermill_routing::{Listed, ListedRoles, Role, Standing, Terms, Told, Verdict};
 
 #[test]
 fn sessions_forgotten_leave_a_bound_on_what_they_may_have_written() {
@@ -36,7 +36,7 @@
     world.pass(200 * MS);
     world.probe_answer(2, true);
     world.pass(BOUND + 20 * MS);
-    world.relist(0, aldermill_routing::Standing::Draining, None);
+    world.relist(0, Standing::Draining, None);
     world.probes.clear();
     let read = world.take(READ, 1_000 * MS);
     while let Some(asked) = world.probes.pop() {
@@ -76,3 +76,73 @@
     world.pass(100 * MS);
     assert_eq!(target(&world, write), Some(0));
 }
+
+/// What member 0, which was primary until now, says of itself from now on.
+fn steps_down(world: &mut World) -> Told {
+    world.move_primary(1);
+    Told { role: Some(Role::Replica), position: Some(world.now), age: 0 }
+}
+
+/// Where a read goes that only a primary is fresh enough for, as long as no other member was heard.
+fn resort(world: &mut World) -> Option<usize> {
+    world.pass(BOUND + 50 * MS);
+    world.probes.clear();
+    let read = world.take(READ, 1_000 * MS);
+    while let Some(asked) = world.probes.pop() {
+        world.probe_answer(asked, false);
+    }
+    let met = target(world, read);
+    world.leave(read);
+    met
+}
+
+#[test]
+fn a_primary_that_says_it_is_a_replica_is_believed_though_its_position_stands_still() {
+    let mut world = heard(terms());
+    let write = world.take(WRITE, 1_000 * MS);
+    world.end(write, Verdict::Honoured);
+    assert_eq!(resort(&mut world), Some(0), "a read that lacks a fresh replica goes to the primary");
+    let word = steps_down(&mut world);
+    // A write's answer from before that, heard now, dates the group's word later than the position told below.
+    world.pass(30 * MS);
+    let write = world.take(WRITE, 1_000 * MS);
+    world.end_saying(write, Verdict::Honoured, Told { role: Some(Role::Primary), ..word });
+    world.probe_says(0, word);
+    assert_eq!(resort(&mut world), None, "rule 5: by its own word it is no primary any more");
+}
+
+#[test]
+fn an_answer_asked_for_before_a_member_said_it_is_a_replica_makes_it_no_primary() {
+    let mut world = heard(terms());
+    let (first, second) = (world.take(WRITE, 1_000 * MS), world.take(WRITE, 1_000 * MS));
+    world.pass(10 * MS);
+    let word = steps_down(&mut world);
+    // Both answers are there at once, and the newer one is heard first.
+    world.end_saying(second, Verdict::Miss, word);
+    world.end_saying(first, Verdict::Honoured, Told { role: Some(Role::Primary), ..word });
+    assert_eq!(resort(&mut world), None, "rule 5: the older word comes second");
+}
+
+#[test]
+fn a_report_from_before_a_member_became_primary_does_not_unseat_it() {
+    let mut world = heard(terms());
+    world.move_primary(2);
+    world.report(0);
+    world.move_primary(0);
+    world.pass(100 * MS);
+    let write = world.take(WRITE, 1_000 * MS);
+    world.end(write, Verdict::Honoured);
+    world.late_report(0);
+    assert_eq!(resort(&mut world), Some(0));
+}
+
+#[test]
+fn a_primary_that_started_again_counts_as_none_until_it_says_so() {
+    let mut world = heard(Terms { listed_roles: ListedRoles::Late, ..terms() });
+    let since = Some(world.now - 20_000 * MS);
+    world.relist(0, Standing::Gone, None);
+    world.relist_as(Listed { primary: true, ..line(0, Standing::Ready, since) });
+    assert_eq!(resort(&mut world), None, "the list's word alone proves nothing");
+    world.probe_answer(0, true);
+    assert_eq!(resort(&mut world), Some(0));
+}
--- a/crates/routing/tests/router/world.rs
+++ b/crates/routing/tests/router/world.rs
@@ -175,8 +175,7 @@
     }
 
     pub fn late_report(&mut self, id: MemberId) {
-        let todo = self.router.probed(self.now, id, Verdict::Honoured, MS, self.reports[id]);
-        self.carry_out(todo);
+        self.probe_says(id, self.reports[id]);
     }
 
     /// It answers a probe, after so long.
@@ -185,6 +184,12 @@
         self.carry_out(todo);
     }
 
+    /// It answers a probe, and says this of itself.
+    pub fn probe_says(&mut self, id: MemberId, told: Told) {
+        let todo = self.router.probed(self.now, id, Verdict::Honoured, MS, told);
+        self.carry_out(todo);
+    }
+
     pub fn probe_ends(&mut self, id: MemberId, verdict: Verdict) {
         let took = if verdict == Verdict::TimedOut { 250 * MS } else { MS };
         let told = if verdict == Verdict::Honoured { self.told(id) } else { Told::default() };
@@ -201,9 +206,10 @@
         self.flights.iter().filter_map(|(&handle, f)| f.out.map(|(id, _)| (handle, id))).collect()
     }
 
+    /// An attempt ends in a way that its member's role allows.
     pub fn end(&mut self, handle: Handle, verdict: Verdict) {
-        let flight = self.flights.get_mut(&handle).expect("taken");
-        let (id, limit) = flight.out.take().expect("out");
+        let flight = &self.flights[&handle];
+        let (id, _) = flight.out.expect("out");
         let write = self.terms.offerings[flight.offering].need == Need::Write;
         let verdict = match verdict {
             Verdict::Honoured if write && id != self.primary => Verdict::Miss,
@@ -211,6 +217,18 @@
             verdict => verdict,
         };
         let answers = matches!(verdict, Verdict::Honoured | Verdict::Error | Verdict::Full | Verdict::Miss);
+        let told = if answers { self.told(id) } else { Told::default() };
+        if answers && id != self.primary {
+            self.excused[id] = false;
+        }
+        self.end_saying(handle, verdict, told);
+    }
+
+    /// An attempt ends, and its member says this of itself.
+    pub fn end_saying(&mut self, handle: Handle, verdict: Verdict, told: Told) {
+        let flight = self.flights.get_mut(&handle).expect("taken");
+        let (id, limit) = flight.out.take().expect("out");
+        let write = self.terms.offerings[flight.offering].need == Need::Write;
         if !verdict.never_ran() {
             flight.may_have_run.get_or_insert(flight.launched);
         }
@@ -228,10 +246,6 @@
         if honoured && write {
             self.session_floor = self.now;
         }
-        let told = if answers { self.told(id) } else { Told::default() };
-        if answers && id != self.primary {
-            self.excused[id] = false;
-        }
         let most = if verdict == Verdict::Error { MS } else { 50 * MS };
         let took = (limit - self.now).clamp(MS, most);
         let todo = handle.ended(&mut self.router, self.now, Outcome { verdict, took, told, closed });
@@ -291,9 +305,9 @@
         self.shut.extend(todo.shut);
         for (handle, step) in todo.steps {
             match step {
-                Step::Launch { member, limit, afresh, proof } => {
+                Step::Launch { member, limit, afresh, validity } => {
                     self.afresh.extend(afresh.then_some(member));
-                    self.check_launch(handle, member, limit, proof);
+                    self.check_launch(handle, member, limit, validity);
                 }
                 Step::Deny { .. } => {
                     let flight = self.flights.get_mut(&handle).expect("taken");
@@ -311,7 +325,7 @@
         }
     }
 
-    fn check_launch(&mut self, handle: Handle, id: MemberId, limit: Micros, proof: Proof) {
+    fn check_launch(&mut self, handle: Handle, id: MemberId, limit: Micros, validity: Validity) {
         let now = self.now;
         let flight = self.flights.get_mut(&handle).expect("taken");
         let offering = &self.terms.offerings[flight.offering];
@@ -322,7 +336,8 @@
         match offering.effect {
             Effect::Effectful => assert!(flight.may_have_run.is_none(), "rule 2: launched again"),
             Effect::Receipted { window, .. } => {
-                assert!(flight.may_have_run.is_none_or(|at| now < at + window), "rule 2: repeats forgotten")
+                let forgotten = flight.may_have_run.map_or(Micros::MAX, |at| at + window);
+                assert!(now < forgotten && validity.until <= forgotten, "rule 2: repeats forgotten")
             }
             Effect::Pure => {}
         }
@@ -336,11 +351,10 @@
         // Where members check, they turn away what they are too far behind for.
         let proven = self.terms.members_check || self.positions[id] >= floor || self.excused[id];
         assert!(proven, "rule 5: a read at data that is too old");
-        // For as long as it says: a launch may leave late.
-        let lasts = match (offering.need, proof) {
-            (Need::Recent(bound), Proof::Until(at)) => at <= self.positions[id] + bound,
-            (Need::Recent(_), Proof::Lasting) => self.terms.members_check,
-            (_, Proof::WhilePrimary) => self.excused[id],
+        // For as long as it says: an attempt may leave late.
+        let lasts = match offering.need {
+            _ if validity.while_primary => self.excused[id],
+            Need::Recent(bound) => self.terms.members_check || validity.until <= self.positions[id] + bound,
             _ => true,
         };
         assert!(lasts, "rule 5: proven for longer than it is");
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -4,6 +4,7 @@
 mod cable;
 mod client;
 mod discovery;
+mod hold;
 mod member;
 mod program;
 mod site;
@@ -16,6 +17,7 @@
 pub use cable::{BACK, Cable, THERE};
 pub use client::{Client, Said, honoured, paced};
 pub use discovery::{Discovery, list};
+pub use hold::Hold;
 pub use member::{Act, Member, honour, honour_with, refuse, sound, whole};
 pub use program::{Driver, TERMS, aldermill, config, file, program};
 pub use site::{Ledger, Site, free_port};
