An answer cut short still says that its member is a replica, or that a session wrote

Two more ways to a stale read, found by reading: - `Member::told` dropped all that an answer told unless it came to its end. Of an answer that was cut short the word `replica` is believed now, and nothing else. - A write answered in that way told no commit, so the session was not remembered as having written, and a read of its own writes could go to any replica. It counts as committed by then.

A client that sends no whole startup in time is closed with nothing read any more: what came in that moment was read and thrown away, which leaves a request without an answer.

--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -151,7 +151,8 @@
                         read = timeout_at(until, self.stream.read_buf(self.buffer.tail())) => read,
                         _ = self.mailbox.recv() => return Err(End::Yielded),
                     };
-                    if read.map_err(|_| End::Quiet)?? == 0 {
+                    // Too late: nothing that comes now is read, as it would have no answer.
+                    if read.map_err(|_| End::Yielded)?? == 0 {
                         return Err(End::Quiet);
                     }
                     self.date();
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -23,6 +23,10 @@
 use connection::{Connection, connect, settled};
 use visit::{Departure, Visit};
 
+/// A member's word on its own role.
+const PRIMARY: &str = "writer";
+const REPLICA: &str = "reader";
+
 /// What a launch or a probe is for.
 enum Purpose {
     Task { handle: Handle, sent: Instant },
@@ -253,7 +257,7 @@
             connection.idle_since = Instant::now();
             self.idle.push(connection);
         }
-        if exchange.role.as_deref() == Some("reader") {
+        if exchange.role.as_deref() == Some(REPLICA) {
             self.replica_words.set(self.replica_words.get() + 1);
         }
         let replica_words = self.replica_words.get();
@@ -281,10 +285,13 @@
         self.context.desk.send(call).await
     }
 
-    /// What an answer says of the member; what cannot be read says nothing.
+    /// What an answer says of the member; what cannot be read says nothing. Of one that was cut short no more is
+    /// believed than that the member is a replica: where that is wrong it costs an answer, where it is missed reads
+    /// are stale.
     fn told(&self, exchange: &Exchange, usage: Option<&str>, age: Micros) -> Told {
+        let says_replica = exchange.role.as_deref() == Some(REPLICA);
         if !exchange.is_over() {
-            return Told::default();
+            return Told { role: says_replica.then_some(Role::Replica), age, ..Told::default() };
         }
         let zero = self.context.clock.convert(0);
         let pairs = usage.into_iter().flat_map(|usage| usage.split(','));
@@ -292,8 +299,8 @@
         let mut told = Decoded::report(pairs, zero).unwrap_or_default();
         told.age = age;
         match exchange.role.as_deref() {
-            Some("writer") => told.role = Some(Role::Primary),
-            Some("reader") => told.role = Some(Role::Replica),
+            Some(PRIMARY) => told.role = Some(Role::Primary),
+            Some(REPLICA) => told.role = Some(Role::Replica),
             _ => {}
         }
         let position = exchange.position.as_ref().and_then(|position| position.parse::<Micros>().ok());
--- a/crates/driver/tests/fresh.rs
+++ b/crates/driver/tests/fresh.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use aldermill_stand_ins::{
-    Client, Discovery, Driver, Member, config, honour, honoured, list, look, unix_millis,
+    Client, Discovery, Driver, Member, config, honour, honoured, list, look, order, unix_millis,
 };
 use aldermill_wire::pg;
 
@@ -75,3 +75,28 @@
     assert!(reads.load(Ordering::SeqCst) > 0, "the replica is read at all");
     assert_eq!(stale.load(Ordering::SeqCst), 0, "of {}", reads.load(Ordering::SeqCst));
 }
+
+#[test]
+fn an_answer_cut_short_still_tells_that_its_member_is_no_primary() {
+    // Primary for the write; after that it says otherwise, and the end of its answers does not come.
+    let member = Member::start(|text, stream| {
+        use std::io::Write;
+        if text.contains("c=order") {
+            return honour(text, "writer", stream);
+        }
+        let whole = lagging(text, unix_millis() - 5000);
+        let mut ready = Vec::new();
+        pg::ready(&mut ready);
+        let _ = stream.write_all(&whole[..whole.len() - ready.len()]);
+    });
+    let discovery = Discovery::default();
+    let known = list(1, true, &[("a", &member, "in_service")]);
+    let driver = Driver::of(&bounded(&discovery, &known).replace(r#""probes":true"#, r#""probes":false"#));
+    let mut client = Client::connect(driver.address);
+    assert!(honoured(&client.ask(&order(15000))));
+    // From here on its position proves nothing, its role alone does.
+    thread::sleep(Duration::from_millis(350));
+    assert!(honoured(&client.ask(&look(15000))), "its value came whole");
+    assert_eq!(client.ask(&look(2000)).code, "53300", "no member is known to be fresh enough");
+    assert_eq!(member.tasks().len(), 2);
+}
--- a/crates/routing/src/policy/decide.rs
+++ b/crates/routing/src/policy/decide.rs
@@ -187,9 +187,11 @@
             Verdict::Honoured => {
                 let write =
                     self.terms.remember_sessions && self.terms.offerings[offering].need == Need::Write;
-                if let (true, Some(session), Some(position)) = (write, &errand.task.session, told.position) {
+                if let (true, Some(session)) = (write, &errand.task.session) {
+                    // Where the answer was cut short behind its value, the commit was before now at any rate.
+                    let commit = told.position.unwrap_or(now);
                     let newest = self.sessions.entry(session.clone());
-                    newest.and_modify(|at| *at = position.max(*at)).or_insert(position);
+                    newest.and_modify(|at| *at = commit.max(*at)).or_insert(commit);
                 }
                 self.took[offering].add(outcome.took, KEEP * 4);
                 self.any_took.add(outcome.took, KEEP * 4);
--- a/crates/routing/tests/router/fresh.rs
+++ b/crates/routing/tests/router/fresh.rs
@@ -146,3 +146,17 @@
     world.probe_answer(0, true);
     assert_eq!(resort(&mut world), Some(0));
 }
+
+#[test]
+fn a_write_whose_answer_does_not_tell_its_commit_counts_as_committed_by_then() {
+    let mut world = heard(terms());
+    world.pass(500 * MS);
+    let write = world.take_session(WRITE, 1_000 * MS, "17");
+    world.end_saying(write, Verdict::Honoured, Told::default());
+    // The replicas were last heard before that.
+    let read = world.take_session(OWN, 1_000 * MS, "17");
+    while let Some(asked) = world.probes.pop() {
+        world.probe_answer(asked, false);
+    }
+    assert_eq!(target(&world, read), Some(0), "rule 5: a read that does not see its session's write");
+}
