A write that may have run counts as written by its session, also while it is out

Cause: `launch_ended` took note of a session's write only where it was answered well. A write that went through and whose answer was lost, or is still on its way, was no write to the session's reads. Now reads of a session with a write out see the present, which is the primary's alone, and one that ended without a word counts as committed by then. The cases' world holds the router to that everywhere.

--- a/crates/routing/src/policy/decide.rs
+++ b/crates/routing/src/policy/decide.rs
@@ -66,6 +66,7 @@
         (errand.launches, errand.rested) = (errand.launches + 1, rested.filter(|_| !afresh));
         (errand.out, errand.waits_from) = (Some((id, now)), now);
         (self.launched, self.rush) = (self.launched + 1.0, self.rush - 1.0);
+        self.session(handle).into_iter().for_each(|session| session.out += 1);
         self.todo.steps.push((handle, Step::Launch { member: id, limit: useful - now, afresh, validity }));
     }
 
@@ -185,14 +186,6 @@
         }
         match verdict {
             Verdict::Honoured => {
-                let write =
-                    self.terms.remember_sessions && self.terms.offerings[offering].need == Need::Write;
-                if let (true, Some(session)) = (write, &errand.task.session) {
-                    // Where the answer was cut short behind its value, the commit was before now at any rate.
-                    let commit = told.position.unwrap_or(now);
-                    let newest = self.sessions.entry(session.clone());
-                    newest.and_modify(|at| *at = commit.max(*at)).or_insert(commit);
-                }
                 self.took[offering].add(outcome.took, KEEP * 4);
                 self.any_took.add(outcome.took, KEEP * 4);
                 (member.honoured, member.spoilt) = (member.honoured + 0.1, 0);
@@ -215,6 +208,9 @@
             Verdict::TimedOut | Verdict::CalledOff if !mute || reaped => {}
             _ => self.failed(now, id),
         }
+        let told_commit = told.position.filter(|_| verdict == Verdict::Honoured).unwrap_or(now);
+        let commit = if verdict.never_ran() { 0 } else { told_commit };
+        self.session(handle).into_iter().for_each(|session| session.ended(commit));
         let errand = self.errands.get_mut(&handle).expect("not yet closed");
         errand.last = Some(id);
         let idle = self.members[id].out.is_empty();
--- a/crates/routing/src/policy/fresh.rs
+++ b/crates/routing/src/policy/fresh.rs
@@ -28,8 +28,8 @@
             Need::Latest => errand.arrived,
             Need::OwnWrites => {
                 let told = errand.task.last_write.map(|ago| errand.arrived - ago);
-                let known = |session| self.sessions.get(session).copied().or(self.forgotten);
-                let remembered = errand.task.session.as_ref().and_then(known);
+                let floor = |name| self.sessions.get(name).map(|known| known.floor(now)).or(self.forgotten);
+                let remembered = errand.task.session.as_ref().and_then(floor);
                 told.max(remembered).unwrap_or(Micros::MIN)
             }
             Need::Recent(bound) => now - bound + MS,
@@ -177,6 +177,14 @@
         kept && self.usable(now, id)
     }
 
+    /// The session that a request writes to, where it is to be remembered. Protects its reads from a write
+    /// whose answer was lost or is on its way. Harms them by the primary's load while such a write is out.
+    pub(super) fn session(&mut self, handle: Handle) -> Option<&mut Session> {
+        let task = &self.errands[&handle].task;
+        let writes = self.terms.remember_sessions && self.terms.offerings[task.offering].need == Need::Write;
+        task.session.clone().filter(|_| writes).map(|name| self.sessions.entry(name).or_default())
+    }
+
     /// Takes in what a member says of itself: true at `at`, and asked for no earlier than `asked`. Protects from
     /// words that come late or out of order: an older one never beats a newer one, and reads take a member for
     /// primary only by a word asked for after it was last heard to be a replica, which holds unless provably
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::state::{Errand, Group, Handle, Member, Router};
+use crate::state::{Errand, Group, Handle, Member, Router, Session};
 use crate::{
     Effect, Learnt, Listed, ListedRoles, MemberId, Micros, Need, Offering, Outcome, Role, Scope, Standing,
     Step, Task, Terms, Todo, Told, Validity, Verdict,
@@ -209,7 +209,7 @@
         }
         if self.sessions.len() > SESSIONS {
             self.forgotten = Some(now - FAILURE_WINDOW);
-            self.sessions.retain(|_, &mut at| Some(at) > self.forgotten);
+            self.sessions.retain(|_, session| session.out > 0 || Some(session.commit) > self.forgotten);
         }
         if self.terms.list_on_request && now >= self.ask_at {
             self.todo.subscribe = true;
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -75,6 +75,27 @@
     pub(crate) lean: (f64, BTreeMap<usize, f64>), // what the fleet decreed: the part that goes away, and where
 }
 
+/// What this router's own attempts wrote of a session.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Session {
+    pub(crate) commit: Micros, // of its last write that ran or may have run, at the latest
+    pub(crate) out: u32,       // writes that are out: each may have been committed by now
+}
+
+impl Session {
+    /// What a read of the session must see now.
+    pub(crate) fn floor(&self, now: Micros) -> Micros {
+        if self.out > 0 { now } else { self.commit }
+    }
+
+    /// A write that was out has ended, and was committed by then at the latest: by now, if at all, where the answer
+    /// does not tell.
+    pub(crate) fn ended(&mut self, commit: Micros) {
+        self.out -= 1;
+        self.commit = self.commit.max(commit);
+    }
+}
+
 #[derive(Clone)]
 pub struct Router {
     pub(crate) terms: Terms,
@@ -84,7 +105,7 @@
     pub(crate) group_ids: HashMap<u64, usize>,
     pub(crate) errands: HashMap<Handle, Errand>,
     pub(crate) next_handle: u64,
-    pub(crate) sessions: HashMap<String, Micros>,
+    pub(crate) sessions: HashMap<String, Session>,
     pub(crate) forgotten: Option<Micros>, // a write of a session not found may be as new as that
     pub(crate) took: Vec<Histogram>,
     pub(crate) ways: BTreeMap<usize, (Micros, Micros)>, // there and back by zone, and when last heard
--- a/crates/routing/tests/router/fresh.rs
+++ b/crates/routing/tests/router/fresh.rs
@@ -160,3 +160,32 @@
     }
     assert_eq!(target(&world, read), Some(0), "rule 5: a read that does not see its session's write");
 }
+
+#[test]
+fn a_write_that_may_have_run_counts_as_written_by_its_session() {
+    for verdict in [Verdict::Spoilt, Verdict::Reset, Verdict::TimedOut, Verdict::Error] {
+        let mut world = heard(terms());
+        let write = world.take_session(WRITE, 1_000 * MS, "17");
+        world.pass(300 * MS);
+        world.hear_all();
+        // Its answer may be lost on the way: while it is out no replica is sure to have it.
+        let read = world.take_session(OWN, 1_000 * MS, "17");
+        assert!([None, Some(0)].contains(&target(&world, read)), "{verdict:?}: rule 5, while it is out");
+        world.leave(read);
+        world.pass(100 * MS);
+        world.end_saying(write, verdict, Told::default());
+        let read = world.take_session(OWN, 1_000 * MS, "17");
+        assert!([None, Some(0)].contains(&target(&world, read)), "{verdict:?}: rule 5, once it ended");
+    }
+}
+
+#[test]
+fn a_write_that_never_ran_leaves_its_session_as_it_was() {
+    let mut world = heard(terms());
+    let write = world.take_session(WRITE, 1_000 * MS, "17");
+    world.end_saying(write, Verdict::Moot, Told::default());
+    world.leave(write);
+    world.out().into_iter().for_each(|(again, _)| world.end_saying(again, Verdict::Moot, Told::default()));
+    let read = world.take_session(OWN, 1_000 * MS, "17");
+    assert!(target(&world, read).is_some_and(|id| id != 0));
+}
--- a/crates/routing/tests/router/world.rs
+++ b/crates/routing/tests/router/world.rs
@@ -243,7 +243,7 @@
                 self.most_warm = self.most_warm.max(done.len());
             }
         }
-        if honoured && write {
+        if write && !verdict.never_ran() {
             self.session_floor = self.now;
         }
         let most = if verdict == Verdict::Error { MS } else { 50 * MS };
