--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -296,7 +296,7 @@
         let (mut since, mut limit) = (Instant::now(), limits.client_idle);
         if !between {
             since = *begun.get_or_insert(since);
-            limit = if stopping.borrow().is_some() { limits.stop_message } else { limits.message };
+            limit = limits.message;
         }
         let mut until = since + limit;
         if !served {
@@ -314,8 +314,8 @@
         }
         let stopped = async {
             let window = stopping.wait_for(Option::is_some).await.map_or(None, |window| *window);
-            if let Some(closes) = window.filter(|_| !served) {
-                // It may have come for a task that is still on its way.
+            if let Some(closes) = window.filter(|_| !served || !between) {
+                // It may have come for a task that is still on its way, or the rest of one.
                 sleep_until(closes).await;
             }
         };
@@ -324,15 +324,19 @@
             tokio::select! {
                 biased;
                 read = self.stream.read_buf(self.buffer.tail()) => break read,
-                mail = self.mailbox.recv() => if !matches!(mail, Some(Mail::Yield) | None) {
-                    continue;
+                mail = self.mailbox.recv() => match mail {
+                    Some(Mail::Yield) | None if !between => return Err(End::Yielded),
+                    Some(Mail::Yield) | None => {}
+                    Some(_) => continue,
                 },
                 () = self.presence.cut(), if !between => return Err(End::Cut),
-                () = &mut stopped, if between => {}
-                () = sleep_until(until) => {}
+                () = &mut stopped => {}
+                () = sleep_until(until) => if !between {
+                    return Err(End::Yielded);
+                },
             }
             // What has come by now is read, and answered: nothing is closed over it.
-            if !between || !has_unread(&self.stream) {
+            if !has_unread(&self.stream) {
                 return Err(End::Yielded);
             }
             break self.stream.read_buf(self.buffer.tail()).await;
--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -96,12 +96,10 @@
     pub links: usize,
     pub link_retry: (Duration, Duration),
     pub fates: usize,
-    /// After a request to stop, how long new connections are still taken.
+    /// After a request to stop, how long new connections are still taken, and the rest of a message waited for.
     pub stop_window: Duration,
     /// How long after the last client what other gateways sent is waited for.
     pub stop_guests: Duration,
-    /// And how long the rest of a message is still waited for.
-    pub stop_message: Duration,
 }
 
 impl Limits {
@@ -174,7 +172,6 @@
             fates: (memory / 16 / SMALL).clamp(256, 65_536),
             stop_window: Duration::from_millis(600),
             stop_guests: Duration::from_secs(30),
-            stop_message: Duration::from_millis(500),
         }
     }
 }
--- a/crates/driver/src/listener.rs
+++ b/crates/driver/src/listener.rs
@@ -65,7 +65,8 @@
             },
         }
     }
-    // Those that the system had accepted by then are served, too.
+    // Those that the system had accepted by then are served, too; it is asked once more who they are.
+    task::yield_now().await;
     while let Some((stream, from)) = waiting(&listener).await {
         hall.receive(stream, from.ip());
     }
