--- a/crates/driver/tests/shutdown.rs
+++ b/crates/driver/tests/shutdown.rs
@@ -69,7 +69,7 @@
     clients.iter_mut().for_each(|client| assert!(honoured(&client.ask(&look(15000)))));
     hold.close();
     clients.iter_mut().for_each(|client| client.send(&look(15000)));
-    clients.iter().for_each(|client| delivered(&client.stream));
+    until("the attempts", || member.tasks().len() == 6);
     stopping(&driver);
     // Sent ahead after the stop, on connections that are still open. The system holds these small writes back until
     // what went before is acknowledged, which is with the first answer: they come as the connection is to be closed.
@@ -126,3 +126,35 @@
     }
     assert!(driver.child.wait().unwrap().success());
 }
+
+#[test]
+fn told_to_stop_it_answers_what_it_took_and_ends_well() {
+    let member = Member::start(|text, stream| {
+        if text.starts_with("/*") {
+            thread::sleep(Duration::from_millis(400));
+        }
+        honour(text, "writer", stream);
+    });
+    let mut driver = Driver::before(&[("a", &member)]);
+    let mut busy: Vec<Client> = (0..4).map(|_| Client::connect(driver.address)).collect();
+    let mut idle = Client::connect(driver.address);
+    assert!(honoured(&idle.ask(&look(15000))));
+    let mut fresh = Client::connect(driver.address);
+    busy.iter_mut().for_each(|client| client.send(&look(15000)));
+    until("the launches", || member.tasks().len() == 5);
+    let told = Instant::now();
+    driver.signal("-TERM");
+    assert!(idle.ended());
+    // Who had no answer yet is still served for a while; on a machine too slow for that nothing is claimed.
+    let mut out = Vec::new();
+    pg::query(&mut out, &[look(15000).as_bytes()]);
+    let served = fresh.stream.write_all(&out).is_ok() && fresh.answer().is_some_and(|said| honoured(&said));
+    assert!(served || told.elapsed() > Duration::from_millis(500));
+    assert!(fresh.ended());
+    for client in &mut busy {
+        assert!(honoured(&client.answer().unwrap()));
+        assert!(client.ended());
+    }
+    assert!(driver.child.wait().unwrap().success());
+    assert!(driver.logged("stopped"));
+}
--- a/crates/driver/tests/staying.rs
+++ b/crates/driver/tests/staying.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use aldermill_stand_ins::{
-    Client, Discovery, Driver, LONG, Member, TERMS, aldermill, config, file, honour, honoured, list, look,
-    named, order, sound, until,
+    Client, Discovery, Driver, LONG, Member, TERMS, aldermill, config, delivered, file, honour, honoured,
+    list, look, named, order, sound, until,
 };
 use aldermill_wire::{Buffer, pg};
 
@@ -155,38 +155,6 @@
     assert_eq!(member.tasks().len(), 6);
 }
 
-#[test]
-fn told_to_stop_it_answers_what_it_took_and_ends_well() {
-    let member = Member::start(|text, stream| {
-        if text.starts_with("/*") {
-            thread::sleep(Duration::from_millis(400));
-        }
-        honour(text, "writer", stream);
-    });
-    let mut driver = Driver::before(&[("a", &member)]);
-    let mut busy: Vec<Client> = (0..4).map(|_| Client::connect(driver.address)).collect();
-    let mut idle = Client::connect(driver.address);
-    assert!(honoured(&idle.ask(&look(15000))));
-    let mut fresh = Client::connect(driver.address);
-    busy.iter_mut().for_each(|client| client.send(&look(15000)));
-    until("the launches", || member.tasks().len() == 5);
-    let told = Instant::now();
-    driver.signal("-TERM");
-    assert!(idle.ended());
-    // Who had no answer yet is still served for a while; on a machine too slow for that nothing is claimed.
-    let mut out = Vec::new();
-    pg::query(&mut out, &[look(15000).as_bytes()]);
-    let served = fresh.stream.write_all(&out).is_ok() && fresh.answer().is_some_and(|said| honoured(&said));
-    assert!(served || told.elapsed() > Duration::from_millis(500));
-    assert!(fresh.ended());
-    for client in &mut busy {
-        assert!(honoured(&client.answer().unwrap()));
-        assert!(client.ended());
-    }
-    assert!(driver.child.wait().unwrap().success());
-    assert!(driver.logged("stopped"));
-}
-
 #[test]
 fn a_planned_restart_under_traffic_loses_no_task() {
     let member = Member::start(|text, stream| {
@@ -290,6 +258,7 @@
     for (number, client) in open.iter_mut().enumerate() {
         client.send(&named(&look(15000), &format!("5{number}")));
     }
+    open.iter().for_each(|client| delivered(&client.stream));
     let mut more = Client::bare(driver.address);
     let mut hello = Vec::new();
     pg::startup(&mut hello, "client", "core");
