--- a/crates/driver/tests/shutdown.rs
+++ b/crates/driver/tests/shutdown.rs
@@ -1,6 +1,7 @@
 //! SIGTERM against requests in every state, over loopback. What comes first is decided by the test: members answer when
 //! it says so, and the program is stopped by the system and goes on where bytes and signals are to be there at once.
 
+use std::io::Write;
 use std::thread;
 use std::time::{Duration, Instant};
 
