--- /dev/null
+++ b/crates/routing/tests/slow_start.rs
@@ -0,0 +1,203 @@
+//! What many processes together send to a member in slow start: the sum of all, within what the settings allow it in
+//! one window of the rule, and the slack that chance is granted.
+
+use std::collections::VecDeque;
+
+use aldermill_routing::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const MS: Micros = 1_000;
+const STEP: Micros = 5 * MS;
+const WORK: Micros = 50 * MS;
+const MEMBERS: usize = 4;
+/// Attempts that a warm member bears in one window.
+const CAPACITY: f64 = 80.0;
+const COLD: MemberId = 0;
+
+fn terms(processes: usize) -> Terms {
+    let class = Offering {
+        effect: Effect::Pure,
+        need: Need::Loose,
+        quoted: 500 * MS,
+        limit: 1_000 * MS,
+        payoff: 1.0,
+        late_share: 0.0,
+    };
+    Terms {
+        offerings: vec![class],
+        drivers: processes,
+        drivers_at_cold: processes,
+        repeats_marked: true,
+        zone: 0,
+        zones: 1,
+        max_launches: 4,
+        may_probe: true,
+        max_cool_down: 500 * MS,
+        listed_roles: ListedRoles::Never,
+        members_check: false,
+        remember_sessions: false,
+        list_on_request: false,
+        only_draining_binds: false,
+        cold_from: 0.2,
+        warm_within: 10_000 * MS,
+        overload_factor: 2.5,
+        overload_window: 1_500 * MS,
+        crossing_price: 0.0,
+    }
+}
+
+fn line(member: MemberId, since: Option<Micros>) -> Listed {
+    Listed {
+        member,
+        name: format!("m{member}"),
+        group: 0,
+        zone: 0,
+        standing: Standing::Ready,
+        since,
+        size: 1.0,
+        primary: false,
+    }
+}
+
+/// One process: its router, its part of the traffic, and its attempts that are out with when they end.
+struct Process {
+    router: Router,
+    part: f64,
+    out: VecDeque<(Micros, Handle)>,
+    /// When it hears of the start.
+    told_at: Micros,
+    wake_at: Micros,
+}
+
+struct Fleet {
+    now: Micros,
+    terms: Terms,
+    processes: Vec<Process>,
+    rng: Pcg64Mcg,
+    /// When the cold member was sent something, probes included, over one window.
+    sent: VecDeque<Micros>,
+    started: Option<Micros>,
+}
+
+impl Fleet {
+    fn new(processes: usize, seed: u64) -> Fleet {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let (now, terms) = (1_000_000 * MS, terms(processes));
+        // Some get several times the mean.
+        let parts: Vec<f64> = (0..processes).map(|_| rng.random_range(0.3..1.0f64).powi(3)).collect();
+        let all: f64 = parts.iter().sum();
+        let start = |(number, part): (usize, &f64)| {
+            let mut router = Router::start(terms.clone(), seed * 1_000 + number as u64, now);
+            let _ = router.list(now, true, (0..MEMBERS).map(|id| line(id, None)).collect());
+            Process { router, part: part / all, out: VecDeque::new(), told_at: Micros::MAX, wake_at: now }
+        };
+        let processes = parts.iter().enumerate().map(start).collect();
+        Fleet { now, terms, processes, rng, sent: VecDeque::new(), started: None }
+    }
+
+    /// So long at so much of what the members bear together.
+    fn run(&mut self, long: Micros, load: f64) {
+        let until = self.now + long;
+        let each_step = load * CAPACITY * MEMBERS as f64 * STEP as f64 / self.terms.overload_window as f64;
+        while self.now < until {
+            self.now += STEP;
+            for number in 0..self.processes.len() {
+                self.turn(number, each_step);
+            }
+            self.check();
+        }
+    }
+
+    fn turn(&mut self, number: usize, each_step: f64) {
+        let now = self.now;
+        let process = &mut self.processes[number];
+        if now >= process.told_at {
+            process.told_at = Micros::MAX;
+            let todo = process.router.list(now, false, vec![line(COLD, self.started)]);
+            self.carry_out(number, todo);
+        }
+        while let Some(&(at, handle)) = self.processes[number].out.front().filter(|&&(at, _)| at <= now) {
+            self.processes[number].out.pop_front();
+            let outcome = Outcome {
+                verdict: Verdict::Honoured,
+                took: WORK + now - at,
+                told: Told::default(),
+                closed: true,
+            };
+            let todo = handle.ended(&mut self.processes[number].router, now, outcome);
+            self.carry_out(number, todo);
+        }
+        let due = each_step * self.processes[number].part;
+        let count = due.floor() as usize + usize::from(self.rng.random::<f64>() < due.fract());
+        for _ in 0..count {
+            let task = Task { ttl: 1_000 * MS, ..Task::default() };
+            let (_, todo) = self.processes[number].router.take(now, task);
+            self.carry_out(number, todo);
+        }
+        if now >= self.processes[number].wake_at {
+            let todo = self.processes[number].router.wake(now);
+            self.carry_out(number, todo);
+        }
+    }
+
+    fn carry_out(&mut self, number: usize, todo: Todo) {
+        let process = &mut self.processes[number];
+        process.wake_at = todo.wake_at.unwrap_or(process.wake_at);
+        for (handle, step) in todo.steps {
+            if let Step::Launch { member, .. } = step {
+                process.out.push_back((self.now + WORK, handle));
+                self.sent.extend((member == COLD).then_some(self.now));
+            }
+        }
+        for member in todo.probes {
+            self.sent.extend((member == COLD).then_some(self.now));
+            let router = &mut self.processes[number].router;
+            let todo = router.probed(self.now, member, Verdict::Honoured, MS, Told::default());
+            self.carry_out(number, todo);
+        }
+    }
+
+    /// It starts again now, and each process is told within a second.
+    fn restart(&mut self) {
+        self.started = Some(self.now);
+        self.sent.clear();
+        for process in &mut self.processes {
+            process.told_at = self.now + self.rng.random_range(0..1_000 * MS);
+        }
+    }
+
+    /// Only what came from processes that had been told is theirs to answer for.
+    fn check(&self) {
+        let Some(started) = self.started else { return };
+        let window = self.terms.overload_window;
+        let age = (self.now - started) as f64 / self.terms.warm_within as f64;
+        if age >= 1.0 || self.processes.iter().any(|process| process.told_at != Micros::MAX) {
+            return;
+        }
+        let part = self.terms.cold_from + (1.0 - self.terms.cold_from) * age;
+        let allowed = self.terms.overload_factor * part * CAPACITY;
+        let slack = if allowed < 30.0 { 3.0 * allowed.sqrt() + 3.0 } else { 2.0 * allowed.sqrt() + 2.0 };
+        let sent = self.sent.iter().filter(|&&at| at > self.now - window).count() as f64;
+        let count = self.processes.len();
+        assert!(
+            sent <= allowed + slack,
+            "{count} processes, {} ms after the start: {sent} in a window, {allowed:.0} allowed",
+            (self.now - started) / MS
+        );
+    }
+}
+
+#[test]
+fn all_processes_together_keep_to_what_a_cold_member_bears() {
+    for processes in [3, 8, 20, 30, 300] {
+        for seed in 0..4 {
+            let mut fleet = Fleet::new(processes, seed);
+            fleet.run(6_000 * MS, 0.7);
+            fleet.restart();
+            // A burst just then, beyond what all members bear.
+            fleet.run(4_000 * MS, 1.1);
+            fleet.run(6_500 * MS, 0.7);
+        }
+    }
+}
