--- a/crates/driver/src/trial.rs
+++ b/crates/driver/src/trial.rs
@@ -15,7 +15,7 @@
 
 /// What becomes of a task by one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Fate {
+pub enum Fate {
     Held,
     Launched,
     Denied,
@@ -24,7 +24,7 @@
 
 /// In what the other settings would have decided otherwise.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Kind {
+pub enum Kind {
     Fate(Fate, Fate),
     Member,
     Limit,
@@ -62,8 +62,8 @@
     every: Duration,
     /// Decisions until the next one that is compared.
     left: u32,
-    compared: u64,
-    kinds: BTreeMap<Kind, u64>,
+    pub compared: u64,
+    pub kinds: BTreeMap<Kind, u64>,
     told_at: Instant,
 }
 
@@ -176,100 +176,3 @@
         Some(Step::BreakOff) => Fate::BrokenOff,
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use aldermill_routing::{Listed, Outcome, Role, Standing, Task, Told, Verdict};
-    use aldermill_stand_ins::{TERMS, file};
-
-    use super::*;
-
-    fn decoded(text: &str) -> Decoded {
-        Decoded::parse(text).map_err(|trouble| trouble.to_string()).unwrap()
-    }
-
-    fn wanted(text: &str) -> Wanted {
-        let settings = file("settings", text).display().to_string();
-        Wanted { settings, one_in: Some(1), every_s: None }
-    }
-
-    /// A day of a router in small, each decision compared; what it did, line by line.
-    fn day(mut trial: Option<&mut Trial>) -> Vec<String> {
-        let mut router = Router::start(decoded(TERMS).terms, 7, 0);
-        let mut done = Vec::new();
-        let mut ask = |router: &mut Router, decide: &dyn Fn(&mut Router) -> Todo| {
-            let todo = match &mut trial {
-                Some(trial) => trial.ask(router, |router| ((), decide(router))).1,
-                None => decide(router),
-            };
-            done.push(format!("{todo:?}"));
-            todo
-        };
-        let line = |member: usize| Listed {
-            member,
-            name: format!("m{member}"),
-            group: 1,
-            zone: 0,
-            standing: Standing::Ready,
-            since: None,
-            size: 1.0,
-            primary: false,
-        };
-        ask(&mut router, &|router| router.list(0, true, (0..4).map(line).collect()));
-        for at in (1..400).map(|step| step * 40_000) {
-            let offering = (at / 40_000 % 3 / 2) as usize;
-            let ttl = if at % 7 == 0 { 5_000 } else { 900_000 };
-            let task = Task { offering, group: 1, ttl, ..Task::default() };
-            let todo = ask(&mut router, &|router| router.take(at, task.clone()).1);
-            for (handle, step) in todo.steps {
-                let Step::Launch { member, .. } = step else { continue };
-                let role = Some(if member == 2 { Role::Primary } else { Role::Replica });
-                let verdict = if member == 2 || offering == 0 { Verdict::Honoured } else { Verdict::Miss };
-                let told = Told { role, position: Some(at), age: 0 };
-                let closed = verdict == Verdict::Honoured;
-                let outcome = Outcome { verdict, took: 30_000, told, closed };
-                ask(&mut router, &|router| handle.ended(router, at + 30_000, outcome));
-            }
-            ask(&mut router, &|router| router.wake(at + 35_000));
-        }
-        done
-    }
-
-    #[test]
-    fn equal_settings_count_nothing_and_the_deciding_side_does_the_same() {
-        let mut trial = Trial::read(&wanted(TERMS), &decoded(TERMS)).unwrap();
-        let (with, without) = (day(Some(&mut trial)), day(None));
-        assert_eq!(with, without);
-        assert!(trial.compared > 800 && trial.kinds.is_empty(), "{:?}", trial.kinds);
-    }
-
-    #[test]
-    fn a_setting_that_differs_counts_in_its_kind() {
-        let no_return = TERMS.replace(r#""retryAfter":true"#, r#""retryAfter":false"#);
-        let mut trial = Trial::read(&wanted(&no_return), &decoded(TERMS)).unwrap();
-        assert_eq!(day(Some(&mut trial)), day(None));
-        assert_eq!(trial.kinds.keys().copied().collect::<Vec<_>>(), [Kind::CoolDown]);
-        let many = TERMS.replace(r#""balancers":1"#, r#""balancers":400"#);
-        let mut trial = Trial::read(&wanted(&many), &decoded(TERMS)).unwrap();
-        assert_eq!(day(Some(&mut trial)), day(None));
-        assert!(trial.kinds.contains_key(&Kind::Fate(Fate::Launched, Fate::Held)), "{:?}", trial.kinds);
-        assert!(trial.kinds.contains_key(&Kind::NotProbed), "{:?}", trial.kinds);
-    }
-
-    #[test]
-    fn a_sample_is_one_in_so_many() {
-        let mut trial = Trial::read(&Wanted { one_in: Some(8), ..wanted(TERMS) }, &decoded(TERMS)).unwrap();
-        let decisions = day(Some(&mut trial)).len() as u64;
-        assert_eq!(trial.compared, decisions / 8);
-    }
-
-    #[test]
-    fn settings_that_cannot_be_compared_are_refused_by_their_field() {
-        let said =
-            |text: &str| Trial::read(&wanted(text), &decoded(TERMS)).map(|_| ()).unwrap_err().to_string();
-        assert!(said(&TERMS.replace("\"look\"", "\"see\"")).contains("categories"));
-        assert!(said(&TERMS.replace("\"here\"", "\"there\"")).contains("azs"));
-        assert!(said(&TERMS.replace("\"automatic\"", "\"manual\"")).contains("registryMode"));
-        assert!(said("{").contains(": settings: "));
-    }
-}
--- /dev/null
+++ b/crates/driver/tests/clock.rs
@@ -0,0 +1,32 @@
+//! The clocks of the program, under a machine that was suspended.
+
+#[path = "../src/clock.rs"]
+#[allow(dead_code, reason = "the program uses the rest")]
+mod clock;
+
+use clock::{Clock, Lived, duration, suspended};
+
+use std::sync::atomic::{AtomicI64, Ordering};
+
+static SUSPENDED: AtomicI64 = AtomicI64::new(7_000_000);
+
+#[test]
+fn a_suspension_is_time_that_passed_and_a_standstill() {
+    let clock = Clock::start(Some(|| SUSPENDED.load(Ordering::SeqCst)));
+    let lived = Lived::start(clock);
+    let (before, began) = (clock.now(), lived.now());
+    let due = clock.instant(before + 60_000_000);
+    SUSPENDED.fetch_add(40_000_000, Ordering::SeqCst);
+    assert!((40_000_000..50_000_000).contains(&(clock.now() - before)));
+    assert!(due.saturating_duration_since(clock.instant(before + 60_000_000)) >= duration(39_000_000));
+    assert!((40_000_000..50_000_000).contains(&lived.stood()) && lived.now() - began < 10_000_000);
+    // Both ways are each other's.
+    let at = clock.now() + 5_000_000;
+    assert!((clock.at(clock.instant(at)) - at).abs() < 10);
+}
+
+#[test]
+fn the_systems_word_on_suspensions_never_falls() {
+    let first = suspended();
+    assert!(first > -1_000 && suspended() >= first - 1_000);
+}
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -262,6 +262,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/fleet/src/judge/tests.rs
+++ b/crates/fleet/tests/judge.rs
@@ -1,5 +1,8 @@
-use super::*;
-use crate::history::Told;
+//! The judges, on planted histories.
+
+use aldermill_fleet::history::{At, Event, How, Told};
+use aldermill_fleet::judge::judge;
+use aldermill_fleet::plan::Plan;
 
 fn plan() -> Plan {
     Plan::parse(r#"{"name":"a","drivers":3,"load":0.5,"seconds":5}"#).expect("a plan")
--- /dev/null
+++ b/crates/sites/tests/earlier.rs
@@ -0,0 +1,49 @@
+//! What an earlier start promised and kept.
+
+use aldermill_sites::earlier::{key, read_key, read_value, value};
+use aldermill_sites::{Earlier, Fate, Origin, Promise};
+
+fn origin() -> Origin {
+    Origin { site: "north".into(), instance: "n1".into(), start: 9 }
+}
+
+#[test]
+fn records_come_back_as_they_were_and_others_say_nothing() {
+    let read = read_key(&key(7, &origin(), 3));
+    assert_eq!(read, Some((7, origin(), 3)));
+    assert!(read_key(b"short").is_none() && read_key(&[255; 40]).is_none());
+    let fates = [Fate::UnderWay, Fate::NeverTaken, Fate::Denied { cool_down: 5 }, Fate::Honoured(&b"v"[..])];
+    for fate in fates {
+        let back = read_value(&value(&fate));
+        assert_eq!(format!("{back:?}"), format!("{fate:?}").replace("b\"v\"", "[118]"));
+    }
+    assert_eq!(read_value(b"?"), Fate::BrokenOff);
+    assert_eq!(read_value(b""), Fate::BrokenOff);
+}
+
+#[test]
+fn a_promise_binds_until_it_is_over_also_when_nobody_knows_whether_it_was_written() {
+    let mut promise = Promise::default();
+    assert!(promise.lets_go_without(1));
+    let until = promise.renew(10).expect("due");
+    assert!(!promise.lets_go_without(11), "it may be on the disk already");
+    assert_eq!(promise.renew(11), None);
+    promise.settled();
+    assert_eq!(promise.renew(11), None);
+    assert!(!promise.lets_go_without(until) && promise.lets_go_without(until + 1));
+    let next = promise.renew(until - 1).expect("due again");
+    promise.settled();
+    assert!(!promise.lets_go_without(next) && promise.lets_go_without(next + 1));
+}
+
+#[test]
+fn never_taken_is_said_only_while_the_promise_held() {
+    let mut earlier = Earlier::<()>::default();
+    earlier.record(7, origin(), 3, Fate::UnderWay);
+    earlier.record(7, origin(), 4, Fate::Honoured(()));
+    earlier.promised(100, 7, 100);
+    earlier.promised(101, 8, 100);
+    let asked =
+        [(3, 7), (4, 7), (5, 7), (5, 8), (5, 9)].map(|(number, start)| earlier.ask(&origin(), number, start));
+    assert_eq!(asked, [Fate::BrokenOff, Fate::Honoured(()), Fate::NeverTaken, Fate::Unknown, Fate::Unknown]);
+}
