An attempt stays off an address its member has left, and an unlisted cluster is refused

- An attempt whose connection was coming up when the list told the member's new address went to the old one, where another process may listen by now.
`Departure` compares the two; the case fails on the program before this.
- A request for a cluster that the list does not have yet was answered 08P01, which is 'failed', though nothing was sent on and the list may only be late.
It is refused (53300) now, as with an empty list.
- A case on idle clients that fill the descriptors while discovery is away (held before, too).

--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -286,11 +286,9 @@
             return refuse(Answer::Wrong("unknown offering"));
         };
         let elsewhere = self.hub.as_ref().is_some_and(|hub| hub.knows_group(order.comment.group));
-        if self.groups.is_empty() && !elsewhere {
-            return refuse(Answer::Denied { cool_down: 0 });
-        }
+        // The list may be older than its cluster: it was not sent on, and may be asked again.
         if !self.groups.contains(&order.comment.group) && !elsewhere {
-            return refuse(Answer::Wrong("no member of this cluster was ever listed"));
+            return refuse(Answer::Denied { cool_down: 0 });
         }
         if self.open_ids.contains(&order.comment.id) {
             return refuse(Answer::Wrong("a task with this id is under way"));
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -52,7 +52,8 @@
     context: Rc<Context>,
     id: MemberId,
     name: String,
-    address: SocketAddr,
+    /// As the list has it now.
+    address: Rc<Cell<SocketAddr>>,
     /// Whether the list's last word lets anything new be sent there.
     open: watch::Receiver<bool>,
     idle: Vec<Connection>,
@@ -81,7 +82,7 @@
             context,
             id,
             name,
-            address,
+            address: Rc::new(Cell::new(address)),
             open,
             idle: Vec::new(),
             under_way: JoinSet::new(),
@@ -128,7 +129,7 @@
                         self.visit(Purpose::Probe { sent }, None, until);
                     }
                     Some(Errand::Renew(address)) => {
-                        self.address = address;
+                        self.address.set(address);
                         self.renew();
                     }
                     Some(Errand::Shed) => {
@@ -179,11 +180,17 @@
     fn visit(&mut self, purpose: Purpose, attempt: Option<Launch>, until: Instant) {
         let for_task = attempt.is_some();
         let holder = attempt.as_ref().map(|attempt| attempt.holder);
-        let departure =
-            Departure { attempt, until, open: self.open.clone(), replica_words: self.replica_words.clone() };
+        let (id, address, era) = (self.id, self.address.get(), self.era);
+        let departure = Departure {
+            attempt,
+            until,
+            open: self.open.clone(),
+            replica_words: self.replica_words.clone(),
+            to: address,
+            listed: self.address.clone(),
+        };
         let (began, pooled) = (Instant::now(), self.pooled());
         let context = self.context.clone();
-        let (id, address, era) = (self.id, self.address, self.era);
         let visit = self.under_way.spawn_local(async move {
             let (mut exchange, mut room, mut crowded_out, mut age) = (Exchange::default(), None, false, 0);
             let opened = match settled(pooled, until, &context.limits).await {
@@ -234,7 +241,7 @@
             self.spoilt += 1;
             if self.spoilt == self.context.limits.spoilt_told {
                 warn!(self.context.log, "member answers nothing that can be used"; "member" => &self.name,
-                    "peer" => %self.address, "launches" => self.spoilt);
+                    "peer" => %self.address.get(), "launches" => self.spoilt);
             }
         } else if exchange.is_ready() {
             self.spoilt = 0;
@@ -245,11 +252,11 @@
                 self.renew();
             }
             if !std::mem::replace(&mut self.lost, true) {
-                warn!(self.context.log, "member lost"; "member" => &self.name, "peer" => %self.address,
+                warn!(self.context.log, "member lost"; "member" => &self.name, "peer" => %self.address.get(),
                     "symptom" => ?verdict);
             }
         } else if exchange.is_ready() && std::mem::take(&mut self.lost) {
-            info!(self.context.log, "member back"; "member" => &self.name, "peer" => %self.address);
+            info!(self.context.log, "member back"; "member" => &self.name, "peer" => %self.address.get());
         }
         if let Some(mut connection) = connection
             && era == self.era
--- a/crates/driver/src/member/visit.rs
+++ b/crates/driver/src/member/visit.rs
@@ -1,6 +1,7 @@
 //! One statement on a connection, from its first byte to the end of its answer.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use aldermill_pace::{Meter, Peer};
@@ -28,14 +29,17 @@
     pub(super) open: watch::Receiver<bool>,
     /// How often the member has said that it is a replica.
     pub(super) replica_words: Rc<Cell<u64>>,
+    /// Where the connection leads, and where the list has the member now.
+    pub(super) to: SocketAddr,
+    pub(super) listed: Rc<Cell<SocketAddr>>,
 }
 
 impl Departure {
-    /// A drain that was told since the decision forbids it, and so does the time limit, which a standstill may have
-    /// passed over; for an attempt its client's leaving, and the end of what made it valid.
+    /// A drain or a move that was told since the decision forbids it, and so does the time limit, which a standstill may
+    /// have passed over; for an attempt its client's leaving, and the end of what made it valid.
     pub(super) fn may_leave(&self, context: &Context) -> bool {
         let in_time = Instant::now() < self.until;
-        let allowed = *self.open.borrow();
+        let allowed = *self.open.borrow() && self.to == self.listed.get();
         in_time && allowed && self.attempt.as_ref().is_none_or(|attempt| self.is_valid(attempt, context))
     }
 
--- a/crates/driver/tests/departure.rs
+++ b/crates/driver/tests/departure.rs
@@ -108,6 +108,27 @@
     assert!(told <= 5000 - held.as_millis() + 1, "told {told} ms");
 }
 
+#[test]
+fn an_attempt_does_not_follow_a_connection_to_where_its_member_was() {
+    let hold = Hold::default();
+    let before = late(&hold, |text, stream| honour(text, "writer", stream));
+    let now = Member::start(|text, stream| honour(text, "writer", stream));
+    let discovery = Discovery::default();
+    let known = list(1, true, &[("a", &before, "in_service")]);
+    discovery.say(known.clone());
+    let config = config(discovery.start(), 256, &known).replace(r#""probes":true"#, r#""probes":false"#);
+    let driver = Driver::of(&config);
+    let mut client = Client::connect(driver.address);
+    hold.close();
+    client.send(&order(15000));
+    hold.reached();
+    discovery.say(list(2, false, &[("a", &now, "in_service")]));
+    until("the move", || driver.logged("revision: 2"));
+    hold.open();
+    assert!(honoured(&client.answer().unwrap()), "where its member is now");
+    assert!(before.tasks().is_empty(), "{:?}", before.tasks());
+}
+
 #[test]
 fn a_repeat_whose_window_ends_while_its_connection_comes_up_is_not_sent() {
     let window = Duration::from_millis(600);
--- a/crates/driver/tests/list.rs
+++ b/crates/driver/tests/list.rs
@@ -153,3 +153,30 @@
     let _ = watch.write_all(head);
     until("the list", || driver.logged("list back"));
 }
+
+#[test]
+fn idle_clients_that_fill_the_descriptors_leave_discovery_members_and_signals_theirs() {
+    let (old, new) = (sound("writer"), sound("writer"));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let known = list(1, true, &[("a", &old, "in_service")]);
+    let driver = Driver::of(&config(address, 64, &known));
+    // Discovery goes away, and clients take all that they can get.
+    drop(listener.accept().unwrap());
+    drop(listener);
+    until("the loss", || driver.logged("list lost"));
+    let _idle: Vec<Client> = (0..200).map(|_| Client::bare(driver.address)).collect();
+    until("the line on the clients' share", || driver.logged("client share of descriptors used up"));
+    let listener = TcpListener::bind(address).unwrap();
+    let (mut watch, _) = listener.accept().unwrap();
+    let _ = watch.read(&mut [0; 512]);
+    let told = list(2, false, &[("a", &old, "terminating"), ("b", &new, "in_service")]);
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let _ = watch.write_all(format!("{head}{:x}\r\n{told}\n\r\n", told.len() + 1).as_bytes());
+    until("the list", || driver.logged("revision: 2"));
+    let mut client = Client::connect(driver.address);
+    assert!(honoured(&client.ask(&look(15000))));
+    assert!(!new.tasks().is_empty(), "a new connection to a member");
+    driver.signal("-HUP");
+    until("the file", || driver.logged("configuration read anew"));
+}
