--- a/crates/driver/src/desk/lists.rs
+++ b/crates/driver/src/desk/lists.rs
@@ -12,14 +12,14 @@
 use crate::catalog::{Catalog, Entry};
 use crate::clock::Clock;
 use crate::member::Member;
-use crate::words::{Bulletin, Errand};
+use crate::words::{Bulletin, MemberCommand};
 
 /// A member's actor, as the desk sees it.
 pub(super) struct Peer {
     pub(super) group: u64,
     pub(super) zone: usize,
     pub(super) ready: bool,
-    pub(super) errands: mpsc::Sender<Errand>,
+    pub(super) commands: mpsc::Sender<MemberCommand>,
     /// Whether the list's last word lets anything new be sent there.
     pub(super) open: watch::Sender<bool>,
     pub(super) address: SocketAddr,
@@ -116,7 +116,9 @@
             peer.up_since = entry.up_since_ms;
             peer.since = started(clock, entry.up_since_ms);
         }
-        if (restarted || peer.address != address) && peer.errands.try_send(Errand::Renew(address)).is_ok() {
+        if (restarted || peer.address != address)
+            && peer.commands.try_send(MemberCommand::Renew(address)).is_ok()
+        {
             peer.address = address;
         }
         let since = peer.since;
@@ -143,7 +145,7 @@
     /// Starts the actor of a member that was never listed before.
     fn meet(&mut self, entry: &Entry, address: SocketAddr) -> MemberId {
         let id = self.peers.iter().position(Option::is_none).unwrap_or(self.peers.len());
-        let (errands, mailbox) = mpsc::channel(self.context.limits.errands);
+        let (commands, mailbox) = mpsc::channel(self.context.limits.commands);
         let (open, seen) = watch::channel(self.lets_send(entry.standing()));
         let member = Member::new(self.context.clone(), id, entry.id.clone(), address, seen);
         spawn_local(member.run(mailbox));
@@ -156,7 +158,7 @@
             group,
             zone,
             ready,
-            errands,
+            commands,
             open,
             address,
             up_since: entry.up_since_ms,
--- a/crates/driver/src/desk/steps.rs
+++ b/crates/driver/src/desk/steps.rs
@@ -6,7 +6,7 @@
 
 use super::Desk;
 use crate::clock::duration;
-use crate::words::{Answer, Call, Ended, Errand, Gave, Launch, Mail};
+use crate::words::{Answer, Attempt, Call, Ended, Gave, Mail, MemberCommand};
 
 impl Desk {
     /// Its member answered, but there is no room for that: what is pure may be denied, anything else did run.
@@ -44,7 +44,7 @@
         for (handle, step) in todo.steps {
             match step {
                 Step::Launch { member, limit, afresh, validity } => {
-                    self.launch(handle, member, limit, afresh, validity)
+                    self.send_attempt(handle, member, limit, afresh, validity)
                 }
                 Step::Deny { cool_down } => self.answer(handle, Answer::Denied { cool_down }),
                 Step::BreakOff => self.answer(handle, Answer::BrokenOff),
@@ -55,7 +55,7 @@
             let sent = Instant::now();
             let until = sent + self.context.limits.probe;
             let peer = self.peers[member].as_ref();
-            if peer.is_none_or(|peer| peer.errands.try_send(Errand::Probe { sent, until }).is_err()) {
+            if peer.is_none_or(|peer| peer.commands.try_send(MemberCommand::Probe { sent, until }).is_err()) {
                 let (verdict, told) = (Verdict::Moot, Told::default());
                 let replica_words = peer.map_or(0, |peer| peer.replica_words);
                 self.pending.push_back(Call::Probed { member, verdict, took: 0, told, replica_words });
@@ -64,7 +64,7 @@
         for member in todo.shut {
             if let Some(peer) = &self.peers[member] {
                 // A full mailbox means that its connections are wanted.
-                let _ = peer.errands.try_send(Errand::CloseIdle);
+                let _ = peer.commands.try_send(MemberCommand::CloseIdle);
             }
         }
         if todo.subscribe
@@ -77,7 +77,14 @@
         }
     }
 
-    fn launch(&mut self, handle: Handle, member: MemberId, limit: Micros, afresh: bool, validity: Validity) {
+    fn send_attempt(
+        &mut self,
+        handle: Handle,
+        member: MemberId,
+        limit: Micros,
+        afresh: bool,
+        validity: Validity,
+    ) {
         let Some(open) = self.open.get(&handle) else { return };
         let sent = Instant::now();
         let holder = (open.order.holder, open.best);
@@ -86,7 +93,7 @@
             sight.launched(handle, place, &self.decoded, &open.order);
         }
         let peer = self.peers[member].as_ref();
-        let launch = Launch {
+        let attempt = Attempt {
             handle,
             order: open.order.clone(),
             withdrawal: open.withdrawal.clone(),
@@ -97,8 +104,8 @@
             validity,
             replica_words: peer.map_or(0, |peer| peer.replica_words),
         };
-        if peer.is_none_or(|peer| peer.errands.try_send(Errand::Launch(launch)).is_err()) {
-            warn!(self.context.log, "member's mailbox full, launch not sent"; "member" => member);
+        if peer.is_none_or(|peer| peer.commands.try_send(MemberCommand::Send(attempt)).is_err()) {
+            warn!(self.context.log, "member's mailbox full, attempt not sent"; "member" => member);
             let (verdict, told) = (Verdict::Moot, Told::default());
             let gave = Gave::Nothing;
             let ended = Ended { handle, verdict, took: 0, told, gave, replica_words: None };
@@ -111,7 +118,7 @@
         // Idle connections of the others make room.
         for (id, peer) in self.peers.iter().enumerate().filter(|(id, _)| *id != member) {
             let Some(peer) = peer else { continue };
-            if peer.errands.try_send(Errand::Shed).is_err() {
+            if peer.commands.try_send(MemberCommand::Shed).is_err() {
                 warn!(self.context.log, "member's mailbox full, it keeps its idle connections";
                     "member" => id);
             }
--- a/crates/driver/src/limits.rs
+++ b/crates/driver/src/limits.rs
@@ -41,9 +41,9 @@
     pub ahead: usize,
     /// How often it is seen whether a client has left that has sent so much ahead.
     pub look_again: Duration,
-    /// Calls that wait for the router, and errands that wait at a member.
+    /// Calls that wait for the router, and commands that wait at a member.
     pub calls: usize,
-    pub errands: usize,
+    pub commands: usize,
     pub lists: usize,
     pub log_lines: usize,
     pub backlog: i32,
@@ -135,7 +135,7 @@
             ahead: 8 * 1024,
             look_again: Duration::from_millis(20),
             calls: 2 * (clients + members),
-            errands: clients + members,
+            commands: clients + members,
             lists: 16,
             log_lines: 1024,
             backlog: 1024,
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -19,7 +19,7 @@
 
 use crate::context::Context;
 use crate::gate::Room;
-use crate::words::{Call, Ended, Errand, Gave, Launch, Rows};
+use crate::words::{Attempt, Call, Ended, Gave, MemberCommand, Rows};
 use connection::{Connection, connect, settled};
 use visit::{Departure, Visit};
 
@@ -95,7 +95,7 @@
         }
     }
 
-    pub async fn run(mut self, mut errands: mpsc::Receiver<Errand>) {
+    pub async fn run(mut self, mut commands: mpsc::Receiver<MemberCommand>) {
         let mut sweep = interval(self.context.limits.sweep);
         sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -117,27 +117,27 @@
                         return;
                     }
                 }
-                errand = errands.recv() => match errand {
-                    Some(Errand::Launch(launch)) => {
-                        if launch.afresh {
+                command = commands.recv() => match command {
+                    Some(MemberCommand::Send(attempt)) => {
+                        if attempt.afresh {
                             self.idle.clear();
                         }
-                        let Launch { handle, sent, until, .. } = launch;
-                        self.visit(Purpose::Task { handle, sent }, Some(launch), until);
+                        let Attempt { handle, sent, until, .. } = attempt;
+                        self.visit(Purpose::Task { handle, sent }, Some(attempt), until);
                     }
-                    Some(Errand::Probe { sent, until }) => {
+                    Some(MemberCommand::Probe { sent, until }) => {
                         self.visit(Purpose::Probe { sent }, None, until);
                     }
-                    Some(Errand::Renew(address)) => {
+                    Some(MemberCommand::Renew(address)) => {
                         self.address.set(address);
                         self.renew();
                     }
-                    Some(Errand::Shed) => {
+                    Some(MemberCommand::Shed) => {
                         if !self.idle.is_empty() {
                             self.idle.remove(0);
                         }
                     }
-                    Some(Errand::CloseIdle) => self.idle.clear(),
+                    Some(MemberCommand::CloseIdle) => self.idle.clear(),
                     None => return,
                 },
                 _ = sweep.tick() => {
@@ -177,7 +177,7 @@
     }
 
     /// Starts one query on a connection of its own, to its end or its time limit: an attempt, or else a probe.
-    fn visit(&mut self, purpose: Purpose, attempt: Option<Launch>, until: Instant) {
+    fn visit(&mut self, purpose: Purpose, attempt: Option<Attempt>, until: Instant) {
         let for_task = attempt.is_some();
         let holder = attempt.as_ref().map(|attempt| attempt.holder);
         let (id, address, era) = (self.id, self.address.get(), self.era);
--- a/crates/driver/src/member/visit.rs
+++ b/crates/driver/src/member/visit.rs
@@ -15,7 +15,7 @@
 use super::connection::Connection;
 use crate::context::Context;
 use crate::gate::Room;
-use crate::words::{Launch, Query};
+use crate::words::{Attempt, Query};
 
 /// The probe, as members know it.
 const PROBE: &[u8] = b"SHOW usage";
@@ -23,7 +23,7 @@
 /// What is asked for again when the connection is there, however long that took: whether the query may leave.
 pub(super) struct Departure {
     /// None for a probe.
-    pub(super) attempt: Option<Launch>,
+    pub(super) attempt: Option<Attempt>,
     pub(super) until: Instant,
     /// Whether the list's last word lets anything new be sent to the member.
     pub(super) open: watch::Receiver<bool>,
@@ -43,7 +43,7 @@
         in_time && allowed && self.attempt.as_ref().is_none_or(|attempt| self.is_valid(attempt, context))
     }
 
-    fn is_valid(&self, attempt: &Launch, context: &Context) -> bool {
+    fn is_valid(&self, attempt: &Attempt, context: &Context) -> bool {
         let Validity { until, while_primary } = attempt.validity;
         let still_primary = self.replica_words.get() == attempt.replica_words;
         !attempt.withdrawal.is_set() && context.clock.now() < until && (still_primary || !while_primary)
--- a/crates/driver/src/words.rs
+++ b/crates/driver/src/words.rs
@@ -154,8 +154,8 @@
 }
 
 /// What the desk asks of a member's actor.
-pub enum Errand {
-    Launch(Launch),
+pub enum MemberCommand {
+    Send(Attempt),
     Probe {
         sent: Instant,
         until: Instant,
@@ -168,7 +168,7 @@
     CloseIdle,
 }
 
-pub struct Launch {
+pub struct Attempt {
     pub handle: Handle,
     /// Worded when it leaves: what it tells the member is the time that the client has left then.
     pub order: Rc<Order>,
