--- a/crates/driver/src/desk.rs
+++ b/crates/driver/src/desk.rs
@@ -3,6 +3,7 @@
 mod book;
 mod hub;
 mod lists;
+mod open;
 mod sight;
 mod steps;
 mod warmth;
@@ -25,29 +26,10 @@
 
 use crate::context::Context;
 use crate::desk::lists::Peer;
+use crate::desk::open::Open;
 use crate::trial::Trial;
 use crate::words::{Answer, Bulletin, Call, ClientId, Ended, Gave, Mail, Order, Withdrawal};
 
-/// A task under way and the client that waits for it.
-pub(crate) struct Open {
-    /// Of the gateway, where there is one: it is told what the module says, and answers the client.
-    pub via: Option<SitesHandle>,
-    /// Of the best paid offering.
-    best: bool,
-    pub client: Option<(ClientId, mpsc::Sender<Mail>)>,
-    /// Set when the client left, or the gateway took the request back.
-    withdrawal: Withdrawal,
-    order: Rc<Order>,
-}
-
-impl Open {
-    /// Nobody waits for it here any more.
-    fn withdraw(&mut self) {
-        self.client = None;
-        self.withdrawal.set();
-    }
-}
-
 /// Where a client's task is.
 #[derive(Clone, Copy)]
 pub(crate) enum Holder {
@@ -223,18 +205,12 @@
         match call {
             Call::Take(order) => self.take(order),
             Call::Left(client) => {
-                let handle = match self.by_client.remove(&client) {
-                    Some(Holder::Here(handle)) => handle,
-                    Some(Holder::Via(handle)) => return self.trip_left(handle),
-                    None => return,
-                };
-                if let Some(open) = self.open.get_mut(&handle) {
-                    open.withdraw();
+                // Nobody waits for it any more, wherever it is.
+                match self.by_client.remove(&client) {
+                    Some(Holder::Here(handle)) => self.leave_here(handle),
+                    Some(Holder::Via(handle)) => self.trip_left(handle),
+                    None => {}
                 }
-                let now = self.context.clock.now();
-                let ((), todo) = self.ask(|router| ((), handle.left(router, now)));
-                self.carry_out(todo);
-                self.release(handle);
             }
             Call::Ended(ended) => self.ended(ended),
             Call::Probed { member, verdict, took, told, replica_words } => {
@@ -376,6 +352,17 @@
         }
     }
 
+    /// The router is to forget a request that nobody waits for here any more; what was sent of it goes on.
+    pub(crate) fn leave_here(&mut self, handle: Handle) {
+        if let Some(open) = self.open.get_mut(&handle) {
+            open.withdraw();
+        }
+        let now = self.context.clock.now();
+        let ((), todo) = self.ask(|router| ((), handle.left(router, now)));
+        self.carry_out(todo);
+        self.release(handle);
+    }
+
     /// Drops what is kept for a task of which nothing more can be heard.
     pub(crate) fn release(&mut self, handle: Handle) {
         if !self.router.knows(handle)
--- a/crates/driver/src/desk/hub/trips.rs
+++ b/crates/driver/src/desk/hub/trips.rs
@@ -213,17 +213,6 @@
         self.carry_out(todo);
     }
 
-    /// The module here is to forget a task; what it has sent goes on.
-    pub(super) fn leave_here(&mut self, here: HereHandle) {
-        if let Some(open) = self.open.get_mut(&here) {
-            open.withdraw();
-        }
-        let now = self.context.clock.now();
-        let ((), todo) = self.ask(|router| ((), here.left(router, now)));
-        self.carry_out(todo);
-        self.release(here);
-    }
-
     pub(super) fn cross(&mut self, handle: Handle, gate: GateId, number: u64, left: Micros) {
         let now = self.context.clock.now();
         let Some(hub) = &mut self.hub else { return };
