--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -248,12 +248,11 @@
         let look_again = self.context.limits.look_again;
         let (stream, buffer) = (&mut self.stream, &mut self.buffer);
         let reading = async {
-            match room {
-                true => stream.read_buf(buffer.tail()).await.unwrap_or(0),
-                false => {
-                    gone(stream, look_again).await;
-                    0
-                }
+            if room {
+                stream.read_buf(buffer.tail()).await.unwrap_or(0)
+            } else {
+                gone(stream, look_again).await;
+                0
             }
         };
         tokio::select! {
--- a/crates/routing/src/policy/fresh.rs
+++ b/crates/routing/src/policy/fresh.rs
@@ -182,7 +182,7 @@
     pub(super) fn session(&mut self, handle: Handle) -> Option<&mut Session> {
         let task = &self.errands[&handle].task;
         let writes = self.terms.remember_sessions && self.terms.offerings[task.offering].need == Need::Write;
-        task.session.clone().filter(|_| writes).map(|name| self.sessions.entry(name).or_default())
+        task.session.as_ref().filter(|_| writes).cloned().map(|name| self.sessions.entry(name).or_default())
     }
 
     /// Takes in what a member says of itself: true at `at`, and asked for no earlier than `asked`. Protects from
