--- a/crates/site-routing/tests/failing_disk.rs
+++ b/crates/site-routing/tests/failing_disk/main.rs
@@ -1,7 +1,7 @@
 //! Drawn histories of a gateway's outcome log over a disk whose calls fail for a while, and whose process is killed at any
 //! byte: what a later start says of an earlier one's requests is true, and what was confirmed is not forgotten.
 
-#[path = "../../store/tests/power/mod.rs"]
+#[path = "../../../store/tests/power/mod.rs"]
 mod power;
 
 use std::collections::{BTreeMap, VecDeque};
