A start under a clock set back goes on above its earlier start's number, and is heard

Users saw: a proxy that started again under a wall clock set back was in no other proxy's membership for its whole life, so that capacity was divided by a fleet without it and it held no lease.

Cause: a process numbers its start by the wall clock, and of two starts of one name the higher number counts. Others sent it notice of a later start and it fell silent; the log named its own address as the later one's. Restarted after its death was noticed it got no notice, as SWIM takes no lower number of a dead one for an hour: virtual time showed this way.

Why this holds: nobody else can listen at the process's own address, so whoever announced it has ended; at another address the process that started within the last 5 s is the later one. The notice is sent for dead starts, too. Leases go on under the new number; one that was got before is given up. No datagram changes its form.

--- a/crates/fault-injection/tests/troubles.rs
+++ b/crates/fault-injection/tests/troubles.rs
@@ -153,6 +153,9 @@
     assert!(logs.lines().filter_map(started).any(|at| at > ahead), "the step was real: {logs}");
 }
 
+/// A process that started again under a wall clock set back was silent among the others for its whole life: they knew its
+/// earlier start by a higher number and answered with notice of a later one. The log had `superseded by a later start of this
+/// name` with the process's own address.
 #[test]
 fn a_process_that_starts_again_under_a_clock_set_back_is_heard_by_the_others() {
     let logs = restarted_under_a_step("set-back", -HOUR_MS);
--- a/crates/leases/src/participant.rs
+++ b/crates/leases/src/participant.rs
@@ -320,6 +320,18 @@
         self.take_actions()
     }
 
+    /// The others know this process by another number from now on. What it held was granted under the former one, and no
+    /// other voter takes a release of it any more: it gives the leases up, and they expire.
+    pub fn renumber(&mut self, now: Micros, start: u64) -> Actions {
+        let leases = self.lease_names();
+        for lease in &leases {
+            self.with_candidate(now, 0, lease, |candidate| candidate.release(now));
+        }
+        self.own.start = start;
+        self.start_candidates(&leases);
+        self.take_actions()
+    }
+
     /// Asks the candidate for a lease, if this process is one, and carries out what it says.
     fn with_candidate(
         &mut self,
--- /dev/null
+++ b/crates/leases/tests/renumber.rs
@@ -0,0 +1,94 @@
+//! A process whose wall clock was set back gets another number once it has heard of its earlier start.
+
+use aldermill_leases::{Actions, Incarnation, LeaseChange, LeaseConfig, Micros, Participant, Term};
+
+const SECOND: Micros = 1_000_000;
+const STEP: Micros = 20_000;
+const LEASE: &str = "zones";
+const WALL_MS: u64 = 1_800_000_000_000;
+
+/// Three voters, and messages that arrive at once.
+struct Voters {
+    now: Micros,
+    participants: Vec<(Incarnation, Participant)>,
+    /// Who acquired the lease, or lost it, in order.
+    changes: Vec<(usize, LeaseChange)>,
+}
+
+impl Voters {
+    fn start() -> Voters {
+        let names = ["a", "b", "c"];
+        let config = LeaseConfig {
+            voters: names.iter().map(|name| (*name).to_owned()).collect(),
+            leases: vec![LEASE.to_owned()],
+            duration: 2 * SECOND,
+            least_term: 0,
+        };
+        let participant = |(number, name): (usize, &&str)| {
+            let own = Incarnation { name: (*name).to_owned(), start: 10 + number as u64 };
+            let participant = Participant::start(0, own.clone(), &config, None, number as u64).unwrap();
+            (own, participant)
+        };
+        let participants = names.iter().enumerate().map(participant).collect();
+        Voters { now: 0, participants, changes: Vec::new() }
+    }
+
+    fn carry_out(&mut self, by: usize, actions: Actions) {
+        self.changes.extend(actions.changes.into_iter().map(|change| (by, change)));
+        let from = self.participants[by].0.clone();
+        for outgoing in actions.send {
+            let to = self.participants.iter().position(|(own, _)| own.name == outgoing.to).unwrap();
+            let answer = self.participants[to].1.receive(self.now, WALL_MS, &from, &outgoing.message);
+            self.carry_out(to, answer);
+        }
+    }
+
+    fn run_for(&mut self, span: Micros) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += STEP;
+            for number in 0..self.participants.len() {
+                let actions = self.participants[number].1.wake(self.now, WALL_MS);
+                self.carry_out(number, actions);
+            }
+        }
+    }
+
+    fn renumber(&mut self, number: usize, start: u64) {
+        self.participants[number].0.start = start;
+        let actions = self.participants[number].1.renumber(self.now, start);
+        self.carry_out(number, actions);
+    }
+
+    fn holders(&self) -> Vec<(usize, Term)> {
+        let term = |(number, (_, participant)): (usize, &(_, Participant))| {
+            Some((number, participant.may_act(self.now, LEASE)?))
+        };
+        self.participants.iter().enumerate().filter_map(term).collect()
+    }
+}
+
+/// The voters took no ballot of a process that signed it with its former number.
+#[test]
+fn a_renumbered_process_is_still_heard_by_the_voters() {
+    let mut voters = Voters::start();
+    (0..3).for_each(|number| voters.renumber(number, 100 + number as u64));
+    voters.run_for(10 * SECOND);
+    assert_eq!(voters.holders().len(), 1, "{:?}", voters.changes);
+}
+
+#[test]
+fn a_renumbered_holder_gives_its_lease_up_and_none_is_held_twice() {
+    let mut voters = Voters::start();
+    voters.run_for(10 * SECOND);
+    let [(holder, term)] = voters.holders()[..] else { panic!("no holder: {:?}", voters.changes) };
+    voters.renumber(holder, 100);
+    assert!(voters.holders().is_empty(), "it acts no longer");
+    assert!(voters.changes.contains(&(holder, LeaseChange::Lost { lease: LEASE.to_owned(), term })));
+    for _ in 0..500 {
+        voters.run_for(STEP);
+        let holders = voters.holders();
+        assert!(holders.len() <= 1 && holders.iter().all(|&(_, later)| later > term), "{holders:?}");
+    }
+    assert_eq!(voters.holders().len(), 1, "{:?}", voters.changes);
+}
--- a/crates/membership/src/actions.rs
+++ b/crates/membership/src/actions.rs
@@ -50,6 +50,9 @@
     Rejoined,
     /// This proxy's name belongs to a later start, so that this one sends nothing from now on.
     Superseded(Peer),
+    /// An earlier start of this name had a higher number, as the wall clock was set back since: this proxy goes on as this
+    /// peer, which the others take for the latest.
+    Renumbered(Peer),
 }
 
 /// How many datagrams were dropped, by reason.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -47,6 +47,7 @@
 mod peer;
 mod seeds;
 mod snapshot;
+mod start_number;
 mod timer_queue;
 
 pub use actions::{Actions, Change, DroppedDatagrams, OutgoingDatagram, ReceivedPayload};
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -18,6 +18,7 @@
 use crate::live_count::LiveCount;
 use crate::local_health::LocalHealth;
 use crate::seeds::Seeds;
+use crate::start_number::StartNumber;
 use crate::timer_queue::TimerQueue;
 use crate::{Micros, Peer, Snapshot};
 
@@ -51,6 +52,7 @@
     dropped: DroppedDatagrams,
     timers: TimerQueue,
     catch_up: CatchUp,
+    start_number: StartNumber,
     rng: Pcg64Mcg,
     /// It has left, or a later start has its name: it neither sends nor takes anything.
     is_silent: bool,
@@ -83,6 +85,7 @@
             dropped: DroppedDatagrams::default(),
             timers: TimerQueue::default(),
             catch_up: CatchUp::start(now),
+            start_number: StartNumber::at(now),
             rng: Pcg64Mcg::seed_from_u64(seed.rotate_left(17)),
             is_silent: false,
             actions: Actions::default(),
@@ -137,7 +140,7 @@
         }
         match frame::decode(self.fleet_tag, datagram) {
             Err(reason) => self.dropped.count(reason),
-            Ok(Content::LaterStart(peer)) => self.receive_later_start(peer),
+            Ok(Content::LaterStart(peer)) => self.receive_later_start(now, peer),
             Ok(Content::Payload { sender, payload }) => {
                 if !self.reject_earlier_start(&sender) {
                     self.actions.payloads.push(ReceivedPayload { sender, payload: payload.to_vec() });
@@ -153,20 +156,22 @@
     }
 
     /// Another proxy says that this name has a later start.
-    fn receive_later_start(&mut self, later: Peer) {
+    fn receive_later_start(&mut self, now: Micros, later: Peer) {
         let local = self.swim.identity();
         if later.name == local.name && later.start > local.start {
-            self.fall_silent(later);
+            self.yield_or_supersede(now, later);
         } else {
             self.dropped.unusable += 1;
         }
     }
 
-    /// Tells a sender whose name has a later start so, instead of taking what it sent. If SWIM took it, the sender would be
-    /// told that it is dead, rejoin, and so on without end.
+    /// Tells a sender whose name has a start with a higher number so, instead of taking what it sent. If SWIM took it, the
+    /// sender would be told that it is dead, rejoin, and so on without end. One that is dead counts as well: SWIM remembers
+    /// it for an hour, and takes no lower number meanwhile.
     fn reject_earlier_start(&mut self, sender: &Peer) -> bool {
         let is_later = |peer: &&Peer| peer.name == sender.name && peer.start > sender.start;
-        let Some(later) = self.alive().find(is_later) else { return false };
+        let mut known = self.swim.iter_membership_state().map(foca::Member::id);
+        let Some(later) = known.find(is_later) else { return false };
         let bytes = frame::encode_later_start(self.fleet_tag, later);
         self.actions.send.push(OutgoingDatagram { to: sender.address, bytes });
         true
@@ -180,10 +185,33 @@
         }
         self.apply(now, effects);
         if let Some(later) = self.codec.take_later_start() {
-            self.fall_silent(later);
+            self.yield_or_supersede(now, later);
         }
     }
 
+    /// A start of this name has a higher number. It is a later one, or an earlier one that a wall clock numbered which has
+    /// been set back since.
+    fn yield_or_supersede(&mut self, now: Micros, other: Peer) {
+        match self.start_number.above_earlier(now, self.swim.identity(), &other) {
+            Some(start) => self.supersede(now, start),
+            None => self.fall_silent(other),
+        }
+    }
+
+    /// Goes on under another number, by which the others take this start for the latest of its name.
+    fn supersede(&mut self, now: Micros, start: u64) {
+        let local = Peer { start, rejoins: 0, ..self.swim.identity().clone() };
+        let mut effects = AccumulatingRuntime::new();
+        // Fails for the present identity only, which has a lower number.
+        if self.swim.change_identity(local.clone(), &mut effects).is_err() {
+            return;
+        }
+        self.rejoin(now, local.clone());
+        self.apply(now, effects);
+        self.seeds.hurry(now);
+        self.actions.changes.push(Change::Renumbered(local));
+    }
+
     /// Two processes of one name would declare each other dead without end, so the earlier start falls silent. The cost: if
     /// an operator gave one name twice, the older process is out of the fleet, and says so.
     fn fall_silent(&mut self, later: Peer) {
--- a/crates/membership/src/peer.rs
+++ b/crates/membership/src/peer.rs
@@ -8,7 +8,8 @@
 pub struct Peer {
     /// The name in its configuration, unique in the fleet. Empty for whoever listens at an address that a seed gave.
     pub name: Rc<str>,
-    /// When it started, in microseconds of Unix time. Of two starts of one name the later one counts.
+    /// When it started, in microseconds of Unix time, or a number above that of an earlier start whose clock was ahead. Of
+    /// two starts of one name the one with the higher number counts.
     pub start: u64,
     /// How often it has rejoined, in this start, after the others had declared it dead. This is not SWIM's incarnation
     /// number, which refutes a suspicion before anybody is declared dead, and stands beside the peer in a datagram.
--- a/crates/membership/tests/common/mod.rs
+++ b/crates/membership/tests/common/mod.rs
@@ -20,6 +20,7 @@
 const SEEDS: usize = 5;
 const LOCALHOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 const FIRST_PORT: u16 = 10_000;
+const WALL_CLOCK_AT_START: Micros = 1_800_000_000 * SECOND;
 
 /// A change that a proxy learnt of.
 pub struct LearntChange {
@@ -72,6 +73,8 @@
     /// Whether the network carries anything from one node to another.
     pub connects: Box<dyn Fn(usize, usize) -> bool>,
     pub periods: ProtocolPeriods,
+    /// By how much the wall clock is off that numbers starts.
+    pub wall_clock_step: Micros,
     fleets: Vec<String>,
     /// By time and number.
     queue: BinaryHeap<Reverse<(Micros, u64)>>,
@@ -97,6 +100,7 @@
             loss: 0.0,
             connects: Box::new(|_, _| true),
             periods: ProtocolPeriods::for_fleet_of(count),
+            wall_clock_step: 0,
             fleets: vec!["f".to_owned(); count],
             queue: BinaryHeap::new(),
             events: HashMap::new(),
@@ -122,7 +126,7 @@
             fleet: self.fleets[node].clone(),
             name: name.to_owned(),
             address: address(node),
-            start: 1 + self.now as u64 * 1000 + node as u64,
+            start: (WALL_CLOCK_AT_START + self.now + self.wall_clock_step) as u64 + node as u64,
         };
         let networks = vec!["127.0.0.0/8".parse().unwrap()];
         let config = Config { local, seeds, networks, periods: self.periods, fleet_size };
--- a/crates/proxy/src/coordination/mod.rs
+++ b/crates/proxy/src/coordination/mod.rs
@@ -251,6 +251,13 @@
         self.work.peer_gone(now, name);
     }
 
+    /// The others know this proxy by another start from now on, and take its messages under no other.
+    pub fn renumber(&mut self, at: CallTime, start: u64, others: &[Rc<str>]) {
+        self.own.start = start;
+        let actions = self.participant.renumber(at.now, start);
+        self.carry_out(at, actions, others);
+    }
+
     /// This proxy shuts down: it releases the leases that it holds.
     pub fn release_leases(&mut self, at: CallTime) {
         let actions = self.participant.release_all(at.now);
--- a/crates/proxy/src/membership/actor.rs
+++ b/crates/proxy/src/membership/actor.rs
@@ -247,6 +247,10 @@
             {
                 link.coordination.peer_gone(self.context.clock.now(), &gone.name);
             }
+            if let Change::Renumbered(local) = &change {
+                let start = local.start;
+                self.coordinate(|coordination, at, others| coordination.renumber(at, start, others));
+            }
             self.log_change(&change);
         }
         self.wake_at = actions.wake_at;
@@ -265,6 +269,9 @@
             Change::Restarted(Peer { name, start, address, .. }) => {
                 info!(log, "peer restarted"; "address" => %address, "start" => start, "peer" => &**name);
             }
+            Change::Renumbered(Peer { start, .. }) => {
+                warn!(log, "wall clock was set back since an earlier start, renumbered"; "start" => start);
+            }
             Change::Rejoined => warn!(log, "declared dead by other proxies, rejoined"),
             Change::Superseded(Peer { name, start, address, .. }) => {
                 warn!(log, "superseded by a later start of this name, silent from now on";
