A list taken before a stall was noticed is applied before the newer ones, not after

Cause: the dispatcher takes an event, notices the stall, and applies all lists that came meanwhile before it handles the event. Where the event was itself a list, the oldest was applied last.

Why this holds: the mailbox keeps the order of the watch; the event in hand is older than all that is in the mailbox, so it is applied first if it is a list. Any other event follows the lists, as before.

--- a/crates/proxy/src/dispatcher/mod.rs
+++ b/crates/proxy/src/dispatcher/mod.rs
@@ -161,8 +161,9 @@
         let stopping = self.context.stopping.clone();
         let mut inputs = Inputs { list_updates, messages, stopping };
         while let Some(event) = self.next_event(&mut inputs).await {
-            self.catch_up_after_stall(&mut inputs.list_updates).await;
-            self.handle_event(event);
+            if let Some(event) = self.catch_up_after_stall(event, &mut inputs.list_updates).await {
+                self.handle_event(event);
+            }
             while let Some(message) = self.deferred.pop_front() {
                 self.handle_message(message);
             }
@@ -194,20 +195,33 @@
     }
 
     /// After a stall, applies what discovery sent meanwhile before anything else is decided: a member may drain by now. The
-    /// discovery watch has to run first, to read it.
-    async fn catch_up_after_stall(&mut self, list_updates: &mut mpsc::Receiver<ListUpdate>) {
+    /// discovery watch has to run first, to read it. Returns the event that is still to be handled: a list update that was
+    /// taken from the mailbox before is older than those that are there now, and is applied before them.
+    async fn catch_up_after_stall(
+        &mut self,
+        event: Event,
+        list_updates: &mut mpsc::Receiver<ListUpdate>,
+    ) -> Option<Event> {
         let stalled = self.context.unstalled_clock.stalled_for() - self.reported_stall;
         if stalled <= 0 {
-            return;
+            return Some(event);
         }
         warn!(self.context.log, "process stalled"; "ms" => stalled / 1000);
         self.report_stall();
+        let remaining = match event {
+            Event::ListUpdate(list_update) => {
+                self.list_update(list_update);
+                None
+            }
+            event => Some(event),
+        };
         for _ in 0..TURNS_AFTER_STALL {
             yield_now().await;
         }
         while let Ok(list_update) = list_updates.try_recv() {
             self.list_update(list_update);
         }
+        remaining
     }
 
     /// Tells both routers of a stall, before anything that arrived during it.
--- a/crates/proxy/tests/simultaneous_events.rs
+++ b/crates/proxy/tests/simultaneous_events.rs
@@ -8,9 +8,12 @@
 
 use aldermill_test_support::{
     Client, Discovery, Driver, Hold, Member, config, delivered, list, look, named, order, serve, served,
-    until,
+    sound, until,
 };
 
+/// Long enough for the program to notice the stall, and for discovery to send what it has.
+const STALL: Duration = Duration::from_millis(200);
+
 /// A member that waits at `hold` before it responds, and reports the role that it has by then. `given` is set once the
 /// proxy's kernel has the whole response.
 fn holding(hold: &Hold, replica: &Arc<AtomicBool>, given: &Arc<AtomicBool>) -> Member {
@@ -93,3 +96,47 @@
         assert!(served(&said) || !in_time, "{said:?}");
     }
 }
+
+/// Of two endpoint lists that arrived during a stall the older one was applied last, so that a member that had moved was asked
+/// at its former address again, and one that drains got new requests until the next list. The log of such a run had
+/// `revision: 1` behind `revision: 2`, both right after `process stalled`.
+#[test]
+fn lists_that_arrive_during_a_stall_are_applied_in_their_order() {
+    const ROUNDS: u64 = 6;
+    let (drained, listed) = (sound("writer"), sound("writer"));
+    let discovery = Discovery::default();
+    let first = list(1, true, &[("a", &drained, "in_service")]);
+    discovery.say(first.clone());
+    let driver = Driver::start(&discovery, 256, &first);
+    until("the watch", || discovery.requests.lock().unwrap().len() == 1);
+    // Traffic, so that the stall mostly begins while the program runs: it then finds the lists before its timers.
+    let (address, over) = (driver.address, Arc::new(AtomicBool::new(false)));
+    let traffic = |_| {
+        let over = over.clone();
+        thread::spawn(move || {
+            let mut client = Client::connect(address);
+            while !over.load(Ordering::SeqCst) {
+                assert!(served(&client.ask(&look(15000))));
+            }
+        })
+    };
+    let clients: Vec<_> = (0..4).map(traffic).collect();
+    for round in 0..ROUNDS {
+        let older = 2 + 2 * round;
+        driver.signal("-STOP");
+        discovery.say(list(older, true, &[("a", &drained, "in_service")]));
+        discovery.say(list(older + 1, true, &[("a", &drained, "terminating"), ("b", &listed, "in_service")]));
+        thread::sleep(STALL);
+        driver.signal("-CONT");
+        let applied = |revision: u64| driver.logged(&format!("revision: {revision}"));
+        until("both lists", || applied(older) && applied(older + 1));
+        // What was under way when the lists were applied has its answer, too.
+        let mut client = Client::connect(driver.address);
+        assert!((0..20).all(|_| served(&client.ask(&look(15000)))));
+        let before = drained.requests().len();
+        assert!((0..20).all(|_| served(&client.ask(&look(15000)))));
+        assert_eq!(drained.requests().len(), before, "round {round}: asked though it drains");
+    }
+    over.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|client| client.join().unwrap());
+}
