--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -52,7 +52,7 @@
     /// Requests handed to the dispatcher so far.
     pub(super) requests_sent: u64,
     /// Whether the last request arrived so long after the request to stop that it was owed no answer.
-    pub(super) is_past_owed_window: bool,
+    pub(super) is_past_arrival_window: bool,
     /// Whether statements are still accepted.
     phase: Phase,
 }
@@ -102,7 +102,7 @@
             pending_responses: PendingResponses::default(),
             unread: UnreadResponses::default(),
             requests_sent: 0,
-            is_past_owed_window: false,
+            is_past_arrival_window: false,
             phase: Phase::Accepting,
         }
     }
@@ -170,7 +170,7 @@
     /// A client that asks again as soon as it has its answer would otherwise be served until no time is left, and then
     /// rejected, wherever the machine runs it before this process has looked for its next request and closed the connection.
     pub(super) fn closes_after_response(&self) -> bool {
-        self.is_past_owed_window
+        self.is_past_arrival_window
             && matches!(self.phase, Phase::Accepting)
             && self.pending_responses.is_empty()
             && self.buffer.is_empty()
--- a/crates/proxy/src/client/statement.rs
+++ b/crates/proxy/src/client/statement.rs
@@ -70,7 +70,7 @@
             statement_reservation: self.intake.reservation.take(),
         });
         let received_at = self.receipt.received_at(self.buffer.is_empty());
-        self.is_past_owed_window = self.context.is_past_owed_window(received_at);
+        self.is_past_arrival_window = self.context.is_past_arrival_window(received_at);
         let request = ClientRequest {
             client,
             peer: self.connection_guard.peer,
--- a/crates/proxy/src/lifecycle/limits/shutdown.rs
+++ b/crates/proxy/src/lifecycle/limits/shutdown.rs
@@ -15,7 +15,7 @@
 /// Requests that were on their way when the stop was asked for arrive by then.
 const ACCEPT_WINDOW: Duration = Duration::from_millis(600);
 /// Requests that arrive within this time after the request to stop are owed an answer.
-const OWED_WINDOW: Duration = Duration::from_millis(700);
+const ARRIVAL_WINDOW: Duration = Duration::from_millis(700);
 /// Requests of peer gateways that take longer are given up, so that the process ends.
 const REMOTE_REQUEST_WAIT: Duration = Duration::from_secs(30);
 
@@ -26,7 +26,7 @@
     pub accept_window: Duration,
     /// Until when requests that arrive on open connections are owed an answer. Later ones are answered as well, but the last
     /// of them ends its connection. A constant.
-    pub owed_window: Duration,
+    pub arrival_window: Duration,
     /// By when every response must be written: soon after, the process may be killed. A response that were due later
     /// might never be written. The cost: requests that come during a shutdown have less time than they ask for. Set by
     /// the longest timeout in the settings.
@@ -42,7 +42,7 @@
         let counted = longest.unwrap_or_default().min(LONGEST_COUNTED_TIMEOUT);
         ShutdownLimits {
             accept_window: ACCEPT_WINDOW,
-            owed_window: OWED_WINDOW,
+            arrival_window: ARRIVAL_WINDOW,
             deadline: counted + KILL_MARGIN - SCHEDULING_DELAY,
             remote_request_wait: REMOTE_REQUEST_WAIT,
         }
--- a/crates/proxy/src/lifecycle/process_context.rs
+++ b/crates/proxy/src/lifecycle/process_context.rs
@@ -61,10 +61,10 @@
 
     /// Whether the process shuts down, and was asked to so long before `received_at` that a request that arrived then is owed
     /// no answer.
-    pub fn is_past_owed_window(&self, received_at: Instant) -> bool {
+    pub fn is_past_arrival_window(&self, received_at: Instant) -> bool {
         let limits = &self.limits.shutdown;
-        let owed_until =
-            (*self.stopping.borrow()).map(|until| until + (limits.owed_window - limits.accept_window));
-        owed_until.is_some_and(|owed_until| received_at >= owed_until)
+        let arrives_until =
+            (*self.stopping.borrow()).map(|until| until + (limits.arrival_window - limits.accept_window));
+        arrives_until.is_some_and(|arrives_until| received_at >= arrives_until)
     }
 }
