Review case 3: two attempts of one write at once when a link to one of two gateways drops

Cause: a request that may be repeated is forwarded again as soon as its link is lost, while the gateway that had it goes on with the attempt; nobody cancels the first copy. Change: a case in review/3. Nothing of the program is changed.

--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -123,6 +123,19 @@
         # All attempts that reached a member, and when those began that ran.
         self.reached = []
         self.ran = []
+        # Requests of which two attempts were outstanding at once.
+        self.at_once = []
+
+    def compare(self, launch, earlier):
+        """Notes a second copy: an attempt while an earlier one of its request is outstanding on an open connection.
+
+        Called 10 ms after the later one arrived, so that a close that is under way then is not missed.
+        """
+        for other in earlier:
+            if other["ended"] is None and launch["ended"] is None and not other["reader"].at_eof():
+                self.at_once.append(launch["id"])
+                self.record.note("two attempts at once", id=launch["id"], members=[other["member"], launch["member"]],
+                                 after_ms=round(launch["at"] - other["at"], 1))
 
     def apply(self, member, mark, key, value):
         """Returns when it was committed."""
@@ -187,14 +200,14 @@
                 if tag != b"Q":
                     break
                 statement = body.rstrip(b"\0").decode()
-                writer.write(await self.answer(statement))
+                writer.write(await self.answer(statement, reader))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
             writer.close()
 
-    async def answer(self, statement):
+    async def answer(self, statement, reader):
         if statement.strip(" ;") == "":
             return EMPTY + READY
         if statement == "SELECT 1":
@@ -209,10 +222,13 @@
         fields = dict(part.strip().split("=", 1) for part in found.group(1).split(","))
         quoted = re.findall(r"'([^']*)'", statement)
         arrived = now_ms()
-        launch = {"id": fields["id"], "class": fields["c"], "member": self.name, "at": arrived, "ended": None}
-        self.group.reached.append(launch)
+        launch = {"id": fields["id"], "class": fields["c"], "member": self.name, "at": arrived, "ended": None,
+                  "reader": reader}
         note = self.group.record.note
         note("attempt reached member", id=fields["id"], member=self.name, d=fields["d"])
+        earlier = [other for other in self.group.reached if other["id"] == fields["id"]]
+        self.group.reached.append(launch)
+        asyncio.get_running_loop().call_later(0.01, self.group.compare, launch, earlier)
         self.held += 1
         try:
             out = await self.run(fields, found.group(2).upper(), quoted)
