Count a deduplication window from the first attempt of any gateway

Cause: the window was checked where the request was placed, by the gateway that had seen the link drop. The forwarded frame and the hand-over to a local router did not say that an attempt may have run, so the receiver took the copy for a first attempt and sent it to a member 1.39 s after the first one.

Change: a request carries the age of the first attempt that may have run, over each link (Request, tag 10) and to the local router. A gateway says that it reads the age (Room, tag 4); one that does not gets no such copy. Old bytes are read as before and pinned.

--- a/crates/bench-adapter/src/router_instance.rs
+++ b/crates/bench-adapter/src/router_instance.rs
@@ -192,6 +192,7 @@
             waited: 0,
             session,
             last_write_age: last_write,
+            earlier_attempt_age: None,
             marked_retry: repeat,
         })
     }
--- a/crates/proxy/src/dispatcher/gateway/announcements.rs
+++ b/crates/proxy/src/dispatcher/gateway/announcements.rs
@@ -42,6 +42,7 @@
                 .map(|(group, has_primary)| HomeAnnouncement { group, has_primary })
                 .collect(),
             draining: self.draining,
+            reads_attempt_ages: true,
         }
     }
 
--- a/crates/proxy/src/dispatcher/gateway/inbound_messages.rs
+++ b/crates/proxy/src/dispatcher/gateway/inbound_messages.rs
@@ -87,6 +87,7 @@
         let credits: Vec<u32> = gateway_part.class_names.iter().map(requests).collect();
         let homes: Vec<(u64, bool)> =
             announcement.homes.iter().map(|home| (home.group, home.has_primary)).collect();
+        gateway_part.site_router.attempt_ages_announced(gateway, announcement.reads_attempt_ages);
         let actions =
             gateway_part.site_router.capacity_announced(now, gateway, credits, &homes, announcement.draining);
         self.carry_out_site_actions(actions, None);
--- a/crates/proxy/src/dispatcher/gateway/pending_requests.rs
+++ b/crates/proxy/src/dispatcher/gateway/pending_requests.rs
@@ -25,6 +25,9 @@
     /// Names of the sites that the request has passed through, its origin first; empty for a request of a
     /// local client.
     pub(super) visited: Vec<String>,
+    /// How long ago the first attempt that may have run began, as the sender states it, in microseconds; `None`
+    /// if the sender knows of none.
+    pub(super) earlier_attempt_age: Option<Micros>,
 }
 
 impl Dispatcher {
@@ -33,7 +36,14 @@
         let waited = self.context.clock.now() - request.received_at;
         let timeout = Micros::from(request.comment.timeout_ms) * 1000 - waited;
         let requester = Requester::Client(WaitingClient::from_request(&request));
-        self.route_request(RequestToRoute { request, class, timeout, requester, visited: Vec::new() });
+        self.route_request(RequestToRoute {
+            request,
+            class,
+            timeout,
+            requester,
+            visited: Vec::new(),
+            earlier_attempt_age: None,
+        });
     }
 
     /// Hands a request to the site router, which decides where it is served, and carries out the decision.
@@ -182,6 +192,7 @@
             visited,
             // A request that names no session is a session of its own, under its ID.
             session: Some(named.unwrap_or(&request.comment.id).to_owned()),
+            earlier_attempt_age: to_route.earlier_attempt_age,
         }
     }
 
--- a/crates/proxy/src/dispatcher/gateway/remote_requests.rs
+++ b/crates/proxy/src/dispatcher/gateway/remote_requests.rs
@@ -140,8 +140,20 @@
             Err(kind) => return self.reject_remote_request(&incoming, kind),
         };
         let Some(gateway_part) = &mut self.gateway_part else { return };
-        let IncomingRequest { link, gateway, origin, number, frame, statement, .. } = incoming;
+        let IncomingRequest {
+            link,
+            gateway,
+            origin,
+            number,
+            received_at: incoming_received_at,
+            frame,
+            statement,
+        } = incoming;
         let Some(peer) = gateway_part.links.get(&link).map(|active| active.peer) else { return };
+        let received_at = self.context.clock.now();
+        let waited = received_at - incoming_received_at;
+        let earlier_attempt_age =
+            (frame.earlier_attempt_ago_us > 0).then(|| capped_micros(frame.earlier_attempt_ago_us) + waited);
         gateway_part.site_router.remote_request_started(gateway, validated.class);
         gateway_part.last_remote_request_id += 1;
         // The answer goes over the link, so this mailbox has no receiver.
@@ -150,7 +162,7 @@
             request_id: gateway_part.last_remote_request_id,
             peer,
             mailbox,
-            received_at: self.context.clock.now(),
+            received_at,
             statement,
             comment: validated.comment,
             last_write_age: (frame.written_ago_us > 0).then(|| capped_micros(frame.written_ago_us)),
@@ -161,6 +173,7 @@
             timeout: validated.timeout.min(MAX_RECEIVED_DURATION),
             requester: Requester::Gateway(RemoteRequest { gateway, number, link, origin }),
             visited: frame.visited,
+            earlier_attempt_age,
         });
     }
 
--- a/crates/proxy/src/dispatcher/gateway/site_actions.rs
+++ b/crates/proxy/src/dispatcher/gateway/site_actions.rs
@@ -17,6 +17,16 @@
     pub(super) answer: Answer,
 }
 
+/// A request that is to be forwarded, with the fields of [`Action::Forward`].
+struct Forward {
+    gateway: PeerGatewayId,
+    number: u64,
+    /// The time until the request's deadline when it arrives at the gateway, in microseconds.
+    timeout: Micros,
+    /// How long before its arrival there the first attempt that may have run began, in microseconds.
+    earlier_attempt_age: Option<Micros>,
+}
+
 impl Dispatcher {
     /// Carries out the site router's actions, in order. `received` is the answer that
     /// [`Action::RelayResponse`] passes on to the requester; `None` if none was received.
@@ -47,10 +57,13 @@
         received: &mut Option<ReceivedAnswer>,
     ) {
         match action {
-            Action::ServeLocally { timeout } => self.serve_locally(handle, timeout),
+            Action::ServeLocally { timeout, earlier_attempt_age } => {
+                self.serve_locally(handle, timeout, earlier_attempt_age)
+            }
             Action::Withdraw => self.withdraw_from_router(handle),
-            Action::Forward { gateway, number, timeout } => {
-                self.forward_to_gateway(handle, gateway, number, timeout)
+            Action::Forward { gateway, number, timeout, earlier_attempt_age } => {
+                let forward = Forward { gateway, number, timeout, earlier_attempt_age };
+                self.forward_to_gateway(handle, &forward)
             }
             Action::QueryOutcome { gateway, number } => self.query_outcome(gateway, number),
             Action::Cancel { gateway, number } => self.cancel_at_site(gateway, number),
@@ -69,13 +82,18 @@
         }
     }
 
-    fn serve_locally(&mut self, handle: RequestHandle, timeout: Micros) {
+    fn serve_locally(&mut self, handle: RequestHandle, timeout: Micros, earlier_attempt_age: Option<Micros>) {
         let Some(pending) = self.pending_request_mut(handle) else { return };
         let request = pending.request.clone();
         let class = pending.class;
         let deadline = self.context.clock.now() + timeout;
-        let (local_handle, actions) =
-            self.submit_to_router(RouterSubmission { request, class, deadline, site_handle: Some(handle) });
+        let (local_handle, actions) = self.submit_to_router(RouterSubmission {
+            request,
+            class,
+            deadline,
+            site_handle: Some(handle),
+            earlier_attempt_age,
+        });
         if let Some(pending) = self.pending_request_mut(handle) {
             pending.local_handle = Some(local_handle);
         }
@@ -94,16 +112,10 @@
         }
     }
 
-    /// Sends a request to another site's gateway. `timeout` is the time until the request's deadline when it
-    /// arrives there, in microseconds. If no link takes the request, it never left this process, and counts as
-    /// never accepted.
-    fn forward_to_gateway(
-        &mut self,
-        handle: RequestHandle,
-        gateway: PeerGatewayId,
-        number: u64,
-        timeout: Micros,
-    ) {
+    /// Sends a request to another site's gateway. If no link takes the request, it never left this process, and
+    /// counts as never accepted.
+    fn forward_to_gateway(&mut self, handle: RequestHandle, forward: &Forward) {
+        let &Forward { gateway, number, timeout, earlier_attempt_age } = forward;
         let now = self.context.clock.now();
         let Some(gateway_part) = &mut self.gateway_part else { return };
         let Some(pending) = gateway_part.pending_requests.get(&handle) else { return };
@@ -113,6 +125,8 @@
         frame.number = number;
         frame.receiver_incarnation = incarnation;
         frame.timeout_us = timeout.max(0) as u64;
+        // Zero on the wire means that no attempt may have run.
+        frame.earlier_attempt_ago_us = earlier_attempt_age.map_or(0, |age| age.max(1) as u64);
         let frame = Outbound::Request(frame, pending.request.statement.clone());
         if let Some(link) = gateway_part.send(gateway, None, frame) {
             gateway_part.sent_requests.insert(number, SentRequest { gateway, incarnation, link });
--- a/crates/proxy/src/dispatcher/requests.rs
+++ b/crates/proxy/src/dispatcher/requests.rs
@@ -25,6 +25,9 @@
     pub(super) deadline: Micros,
     /// The site router's handle if the gateway part submits the request; `None` otherwise.
     pub(super) site_handle: Option<SiteRequestHandle>,
+    /// How long ago the first attempt began that another router made and that may have run, in microseconds;
+    /// `None` if there is none.
+    pub(super) earlier_attempt_age: Option<Micros>,
 }
 
 /// The gateway part's reaction to a member's answer that it is not the primary.
@@ -84,7 +87,13 @@
         // The timeout counts from the arrival of the statement.
         let deadline = request.received_at + Micros::from(request.comment.timeout_ms) * 1000;
         let (request_id, comment_id) = (request.request_id, request.comment.id.clone());
-        let submission = RouterSubmission { request: Rc::new(request), class, deadline, site_handle: None };
+        let submission = RouterSubmission {
+            request: Rc::new(request),
+            class,
+            deadline,
+            site_handle: None,
+            earlier_attempt_age: None,
+        };
         let (handle, actions) = self.submit_to_router(submission);
         self.request_owners.insert(request_id, RequestOwner::Router(handle));
         self.open_comment_ids.insert(comment_id);
@@ -96,9 +105,9 @@
         &mut self,
         submission: RouterSubmission,
     ) -> (RequestHandle, aldermill_routing::Actions) {
-        let RouterSubmission { request, class, deadline, site_handle } = submission;
         let now = self.context.clock.now();
-        let routed = self.routed_request(&request, class, deadline, now);
+        let routed = self.routed_request(&submission, now);
+        let RouterSubmission { request, deadline, site_handle, .. } = submission;
         let (handle, actions) = self.decide(|router| router.accept_request(now, routed.clone()));
         let open = OpenRequest {
             site_handle,
@@ -113,13 +122,8 @@
     }
 
     /// Converts the request to the router's form.
-    fn routed_request(
-        &self,
-        request: &ClientRequest,
-        class: usize,
-        deadline: Micros,
-        now: Micros,
-    ) -> Request {
+    fn routed_request(&self, submission: &RouterSubmission, now: Micros) -> Request {
+        let &RouterSubmission { ref request, class, deadline, earlier_attempt_age, .. } = submission;
         let comment = &request.comment;
         let uses_session =
             matches!(self.settings.router_config.classes[class].need, Need::Write | Need::OwnWrites);
@@ -131,6 +135,7 @@
             waited: now - request.received_at,
             session,
             last_write_age: request.last_write_age_at(now),
+            earlier_attempt_age,
             marked_retry: comment.client_retry,
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -154,6 +154,9 @@
     /// Time since the session's last write was committed, in microseconds; `None` if the client does not
     /// state it.
     pub last_write_age: Option<Micros>,
+    /// Time since the first attempt that another router made of this request and that may have run, in
+    /// microseconds; `None` if there is none.
+    pub earlier_attempt_age: Option<Micros>,
     /// Whether the client marked the request as a retry.
     pub marked_retry: bool,
 }
--- a/crates/routing/src/policy/dispatch.rs
+++ b/crates/routing/src/policy/dispatch.rs
@@ -2,16 +2,34 @@
 
 use super::SEND_DELAY_MARGIN;
 use crate::state::{InFlight, PendingRequest, RequestHandle, Router};
-use crate::{Action, Effect, MemberId, Micros, Need};
+use crate::{Action, DeduplicationScope, Effect, MemberId, Micros, Need};
+
+impl PendingRequest {
+    /// Returns when the first attempt that may have run began, whether this router made it or another one.
+    pub(super) fn first_run_at(&self) -> Option<Micros> {
+        self.earlier_run_at().or(self.may_have_run.map(|first_run| first_run.sent_at))
+    }
+
+    /// Returns when the first attempt of another router that may have run began.
+    fn earlier_run_at(&self) -> Option<Micros> {
+        self.request.earlier_attempt_age.map(|age| self.arrived_at - age)
+    }
+}
 
 /// Returns whether the request may be attempted again. Once it may have run, a non-idempotent request never
 /// may, and a deduplicated one only within its window.
 fn may_run_again(now: Micros, effect: Effect, pending: &PendingRequest) -> bool {
-    match (effect, pending.may_have_run) {
+    match (effect, pending.first_run_at()) {
         (_, None) | (Effect::Idempotent, _) => true,
         (Effect::NonIdempotent, Some(_)) => false,
-        (Effect::Deduplicated { window, .. }, Some(first_run)) => {
-            now < first_run.sent_at + window - SEND_DELAY_MARGIN
+        // The zone of another router's attempt is not known, so no member is known to remember the key.
+        (Effect::Deduplicated { scope: DeduplicationScope::Zone, .. }, Some(_))
+            if pending.earlier_run_at().is_some() =>
+        {
+            false
+        }
+        (Effect::Deduplicated { window, .. }, Some(first_run_at)) => {
+            now < first_run_at + window - SEND_DELAY_MARGIN
         }
     }
 }
--- a/crates/routing/src/policy/freshness.rs
+++ b/crates/routing/src/policy/freshness.rs
@@ -40,9 +40,9 @@
     /// is held up. The cost: a proof of freshness is shorter by [`SEND_DELAY_MARGIN`] for reads.
     pub(super) fn validity(&self, pending: &PendingRequest, id: MemberId) -> Validity {
         let effect = self.config.classes[pending.request.class].effect;
-        let repeats_until = match (effect, pending.may_have_run) {
-            (Effect::Deduplicated { window, .. }, Some(first_run)) => {
-                first_run.sent_at + window - SEND_DELAY_MARGIN
+        let repeats_until = match (effect, pending.first_run_at()) {
+            (Effect::Deduplicated { window, .. }, Some(first_run_at)) => {
+                first_run_at + window - SEND_DELAY_MARGIN
             }
             _ => Micros::MAX,
         };
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -53,6 +53,7 @@
     pub(crate) in_flight: Option<InFlight>,
     /// Time at which the attempt was sent, moved later by the length of every stall of the process since.
     pub(crate) waiting_since: Micros,
+    /// The first attempt of this router that may have run; `None` if there is none.
     pub(crate) may_have_run: Option<FirstRun>,
     /// Number of members that have answered in this round that they are not the primary.
     pub(crate) not_primary_answers: usize,
--- a/crates/site-link/src/frame.rs
+++ b/crates/site-link/src/frame.rs
@@ -110,6 +110,10 @@
     /// The length of its statement, in bytes.
     #[prost(uint32, tag = "9")]
     pub length: u32,
+    /// How long before the arrival the first attempt of it began that may have run, in microseconds; 0 if none may have
+    /// run or a repeat does no harm at any time.
+    #[prost(uint64, tag = "10")]
+    pub earlier_attempt_ago_us: u64,
 }
 
 /// A part of a statement, or of the data of a response.
@@ -287,6 +291,9 @@
     /// The sender drains: nothing new is to be sent.
     #[prost(bool, tag = "3")]
     pub draining: bool,
+    /// The sender reads `Request.earlier_attempt_ago_us`.
+    #[prost(bool, tag = "4")]
+    pub reads_attempt_ages: bool,
 }
 
 /// The last frame of a link.
--- a/crates/site-link/tests/pinned_frames.rs
+++ b/crates/site-link/tests/pinned_frames.rs
@@ -47,6 +47,7 @@
         client_retry: true,
         visited: vec!["a".into(), "b".into()],
         length: 5,
+        ..Request::default()
     }
 }
 
@@ -59,6 +60,18 @@
     );
 }
 
+/// A gateway that does not know the age reads the other fields as before; one that does takes a request without it, as
+/// gateways of earlier versions send them, for one of which no attempt may have run.
+#[test]
+fn request_after_an_attempt_that_may_have_run() {
+    let repeated = Request { earlier_attempt_ago_us: 400_000, ..request() };
+    pinned(
+        FrameKind::Request(repeated),
+        b"\
+        \x12!\x08\xac\x02\x10\t\x1a\x04look \x07(\xe0\xc6[0(8\x01B\x01aB\x01bH\x05P\x80\xb5\x18",
+    );
+}
+
 // The types of data and of windows have no public name; their fields are public.
 
 #[test]
@@ -176,6 +189,7 @@
             HomeAnnouncement { group: 8, has_primary: false },
         ],
         draining: true,
+        ..CapacityAnnouncement::default()
     }
 }
 
@@ -189,6 +203,17 @@
     );
 }
 
+#[test]
+fn capacity_announcement_of_a_gateway_that_reads_attempt_ages() {
+    let reading = CapacityAnnouncement { reads_attempt_ages: true, ..announcement() };
+    pinned(
+        FrameKind::CapacityAnnouncement(reading),
+        b"\
+        b\"\n\t\n\x04look\x10\xac\x02\n\x07\n\x05renew\x12\x04\x08\x07\x10\x01\x12\x02\x08\x08\x18\
+        \x01 \x01",
+    );
+}
+
 #[test]
 fn close() {
     pinned(FrameKind::Close(Close { why: "enough".into() }), b"j\x08\n\x06enough");
--- a/crates/site-routing/src/lib.rs
+++ b/crates/site-routing/src/lib.rs
@@ -53,7 +53,8 @@
 //! router.groups_listed(0, &[(7, 3)]);
 //! let request = Request { class: 0, group: 7, timeout: 1_000_000, ..Request::default() };
 //! let (handle, actions) = router.accept(0, request);
-//! assert_eq!(actions.requests, [(handle, Action::ServeLocally { timeout: 1_000_000 })]);
+//! let serve = Action::ServeLocally { timeout: 1_000_000, earlier_attempt_age: None };
+//! assert_eq!(actions.requests, [(handle, serve)]);
 //!
 //! let actions = router.local_finished(20_000, handle, LocalResult::Served);
 //! assert_eq!(actions.requests, [(handle, Action::RelayResponse)]);
--- a/crates/site-routing/src/peer_gateway.rs
+++ b/crates/site-routing/src/peer_gateway.rs
@@ -52,6 +52,8 @@
     /// Announced number of concurrent requests, by class index; all zero while there is no link.
     credits: Vec<u32>,
     draining: bool,
+    /// Whether the gateway announced that it takes into account how old the first attempt of a request is.
+    reads_attempt_ages: bool,
     blacklist: FailureBlacklist,
     /// Time from sending a request until its response arrived, by class index.
     durations: Vec<Histogram>,
@@ -70,6 +72,7 @@
             round_trip: RoundTripEstimate::with_initial_mean(INITIAL_ROUND_TRIP),
             credits: vec![0; classes.len()],
             draining: false,
+            reads_attempt_ages: false,
             blacklist: FailureBlacklist::default(),
             durations: classes.iter().map(assumed).collect(),
             served: 0,
@@ -85,9 +88,15 @@
         self.link_count = link_count;
     }
 
-    /// Handles a restart of the gateway's process: the new process has not announced that it is draining.
+    /// Handles a restart of the gateway's process: the new process has not announced anything yet, and may be of
+    /// another version.
     pub(crate) fn process_restarted(&mut self) {
         self.draining = false;
+        self.reads_attempt_ages = false;
+    }
+
+    pub(crate) fn set_reads_attempt_ages(&mut self, reads_attempt_ages: bool) {
+        self.reads_attempt_ages = reads_attempt_ages;
     }
 
     /// Sets all credits to zero, because no link to the gateway is left.
@@ -130,6 +139,11 @@
         self.is_linked() && !self.draining
     }
 
+    /// Returns whether the gateway can be sent a request that may have run and must not run again after a while.
+    pub(crate) fn reads_attempt_ages(&self) -> bool {
+        self.reads_attempt_ages
+    }
+
     pub(crate) fn is_blacklisted(&self, now: Micros) -> bool {
         self.blacklist.is_active(now)
     }
--- a/crates/site-routing/src/pending_requests.rs
+++ b/crates/site-routing/src/pending_requests.rs
@@ -45,7 +45,10 @@
     pub(crate) location: RequestLocation,
     /// Sites that answered during the current primary search that they do not have the primary.
     pub(crate) ruled_out: Vec<SiteId>,
-    /// The first attempt that may have run; `None` if none may have.
+    /// When the first attempt began that the sender of the request knows may have run; `None` if the sender knows of
+    /// none.
+    pub(crate) earlier_attempt_at: Option<Micros>,
+    /// The first attempt made by this gateway that may have run; `None` if none may have.
     pub(crate) may_have_run: Option<PossibleExecution>,
     pub(crate) times_forwarded: u32,
 }
@@ -55,6 +58,7 @@
         PendingRequest {
             deadline: now + request.timeout,
             objective_at: now + class.objective,
+            earlier_attempt_at: request.earlier_attempt_age.map(|age| now - age),
             request,
             location: RequestLocation::Queued,
             ruled_out: Vec::new(),
@@ -86,16 +90,30 @@
         self.may_have_run.get_or_insert(PossibleExecution { at, site });
     }
 
+    /// Returns when the first attempt that may have run began, whether this gateway made it or an earlier one.
+    fn first_possible_execution_at(&self) -> Option<Micros> {
+        self.earlier_attempt_at.or(self.may_have_run.map(|execution| execution.at))
+    }
+
     /// Returns whether another attempt could make the request take effect twice.
     pub(crate) fn must_not_run_again(&self, now: Micros, effect: Effect) -> bool {
-        let Some(execution) = self.may_have_run else { return false };
+        let Some(first_at) = self.first_possible_execution_at() else { return false };
         match effect {
             Effect::Idempotent => false,
-            Effect::Deduplicated { window, .. } => now >= execution.at + window,
+            // Where an earlier gateway's attempt ran is not known, so no site is known to remember the key.
+            Effect::Deduplicated { within_site: true, .. } if self.earlier_attempt_at.is_some() => true,
+            Effect::Deduplicated { window, .. } => now >= first_at + window,
             Effect::NonIdempotent => true,
         }
     }
 
+    /// Returns how long ago the first attempt that may have run began, which bounds when the request may run again;
+    /// `None` if nothing bounds it.
+    pub(crate) fn earlier_attempt_age(&self, now: Micros, effect: Effect) -> Option<Micros> {
+        let first_at = self.first_possible_execution_at()?;
+        matches!(effect, Effect::Deduplicated { .. }).then_some(now - first_at)
+    }
+
     /// Returns until when an answer is useful: the deadline, or the earlier of the deadline and the latency objective
     /// if the class gives late answers no weight.
     pub(crate) fn useful_until(&self, class: &RequestClass) -> Micros {
--- a/crates/site-routing/src/request.rs
+++ b/crates/site-routing/src/request.rs
@@ -17,6 +17,9 @@
     /// The session that the request belongs to; `None` if unknown. Sessions are assigned to sites while a
     /// site drains.
     pub session: Option<String>,
+    /// How long before its arrival the earliest attempt of the request began that its sender knows may have
+    /// run, in microseconds; `None` if the sender knows of none.
+    pub earlier_attempt_age: Option<Micros>,
 }
 
 impl Request {
--- a/crates/site-routing/src/router/link_events.rs
+++ b/crates/site-routing/src/router/link_events.rs
@@ -106,6 +106,14 @@
         self.take_actions()
     }
 
+    /// Records whether a gateway announced that it takes the age of a request's first attempt into account. One that
+    /// does not is sent no request that may have run and whose repeats are deduplicated for a limited time.
+    pub fn attempt_ages_announced(&mut self, gateway: PeerGatewayId, are_read: bool) {
+        if let Some(gateway) = self.gateways.get_mut(gateway) {
+            gateway.set_reads_attempt_ages(are_read);
+        }
+    }
+
     /// Records a measured round trip to a gateway, in microseconds.
     pub fn round_trip_measured(&mut self, gateway: PeerGatewayId, round_trip: Micros) {
         if let Some(gateway) = self.gateways.get_mut(gateway) {
--- a/crates/site-routing/src/router/placement.rs
+++ b/crates/site-routing/src/router/placement.rs
@@ -58,10 +58,11 @@
     }
 
     fn serve_locally(&mut self, now: Micros, handle: RequestHandle) {
+        let earlier_attempt_age = self.earlier_attempt_age(now, handle);
         let Some(pending) = self.pending.get_mut(handle) else { return };
         pending.location = RequestLocation::Local { not_primary_answers: 0 };
         let timeout = pending.deadline - now;
-        self.push_action(handle, Action::ServeLocally { timeout });
+        self.push_action(handle, Action::ServeLocally { timeout, earlier_attempt_age });
     }
 
     /// Forwards a request to a gateway of the site, if its answer can be back in time. A remote request that
@@ -72,7 +73,8 @@
             return self.report_not_primary(handle, Some(site));
         }
         let class = pending.request.class;
-        let Some(gateway) = self.choose_gateway(now, site, class) else {
+        let attempt_age = self.earlier_attempt_age(now, handle);
+        let Some(gateway) = self.choose_gateway(now, site, class, attempt_age.is_some()) else {
             // The request is forwarded as soon as the site has capacity.
             return self.queue(now, handle);
         };
@@ -81,7 +83,14 @@
         };
         let number = self.forwarded.open(now, handle, gateway, class);
         self.mark_forwarded(handle, gateway, number);
-        self.push_action(handle, Action::Forward { gateway, number, timeout });
+        // The age counts from the first attempt to the arrival, like the timeout.
+        let earlier_attempt_age = attempt_age.map(|age| age + self.one_way_delay(gateway));
+        self.push_action(handle, Action::Forward { gateway, number, timeout, earlier_attempt_age });
+    }
+
+    fn earlier_attempt_age(&self, now: Micros, handle: RequestHandle) -> Option<Micros> {
+        let pending = self.pending.get(handle)?;
+        pending.earlier_attempt_age(now, self.class_of(&pending.request).effect)
     }
 
     fn mark_forwarded(&mut self, handle: RequestHandle, to: PeerGatewayId, number: ForwardNumber) {
@@ -91,9 +100,20 @@
         }
     }
 
-    fn choose_gateway(&mut self, now: Micros, site: SiteId, class: usize) -> Option<PeerGatewayId> {
+    /// Chooses a gateway of the site that has capacity for a request of the class. If `repeats`, an attempt of the
+    /// request may have run, and the gateway must be able to take that into account.
+    fn choose_gateway(
+        &mut self,
+        now: Micros,
+        site: SiteId,
+        class: usize,
+        repeats: bool,
+    ) -> Option<PeerGatewayId> {
         let max_credit = self.config.max_credit;
-        let limit = |gateway: &PeerGateway| gateway.concurrency_limit(class, max_credit);
+        let limit = |gateway: &PeerGateway| {
+            let accepts = !repeats || gateway.reads_attempt_ages();
+            if accepts { gateway.concurrency_limit(class, max_credit) } else { 0 }
+        };
         let in_flight = |gateway| self.forwarded.count_at(gateway, class);
         self.gateways.choose(now, site, limit, in_flight, &mut self.rng)
     }
--- a/crates/site-routing/tests/draining_site.rs
+++ b/crates/site-routing/tests/draining_site.rs
@@ -58,7 +58,7 @@
 /// is queued.
 fn route_and_answer(router: &mut SiteRouter, session: &str, class: usize) -> Option<usize> {
     let session = Some(session.to_owned());
-    let request = Request { class, group: GROUP, timeout: TIMEOUT, visited: Vec::new(), session };
+    let request = Request { class, group: GROUP, timeout: TIMEOUT, session, ..Request::default() };
     let (handle, actions) = router.accept(0, request);
     match actions.requests[..] {
         [] => None,
@@ -126,7 +126,8 @@
     // Gateways that do not know of the drain yet still forward requests here. Those are served until the site
     // is drained.
     let accept_remote_request = |router: &mut SiteRouter, class| {
-        let request = Request { class, group: GROUP, timeout: TIMEOUT, visited: vec![1], session: None };
+        let request =
+            Request { class, group: GROUP, timeout: TIMEOUT, visited: vec![1], ..Request::default() };
         router.accept(0, request).1.requests[0].1
     };
     assert!(matches!(accept_remote_request(&mut router, READ), Action::ServeLocally { .. }));
--- a/crates/site-routing/tests/two_sites/event_handling.rs
+++ b/crates/site-routing/tests/two_sites/event_handling.rs
@@ -14,7 +14,7 @@
     pub fn execute(&mut self, gateway: usize, actions: Actions) {
         for (handle, action) in actions.requests {
             match action {
-                Action::ServeLocally { timeout: remaining } => {
+                Action::ServeLocally { timeout: remaining, .. } => {
                     let duration = (self.rng.random_range(1..150) * MS).min((remaining - 20 * MS).max(0));
                     self.gateways[gateway]
                         .at_local_router
@@ -167,7 +167,7 @@
                     group: GROUP,
                     timeout: remaining - self.delay,
                     visited: vec![REMOTE_SITE],
-                    session: None,
+                    ..Request::default()
                 };
                 let (handle, actions) = self.gateways[gateway].router.accept(now, request);
                 self.gateways[gateway].remote_requests.insert(handle, (number, class));
--- a/crates/site-routing/tests/two_sites/simulation.rs
+++ b/crates/site-routing/tests/two_sites/simulation.rs
@@ -132,10 +132,9 @@
             abandoned: false,
             runs: 0,
         });
-        let (handle, actions) = self.gateways[gateway].router.accept(
-            self.now,
-            Request { class, group: GROUP, timeout: TIMEOUT, visited: Vec::new(), session: None },
-        );
+        let (handle, actions) = self.gateways[gateway]
+            .router
+            .accept(self.now, Request { class, group: GROUP, timeout: TIMEOUT, ..Request::default() });
         self.gateways[gateway].client_requests.insert(handle, request);
         self.execute(gateway, actions);
     }
--- a/crates/site-routing/tests/two_sites/single_gateway.rs
+++ b/crates/site-routing/tests/two_sites/single_gateway.rs
@@ -13,13 +13,8 @@
     router.links_changed(0, PEER_GATEWAY, REMOTE_SITE, 1, true);
     (0..30).for_each(|_| router.round_trip_measured(PEER_GATEWAY, 300 * MS));
     router.capacity_announced(0, PEER_GATEWAY, vec![9; 4], &[(GROUP, true)], false);
-    let request = |class, remaining| Request {
-        class,
-        group: GROUP,
-        timeout: remaining,
-        visited: Vec::new(),
-        session: None,
-    };
+    let request =
+        |class, remaining| Request { class, group: GROUP, timeout: remaining, ..Request::default() };
     let (handle, actions) = router.accept(0, request(1, 250 * MS));
     assert!(
         matches!(actions.requests[..], [(other, Action::Reject { .. })] if other == handle),
@@ -70,10 +65,7 @@
         router.links_changed(0, PEER_GATEWAY, REMOTE_SITE, 1, true);
         router.capacity_announced(0, PEER_GATEWAY, vec![50; 4], &[(GROUP, true)], false);
         for _ in 0..9 {
-            router.accept(
-                0,
-                Request { class: 1, group: GROUP, timeout: 1_000 * MS, visited: Vec::new(), session: None },
-            );
+            router.accept(0, Request { class: 1, group: GROUP, timeout: 1_000 * MS, ..Request::default() });
         }
         // The answers arrived during the stall, but were not read before the deadlines of the requests.
         let now = 3_000 * MS;
@@ -99,7 +91,13 @@
     // not have the primary, and the request does not go back and forth.
     let (handle, actions) = router.accept(
         0,
-        Request { class: 1, group: GROUP, timeout: 900 * MS, visited: vec![REMOTE_SITE], session: None },
+        Request {
+            class: 1,
+            group: GROUP,
+            timeout: 900 * MS,
+            visited: vec![REMOTE_SITE],
+            ..Request::default()
+        },
     );
     assert!(matches!(actions.requests[..], [(_, Action::ServeLocally { .. })]), "{actions:?}");
     let mut last_actions = Actions::default();
@@ -124,10 +122,12 @@
         let mut router = SiteRouter::new(SiteRouterConfig { classes: classes(), ..config() }, 1, 0);
         router.groups_listed(0, &[(GROUP, 2)]);
         router.links_changed(0, PEER_GATEWAY, REMOTE_SITE, 1, true);
+        router.attempt_ages_announced(PEER_GATEWAY, true);
         router.capacity_announced(0, PEER_GATEWAY, vec![9], &[(GROUP, false)], false);
         router
     };
-    let request = |visited| Request { class: 0, group: GROUP, timeout: TIMEOUT, visited, session: None };
+    let request =
+        |visited| Request { class: 0, group: GROUP, timeout: TIMEOUT, visited, ..Request::default() };
     // An attempt at the local site may have run, and then all members there answered that they are not the
     // primary.
     for visited in [vec![], vec![REMOTE_SITE]] {
