Do not deny a remote request that a gateway forwarded and may have run

Cause: a gateway between two links gave a remote request back with NOT_HERE, which promises that it never ran, whenever no site could take it, whatever had become of the copies that it had forwarded itself.

Change: the same question decides on rejections and on NOT_HERE. A remote request that may have run waits for its site, as a client's request does, and fails when its window has passed. A gateway's sender states attempts that it knows of itself; those do not count.

--- a/crates/site-routing/src/router/completion.rs
+++ b/crates/site-routing/src/router/completion.rs
@@ -91,9 +91,7 @@
     /// Rejects a request. A rejection guarantees that the request did not run; if that is not certain, and
     /// the request is not idempotent, it fails instead.
     pub(super) fn reject(&mut self, handle: RequestHandle, retry_after: Micros) {
-        let Some(pending) = self.pending.get(handle) else { return };
-        let is_idempotent = self.class_of(&pending.request).effect == Effect::Idempotent;
-        let action = if pending.may_have_run.is_none() || is_idempotent {
+        let action = if self.may_deny(handle) {
             Action::Reject { retry_after: retry_after.min(self.config.max_retry_after) }
         } else {
             Action::Fail
@@ -102,6 +100,15 @@
         self.close(handle);
     }
 
+    /// Returns whether the requester may be told that the request did not run: no attempt that this gateway made may
+    /// have run, or it is harmless to repeat. Of earlier attempts the requester knows itself.
+    pub(super) fn may_deny(&self, handle: RequestHandle) -> bool {
+        self.pending.get(handle).is_none_or(|pending| {
+            let is_idempotent = self.class_of(&pending.request).effect == Effect::Idempotent;
+            pending.may_have_run.is_none() || is_idempotent
+        })
+    }
+
     /// Rejects a request that no site can or may serve in time, with the latency objective of its class as
     /// the retry-after.
     pub(super) fn give_up(&mut self, handle: RequestHandle) {
@@ -111,9 +118,10 @@
     }
 
     /// Tells the gateway that sent the request that it never ran here, and which site is believed to have the
-    /// primary.
+    /// primary. If that is not certain, and the request is not idempotent, it fails instead.
     pub(super) fn report_not_primary(&mut self, handle: RequestHandle, hint: Option<SiteId>) {
-        self.push_action(handle, Action::ReportNotPrimary { hint });
+        let action = if self.may_deny(handle) { Action::ReportNotPrimary { hint } } else { Action::Fail };
+        self.push_action(handle, action);
         self.close(handle);
     }
 
--- a/crates/site-routing/src/router/placement.rs
+++ b/crates/site-routing/src/router/placement.rs
@@ -135,10 +135,10 @@
     }
 
     /// Queues a request until a site can take it. A remote request goes back to the gateway that sent it and
-    /// waits there.
+    /// waits there, unless an attempt that this gateway made may have run, of which the sender does not know.
     fn queue(&mut self, now: Micros, handle: RequestHandle) {
         let Some(pending) = self.pending.get(handle) else { return };
-        if pending.request.is_remote() {
+        if pending.request.is_remote() && self.may_deny(handle) {
             return self.report_not_primary(handle, None);
         }
         // A read that no site could take during half of its timeout is rejected, as the local router does, so
--- a/crates/site-routing/tests/earlier_attempts.rs
+++ b/crates/site-routing/tests/earlier_attempts.rs
@@ -142,3 +142,36 @@
     let actions = router.wake(WINDOW + 20 * MS);
     assert_eq!(actions.requests, [(handle, Action::Fail)]);
 }
+
+/// Guards against a write that was applied behind two links and is refused as harmless to try again: the second link
+/// drops, and the gateway between them must not tell the sender that the request never ran.
+#[test]
+fn a_gateway_between_two_links_does_not_deny_a_request_that_it_forwarded_over_a_lost_one() {
+    let mut router = router(false, true);
+    let (handle, actions) = router.accept(0, from_sender(None));
+    let (number, _) = forwarded(&actions.requests);
+    assert!(router.links_changed(100 * MS, RECEIVER, RECEIVER_SITE, 0, true).requests.is_empty());
+    let actions = router.link_lost(100 * MS, RECEIVER, &[number]);
+    assert!(actions.requests.is_empty(), "{actions:?}");
+    // A request that was not forwarded over it still goes back at once.
+    let (other, actions) = router.accept(100 * MS, from_sender(None));
+    assert_eq!(actions.requests, [(other, Action::ReportNotPrimary { hint: None })]);
+    // The one that was waits for the link, and fails once it must not run again.
+    assert!(router.wake(WINDOW - MS).requests.is_empty());
+    let actions = router.wake(WINDOW + 20 * MS);
+    assert_eq!(actions.requests, [(handle, Action::Fail)]);
+}
+
+/// Guards against the same denial where the receiver fails the request and the primary is not found again.
+#[test]
+fn a_gateway_between_two_links_does_not_deny_a_request_that_may_have_run_behind_it() {
+    let mut router = router(false, true);
+    let (handle, actions) = router.accept(0, from_sender(None));
+    let (number, _) = forwarded(&actions.requests);
+    let actions = router.answered(100 * MS, number, PeerAnswer::Failed);
+    let (number, _) = forwarded(&actions.requests);
+    let actions = router.answered(200 * MS, number, PeerAnswer::NotPrimary { hint: None });
+    assert!(actions.requests.is_empty(), "{actions:?}");
+    let actions = router.wake(WINDOW + 20 * MS);
+    assert_eq!(actions.requests, [(handle, Action::Fail)]);
+}
