Compare the age of a session's write with positions on the members' clock

Cause: one field held both a position that the client states, on the members' clock, and the age of a write, a duration; the age was subtracted from the router's own clock without the members' lead. A stated position was turned into an age for the link, with the error of this machine's wall clock, though it crosses in the statement's comment.

Change: a request has a minimum position and, apart from it, an age; the age counts on the members' clock. Only an age goes into a link's frame.

--- a/crates/bench-adapter/src/router_instance.rs
+++ b/crates/bench-adapter/src/router_instance.rs
@@ -191,6 +191,7 @@
             ttl,
             waited: 0,
             session,
+            min_position: None,
             last_write_age: last_write,
             earlier_attempt_age: None,
             marked_retry: repeat,
--- a/crates/proxy/src/dispatcher/requests.rs
+++ b/crates/proxy/src/dispatcher/requests.rs
@@ -134,6 +134,7 @@
             ttl: deadline - now,
             waited: now - request.received_at,
             session,
+            min_position: request.min_position(),
             last_write_age: request.last_write_age_at(now),
             earlier_attempt_age,
             marked_retry: comment.client_retry,
--- a/crates/proxy/src/messages/dispatcher.rs
+++ b/crates/proxy/src/messages/dispatcher.rs
@@ -99,19 +99,22 @@
     pub statement: Vec<u8>,
     /// The parsed comment at the start of the statement.
     pub comment: Comment,
-    /// The time since the session's last write was committed, in microseconds, as another gateway stated it;
-    /// `None` if it stated none or the request came from a client.
+    /// The time from the commit of the session's last write to `received_at`, in microseconds, as another
+    /// gateway stated it; `None` if it stated none or the request came from a client.
     pub last_write_age: Option<Micros>,
 }
 
 impl ClientRequest {
-    /// Returns the time from the commit of the session's last write to `now`, in microseconds; negative if
-    /// this process's clock is behind. `None` if neither the client nor another gateway states it. The
-    /// client's statement takes precedence: it is a time on the members' clock, like the members' positions,
-    /// so the two can be compared as stated.
+    /// Returns the position on the members' clock that a read must see, as the client states it; `None` if it
+    /// states none.
+    pub fn min_position(&self) -> Option<Micros> {
+        self.comment.min_position_ms.map(millis_to_micros)
+    }
+
+    /// Returns the time from the commit of the session's last write to `now`, in microseconds; `None` if no
+    /// other gateway stated it.
     pub fn last_write_age_at(&self, now: Micros) -> Option<Micros> {
-        let stated = self.comment.min_position_ms.map(|after| now.saturating_sub(millis_to_micros(after)));
-        stated.or(self.last_write_age)
+        self.last_write_age.map(|age| age + (now - self.received_at))
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -151,8 +151,11 @@
     pub waited: Micros,
     /// Session that the request belongs to; `None` if it has none.
     pub session: Option<String>,
-    /// Time since the session's last write was committed, in microseconds; `None` if the client does not
-    /// state it.
+    /// Position on the members' clock that a read of the session's writes must see, as the client states it;
+    /// `None` if it states none.
+    pub min_position: Option<Micros>,
+    /// Time since the session's last write was committed, in microseconds, as the client or another router
+    /// states it; `None` if neither does.
     pub last_write_age: Option<Micros>,
     /// Time since the first attempt that another router made of this request and that may have run, in
     /// microseconds; `None` if there is none.
--- a/crates/routing/src/policy/freshness.rs
+++ b/crates/routing/src/policy/freshness.rs
@@ -170,12 +170,13 @@
         }
     }
 
-    /// Returns the position of the newest write of the read's session, as far as the client states it or this
-    /// router remembers it; `Micros::MIN` if neither does.
+    /// Returns the position of the newest write of the read's session, as far as the client or another router
+    /// states it or this router remembers it; `Micros::MIN` if none does.
     fn session_floor(&self, now: Micros, pending: &PendingRequest) -> Micros {
-        let client_reported = pending.request.last_write_age.map(|ago| pending.arrived_at - ago);
-        let session = pending.request.session.as_ref();
+        let request = &pending.request;
+        let stated = request.last_write_age.map(|age| self.members_now(pending.arrived_at) - age);
+        let session = request.session.as_ref();
         let remembered = session.and_then(|name| self.sessions.floor(name, self.members_now(now)));
-        client_reported.max(remembered).unwrap_or(Micros::MIN)
+        request.min_position.max(stated).max(remembered).unwrap_or(Micros::MIN)
     }
 }
--- a/crates/routing/tests/router/main.rs
+++ b/crates/routing/tests/router/main.rs
@@ -7,6 +7,7 @@
 mod freshness;
 mod large_fleet;
 mod local_failures;
+mod own_writes;
 mod primary_search;
 mod random_runs;
 mod replica_subset;
