Let forwarded reads see their session's forwarded writes

Cause: only the router that sends an attempt to a member remembered a session's write. The gateway that took the write kept no account of what it forwarded, and a forwarded read stated nothing, so that another gateway of the site took any replica.

Change: the router keeps account of forwarded writes beside its own attempts. A read that must see its session's writes states the least age of the last one over each link (Request, tag 6, as before), less what the receiver may not know of the members' clock; the local floor counts forwarded writes, too.

--- a/crates/proxy/src/dispatcher/gateway/mod.rs
+++ b/crates/proxy/src/dispatcher/gateway/mod.rs
@@ -68,6 +68,8 @@
     /// Handle at the local router; `None` while the local router does not have the request.
     local_handle: Option<RouterHandle>,
     requester: Requester,
+    /// Session whose write this is, once it has been forwarded; `None` before, and for other requests.
+    forwarded_write: Option<String>,
     /// Names of the sites that the request has passed through, its origin first; empty for a request of a
     /// local client.
     visited: Vec<String>,
--- a/crates/proxy/src/dispatcher/gateway/pending_requests.rs
+++ b/crates/proxy/src/dispatcher/gateway/pending_requests.rs
@@ -59,7 +59,8 @@
         self.request_owners.insert(request.request_id, RequestOwner::Gateway(handle));
         self.open_comment_ids.insert(request.comment.id.clone());
         let request = Rc::new(request);
-        let pending = PendingRequest { request, class, local_handle: None, requester, visited };
+        let pending =
+            PendingRequest { request, class, local_handle: None, requester, forwarded_write: None, visited };
         gateway_part.pending_requests.insert(handle, pending);
         self.carry_out_site_actions(actions, None);
     }
@@ -167,8 +168,12 @@
     /// Removes a pending request with all entries that refer to it. Returns the request, or `None` if it is not
     /// pending.
     pub(super) fn remove_pending_request(&mut self, handle: RequestHandle) -> Option<PendingRequest> {
+        let now = self.context.clock.now();
         let gateway_part = self.gateway_part.as_mut()?;
         let pending = gateway_part.pending_requests.remove(&handle)?;
+        if let Some(session) = &pending.forwarded_write {
+            self.router.forwarded_write_ended(now, session);
+        }
         if let Requester::Gateway(remote) = &pending.requester {
             gateway_part.remote_requests.remove(&(remote.gateway, remote.number));
         }
--- a/crates/proxy/src/dispatcher/gateway/site_actions.rs
+++ b/crates/proxy/src/dispatcher/gateway/site_actions.rs
@@ -1,13 +1,14 @@
 //! Carries out the site router's actions: hands requests to the local router, forwards them to other gateways, and
 //! answers them.
 
-use aldermill_routing::Micros;
+use aldermill_routing::{Micros, Need};
 use aldermill_site_link::{Confirm, Outbound, OutcomeQuery, Request as RequestFrame};
 use aldermill_site_routing::{Action, Actions, PeerAnswer, PeerGatewayId, RequestHandle};
 
 use super::answers::FinalAnswer;
 use super::{GatewayPart, PendingRequest, SentRequest};
 use crate::dispatcher::Dispatcher;
+use crate::dispatcher::members_clock::MIN_OFFSET_CHANGE;
 use crate::dispatcher::requests::RouterSubmission;
 use crate::messages::Answer;
 
@@ -100,6 +101,10 @@
         self.carry_out(actions);
     }
 
+    fn pending_request(&self, handle: RequestHandle) -> Option<&PendingRequest> {
+        self.gateway_part.as_ref()?.pending_requests.get(&handle)
+    }
+
     fn pending_request_mut(&mut self, handle: RequestHandle) -> Option<&mut PendingRequest> {
         self.gateway_part.as_mut()?.pending_requests.get_mut(&handle)
     }
@@ -117,11 +122,16 @@
     fn forward_to_gateway(&mut self, handle: RequestHandle, forward: &Forward) {
         let &Forward { gateway, number, timeout, earlier_attempt_age } = forward;
         let now = self.context.clock.now();
+        self.track_forwarded_write(handle);
+        let last_write_age = self.last_write_age(now, handle);
         let Some(gateway_part) = &mut self.gateway_part else { return };
         let Some(pending) = gateway_part.pending_requests.get(&handle) else { return };
         let Some(peer) = gateway_part.peer_gateways.get(gateway) else { return };
         let incarnation = peer.origin.incarnation;
-        let mut frame = gateway_part.request_frame(pending, now);
+        let mut frame = gateway_part.request_frame(pending);
+        // Zero on the wire means that no last write is known. The receiver may know the members' clock less exactly by
+        // `MIN_OFFSET_CHANGE`.
+        frame.written_ago_us = last_write_age.map_or(0, |age| (age - MIN_OFFSET_CHANGE).max(1) as u64);
         frame.number = number;
         frame.receiver_incarnation = incarnation;
         frame.timeout_us = timeout.max(0) as u64;
@@ -136,6 +146,33 @@
         self.carry_out_site_actions(actions, None);
     }
 
+    /// Records a write that is about to be forwarded with its session, whose reads must see it from now on.
+    fn track_forwarded_write(&mut self, handle: RequestHandle) {
+        let Some(pending) = self.pending_request(handle) else { return };
+        let is_write = self.settings.router_config.classes[pending.class].need == Need::Write;
+        if !is_write || pending.forwarded_write.is_some() {
+            return;
+        }
+        let Some(session) = self.session(&pending.request, pending.class) else { return };
+        self.router.write_forwarded(&session);
+        if let Some(pending) = self.pending_request_mut(handle) {
+            pending.forwarded_write = Some(session);
+        }
+    }
+
+    /// Returns the time since the last write that a read of its session's writes must see was committed, in
+    /// microseconds, as another gateway states it or this process knows it; `None` for other requests.
+    fn last_write_age(&self, now: Micros, handle: RequestHandle) -> Option<Micros> {
+        let pending = self.pending_request(handle)?;
+        if self.settings.router_config.classes[pending.class].need != Need::OwnWrites {
+            return None;
+        }
+        let stated = pending.request.last_write_age_at(now);
+        let session = self.session(&pending.request, pending.class);
+        let known = session.and_then(|session| self.router.session_write_age(now, &session));
+        stated.into_iter().chain(known).min()
+    }
+
     /// Queries the outcome of a request that was forwarded to another gateway.
     fn query_outcome(&mut self, gateway: PeerGatewayId, number: u64) {
         let Some(gateway_part) = &mut self.gateway_part else { return };
@@ -153,18 +190,15 @@
 }
 
 impl GatewayPart {
-    /// Returns the frame that forwards a request. The caller sets its number, the incarnation of the receiver and
-    /// the timeout.
-    fn request_frame(&self, pending: &PendingRequest, now: Micros) -> RequestFrame {
+    /// Returns the frame that forwards a request. The caller sets its number, the incarnation of the receiver, the
+    /// timeout and the ages of attempts and writes.
+    fn request_frame(&self, pending: &PendingRequest) -> RequestFrame {
         let request = &pending.request;
-        // Zero on the wire means that no last write is known, so a known age is sent as at least 1.
-        let written_ago = request.last_write_age_at(now).map_or(0, |ago| ago.max(1));
         let mut visited = pending.visited.clone();
         visited.push(self.identity.site.clone());
         RequestFrame {
             class: request.comment.class.clone(),
             group: request.comment.group,
-            written_ago_us: written_ago as u64,
             client_retry: request.comment.client_retry,
             visited,
             ..RequestFrame::default()
--- a/crates/proxy/src/dispatcher/members_clock.rs
+++ b/crates/proxy/src/dispatcher/members_clock.rs
@@ -8,7 +8,7 @@
 use super::Dispatcher;
 
 /// Changes of the clock offset of up to this many microseconds are not reported to the router.
-const MIN_OFFSET_CHANGE: Micros = 20_000;
+pub(super) const MIN_OFFSET_CHANGE: Micros = 20_000;
 
 impl Dispatcher {
     /// Returns whether the request is a non-idempotent write. The commit of such a write cannot predate its
--- a/crates/proxy/src/dispatcher/requests.rs
+++ b/crates/proxy/src/dispatcher/requests.rs
@@ -125,15 +125,12 @@
     fn routed_request(&self, submission: &RouterSubmission, now: Micros) -> Request {
         let &RouterSubmission { ref request, class, deadline, earlier_attempt_age, .. } = submission;
         let comment = &request.comment;
-        let uses_session =
-            matches!(self.settings.router_config.classes[class].need, Need::Write | Need::OwnWrites);
-        let session = if uses_session { first_quoted_text(&request.statement[comment.end..]) } else { None };
         Request {
             class,
             group: comment.group,
             ttl: deadline - now,
             waited: now - request.received_at,
-            session,
+            session: self.session(request, class),
             min_position: request.min_position(),
             last_write_age: request.last_write_age_at(now),
             earlier_attempt_age,
@@ -141,6 +138,14 @@
         }
     }
 
+    /// Returns the session of a write, or of a read that must see its session's writes; `None` for other
+    /// requests, and if the statement names no session.
+    pub(super) fn session(&self, request: &ClientRequest, class: usize) -> Option<String> {
+        let need = self.settings.router_config.classes[class].need;
+        let uses_session = matches!(need, Need::Write | Need::OwnWrites);
+        if uses_session { first_quoted_text(&request.statement[request.comment.end..]) } else { None }
+    }
+
     /// Handles the end of an attempt: records it in the observations, answers the request if there is a
     /// response, and lets the router decide what follows.
     pub(super) fn handle_attempt_finished(&mut self, finished: AttemptFinished) {
--- a/crates/routing/src/policy/freshness.rs
+++ b/crates/routing/src/policy/freshness.rs
@@ -153,9 +153,9 @@
     pub(super) fn end_session_write(&mut self, now: Micros, handle: RequestHandle, outcome: &Outcome) {
         let verdict = outcome.verdict;
         let reported = outcome.report.position.filter(|_| verdict == Verdict::Served);
-        let committed_at = if verdict.never_ran() { 0 } else { reported.unwrap_or(self.members_now(now)) };
+        let committed_at = (!verdict.never_ran()).then(|| reported.unwrap_or(self.members_now(now)));
         if let Some(session) = self.tracked_session(handle) {
-            session.write_ended(committed_at);
+            session.attempt_ended(now, committed_at);
         }
     }
 
@@ -176,7 +176,7 @@
         let request = &pending.request;
         let stated = request.last_write_age.map(|age| self.members_now(pending.arrived_at) - age);
         let session = request.session.as_ref();
-        let remembered = session.and_then(|name| self.sessions.floor(name, self.members_now(now)));
+        let remembered = session.and_then(|name| self.sessions.floor(name, self.clock_reading(now)));
         request.min_position.max(stated).max(remembered).unwrap_or(Micros::MIN)
     }
 }
--- a/crates/routing/src/policy/local_failures.rs
+++ b/crates/routing/src/policy/local_failures.rs
@@ -125,7 +125,7 @@
             // No member was asked whether it is the primary.
             self.groups[group].search_after = now;
         }
-        self.tracked_session(handle).into_iter().for_each(|session| session.write_ended(0));
+        self.tracked_session(handle).into_iter().for_each(|session| session.attempt_ended(now, None));
         if request_closed {
             self.close(handle);
         } else {
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -179,8 +179,8 @@
         if !self.in_large_fleet() && !self.uses_subset() {
             (0..self.members.len()).for_each(|id| self.background_health_check(now, id));
         }
-        let members_now = self.members_now(now);
-        self.sessions.forget_old(members_now);
+        let clock = self.clock_reading(now);
+        self.sessions.forget_old(clock);
         if self.config.list_requires_subscription && self.list_subscription.is_due(now) {
             self.actions.subscribe = true;
         }
--- a/crates/routing/src/policy/sessions.rs
+++ b/crates/routing/src/policy/sessions.rs
@@ -1,10 +1,11 @@
-//! Writes that this router's own attempts made in each session, for reads that must see their session's
-//! writes.
+//! Writes of each session that passed through this router, for reads that must see their session's writes: those
+//! that its own attempts made, and those that its caller forwarded to another site.
 
 use std::collections::HashMap;
 
 use super::blacklist::FAILURE_WINDOW;
 use crate::Micros;
+use crate::state::Router;
 
 /// Number of sessions that are remembered before older ones are forgotten.
 const MAX_SESSIONS: usize = 10_000;
@@ -12,32 +13,77 @@
 /// more than [`MAX_SESSIONS`].
 const FORGET_AFTER: Micros = FAILURE_WINDOW;
 
-/// Writes that this router's own attempts made in one session.
+/// The time on the router's clock, and the lead of the members' clock over it, in microseconds.
+#[derive(Clone, Copy)]
+pub(super) struct ClockReading {
+    now: Micros,
+    members_lead: Micros,
+}
+
+impl ClockReading {
+    /// Returns a time of the router's clock on the members' clock.
+    fn on_members_clock(self, at: Micros) -> Micros {
+        at.saturating_add(self.members_lead)
+    }
+}
+
+/// Writes of one session that passed through this router.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Session {
-    /// Latest time on the members' clock at which the session's last write that ran or may have run was
-    /// committed; zero if there is none.
+    /// Latest time on the members' clock at which the last write that this router's attempts made, and that ran
+    /// or may have run, was committed; zero if there is none.
     last_committed_at: Micros,
+    /// Time on the router's clock at which the last forwarded write ended; `None` if there is none.
+    last_forwarded_until: Option<Micros>,
+    /// Time on the router's clock at which the last write that ran or may have run ended, forwarded or not;
+    /// `None` if there is none.
+    last_ended_at: Option<Micros>,
     /// Number of writes in flight. Each of these may have been committed by now.
     writes_in_flight: u32,
 }
 
 impl Session {
-    /// Returns the position that a read of the session must see. `now` is on the members' clock.
-    fn floor(&self, now: Micros) -> Micros {
-        if self.writes_in_flight > 0 { now } else { self.last_committed_at }
+    /// Returns the position that a read of the session must see, on the members' clock.
+    fn floor(&self, clock: ClockReading) -> Micros {
+        if self.writes_in_flight > 0 {
+            return clock.on_members_clock(clock.now);
+        }
+        let forwarded = self.last_forwarded_until.map(|until| clock.on_members_clock(until));
+        forwarded.map_or(self.last_committed_at, |forwarded| forwarded.max(self.last_committed_at))
+    }
+
+    /// Returns the least time since the session's last write was committed; `None` if none may have been.
+    fn write_age(&self, now: Micros) -> Option<Micros> {
+        if self.writes_in_flight > 0 { Some(0) } else { self.last_ended_at.map(|ended_at| now - ended_at) }
     }
 
-    /// Records that a write was sent.
+    /// Records that a write was sent to a member or forwarded.
     pub(super) fn write_started(&mut self) {
         self.writes_in_flight += 1;
     }
 
-    /// Records that a write has ended. `committed_at` is the latest time at which the write was committed, or
-    /// zero if it never ran.
-    pub(super) fn write_ended(&mut self, committed_at: Micros) {
+    /// Records that an attempt of a write has ended. `committed_at` is the latest time at which the write was
+    /// committed, on the members' clock; `None` if it never ran.
+    pub(super) fn attempt_ended(&mut self, now: Micros, committed_at: Option<Micros>) {
         self.writes_in_flight -= 1;
-        self.last_committed_at = self.last_committed_at.max(committed_at);
+        if let Some(committed_at) = committed_at {
+            self.last_committed_at = self.last_committed_at.max(committed_at);
+            self.last_ended_at = Some(now);
+        }
+    }
+
+    /// Records that a forwarded write has ended, and may have been committed by now.
+    fn forwarded_write_ended(&mut self, now: Micros) {
+        self.writes_in_flight -= 1;
+        self.last_forwarded_until = Some(now);
+        self.last_ended_at = Some(now);
+    }
+
+    /// Returns whether a write may have been committed after `at` on the router's clock.
+    fn wrote_after(&self, at: Micros, clock: ClockReading) -> bool {
+        self.writes_in_flight > 0
+            || self.last_committed_at > clock.on_members_clock(at)
+            || self.last_forwarded_until > Some(at)
     }
 }
 
@@ -45,7 +91,7 @@
 #[derive(Clone, Default)]
 pub(crate) struct Sessions {
     by_name: HashMap<String, Session>,
-    /// Latest commit time that a forgotten session may have, on the members' clock; `None` if none was
+    /// Latest commit time that a forgotten session may have, on the router's clock; `None` if none was
     /// forgotten.
     forgotten_until: Option<Micros>,
 }
@@ -56,22 +102,59 @@
         self.by_name.entry(name).or_default()
     }
 
-    /// Returns the position that a read of the session must see, or `None` if nothing bounds it. `now` is on
-    /// the members' clock.
-    pub(super) fn floor(&self, name: &str, now: Micros) -> Option<Micros> {
-        self.by_name.get(name).map(|session| session.floor(now)).or(self.forgotten_until)
+    /// Returns the position on the members' clock that a read of the session must see, or `None` if nothing
+    /// bounds it.
+    pub(super) fn floor(&self, name: &str, clock: ClockReading) -> Option<Micros> {
+        let forgotten = self.forgotten_until.map(|until| clock.on_members_clock(until));
+        self.by_name.get(name).map(|session| session.floor(clock)).or(forgotten)
     }
 
-    /// Forgets sessions that wrote long ago if there are more than [`MAX_SESSIONS`]. `now` is on the members'
-    /// clock.
-    pub(super) fn forget_old(&mut self, now: Micros) {
+    /// Returns the least time since the session's last write was committed; `None` if it made none.
+    fn write_age(&self, name: &str, now: Micros) -> Option<Micros> {
+        let forgotten = self.forgotten_until.map(|until| now - until);
+        self.by_name.get(name).map_or(forgotten, |session| session.write_age(now))
+    }
+
+    /// Forgets sessions that wrote long ago if there are more than [`MAX_SESSIONS`].
+    pub(super) fn forget_old(&mut self, clock: ClockReading) {
         if self.by_name.len() <= MAX_SESSIONS {
             return;
         }
-        let forgotten_until = Some(now - FORGET_AFTER);
-        self.forgotten_until = forgotten_until;
-        self.by_name.retain(|_, session| {
-            session.writes_in_flight > 0 || Some(session.last_committed_at) > forgotten_until
-        });
+        let forgotten_until = clock.now - FORGET_AFTER;
+        self.forgotten_until = Some(forgotten_until);
+        self.by_name.retain(|_, session| session.wrote_after(forgotten_until, clock));
+    }
+}
+
+impl Router {
+    /// Returns the router's clock reading for the session positions.
+    pub(super) fn clock_reading(&self, now: Micros) -> ClockReading {
+        ClockReading { now, members_lead: self.clock_offset }
+    }
+
+    /// Records that a write of the session is being forwarded to another site, until
+    /// [`Router::forwarded_write_ended`]. Does nothing if the router tracks no sessions.
+    pub fn write_forwarded(&mut self, session: &str) {
+        if self.config.track_sessions {
+            self.sessions.entry(session.to_owned()).write_started();
+        }
+    }
+
+    /// Records that a forwarded write of the session was answered or is no longer waited for. Each call follows
+    /// a call of [`Router::write_forwarded`].
+    ///
+    /// This protects reads of the session from missing the write. The cost: after a write that never ran, reads
+    /// of the session need fresher replicas for a while.
+    pub fn forwarded_write_ended(&mut self, now: Micros, session: &str) {
+        if self.config.track_sessions {
+            self.sessions.entry(session.to_owned()).forwarded_write_ended(now);
+        }
+    }
+
+    /// Returns the least time since the last write of the session that passed through this router was
+    /// committed, in microseconds; `None` if there was none, or if the router tracks no sessions. Another
+    /// router's reads of the session must see commits up to that long ago.
+    pub fn session_write_age(&self, now: Micros, session: &str) -> Option<Micros> {
+        self.sessions.write_age(session, now)
     }
 }
--- a/crates/routing/tests/router/own_writes.rs
+++ b/crates/routing/tests/router/own_writes.rs
@@ -1,8 +1,8 @@
 //! Reads that must see the writes of their session, where another router made these writes.
 
-use aldermill_routing::{MemberReport, Micros, Request, Role};
+use aldermill_routing::{MemberReport, Micros, Request, Role, Verdict};
 
-use crate::fixtures::{MS, OWN_WRITES_READ, checked_simulation, router_config, target};
+use crate::fixtures::{MS, OWN_WRITES_READ, WRITE, checked_simulation, router_config, target};
 use crate::simulation::Simulation;
 
 /// Lead of the members' clock over the router's, in microseconds.
@@ -40,3 +40,36 @@
     let read = simulation.submit_request(own_writes_read(150 * MS));
     assert!(target(&simulation, read).is_some(), "all replicas have applied the write");
 }
+
+/// Guards against a stale read at this site of a write that was forwarded to another one, while it is under way and
+/// once it was answered.
+#[test]
+fn a_read_sees_a_forwarded_write_of_its_session() {
+    let mut simulation = lagging_replicas(0);
+    let read_target = |simulation: &mut Simulation| {
+        let read = simulation.submit_in_session(OWN_WRITES_READ, 1_000 * MS, "writer");
+        target(simulation, read)
+    };
+    assert!(read_target(&mut simulation).is_some(), "the session has not written");
+    simulation.router.write_forwarded("writer");
+    simulation.advance(10 * MS);
+    assert_eq!(simulation.router.session_write_age(simulation.now, "writer"), Some(0));
+    assert_eq!(read_target(&mut simulation), None, "the write may be committed by now");
+    simulation.router.forwarded_write_ended(simulation.now, "writer");
+    simulation.advance(10 * MS);
+    assert_eq!(simulation.router.session_write_age(simulation.now, "writer"), Some(10 * MS));
+    assert_eq!(read_target(&mut simulation), None, "no replica has applied the write");
+}
+
+/// Guards against a read at another site that is told of no write, though this router's own attempt made one.
+#[test]
+fn the_age_of_a_sessions_write_counts_this_routers_attempts() {
+    let mut simulation = checked_simulation(router_config());
+    let age = |simulation: &Simulation| simulation.router.session_write_age(simulation.now, "writer");
+    assert_eq!(age(&simulation), None);
+    let write = simulation.submit_in_session(WRITE, 1_000 * MS, "writer");
+    assert_eq!(age(&simulation), Some(0));
+    simulation.end_attempt(write, Verdict::Served);
+    simulation.advance(30 * MS);
+    assert_eq!(age(&simulation), Some(30 * MS));
+}
