--- a/crates/proxy/tests/sessions_across_sites.rs
+++ b/crates/proxy/tests/sessions_across_sites.rs
@@ -53,7 +53,7 @@
 /// stuck replica of the group.
 struct Sites {
     local: Site,
-    _gateways: Vec<Site>,
+    gateways: Vec<Site>,
     _home: Arc<AtomicUsize>,
     _local_member: Member,
     remote_member: Member,
@@ -78,14 +78,8 @@
         let local_links = local.links;
         gateways.iter_mut().skip(1).for_each(|gateway| gateway.start(&[(0, Some(local_links))]));
         let count = gateways.len();
-        let sites = Sites {
-            local,
-            _gateways: gateways,
-            _home: home,
-            _local_member: local_member,
-            remote_member,
-            replica,
-        };
+        let sites =
+            Sites { local, gateways, _home: home, _local_member: local_member, remote_member, replica };
         until("links to all gateways", || sites.links_up() >= 2 * count);
         let mut client = sites.local.client();
         until("a served write", || served(&client.ask(&write("warm-up"))));
@@ -151,3 +145,18 @@
     let sessions = write_sessions(&mut client);
     sites.assert_fresh_reads(&mut client, &sessions);
 }
+
+/// Guards against a stale read through a gateway that forgot its sessions with a restart.
+#[test]
+fn reads_after_a_restart_of_the_remote_gateway_see_their_sessions_forwarded_writes() {
+    let mut sites = Sites::start(1, 1);
+    let mut client = sites.local.client();
+    let sessions = write_sessions(&mut client);
+    let mut proxy = sites.gateways[0].driver.take().unwrap();
+    proxy.child.kill().unwrap();
+    proxy.child.wait().unwrap();
+    drop(proxy);
+    sites.gateways[0].start(&[(0, None)]);
+    until("the links after the restart", || sites.links_up() >= 4);
+    sites.assert_fresh_reads(&mut client, &sessions);
+}
