--- a/crates/proxy/tests/sessions_across_sites.rs
+++ b/crates/proxy/tests/sessions_across_sites.rs
@@ -54,7 +54,7 @@
 struct Sites {
     local: Site,
     gateways: Vec<Site>,
-    _home: Arc<AtomicUsize>,
+    home: Arc<AtomicUsize>,
     _local_member: Member,
     remote_member: Member,
     replica: Member,
@@ -78,8 +78,7 @@
         let local_links = local.links;
         gateways.iter_mut().skip(1).for_each(|gateway| gateway.start(&[(0, Some(local_links))]));
         let count = gateways.len();
-        let sites =
-            Sites { local, gateways, _home: home, _local_member: local_member, remote_member, replica };
+        let sites = Sites { local, gateways, home, _local_member: local_member, remote_member, replica };
         until("links to all gateways", || sites.links_up() >= 2 * count);
         let mut client = sites.local.client();
         until("a served write", || served(&client.ask(&write("warm-up"))));
@@ -160,3 +159,17 @@
     until("the links after the restart", || sites.links_up() >= 4);
     sites.assert_fresh_reads(&mut client, &sessions);
 }
+
+/// Guards against a stale read at the site that the primary has moved to, of a write that was made at the local site.
+#[test]
+fn reads_at_another_site_see_writes_that_their_session_made_at_the_local_site() {
+    let sites = Sites::start(1, 0);
+    let mut client = sites.local.client();
+    let sessions = write_sessions(&mut client);
+    sites.home.store(1, Ordering::SeqCst);
+    until("a forwarded write", || {
+        let before = sites.remote_member.requests().len();
+        served(&client.ask(&write("after the move"))) && sites.remote_member.requests().len() > before
+    });
+    sites.assert_fresh_reads(&mut client, &sessions);
+}
