Bound the transit of a request between gateways by the receiver's own clock

Cause: no clock crosses a link, so a receiver assumed that each request had needed the usual time.

Change: announcements have numbers, and a request names the last one that its sender had and how long it had it. The receiver knows when it sent that one, which bounds the transit. What exceeds a usual round trip shortens the time that is left; all of it counts for the age of an earlier attempt.

Old bytes are pinned and read as before.

--- a/crates/proxy/src/dispatcher/gateway/announcements.rs
+++ b/crates/proxy/src/dispatcher/gateway/announcements.rs
@@ -17,21 +17,21 @@
 
 impl GatewayPart {
     /// Announces the available capacity of this gateway to all linked gateways.
-    pub(super) fn announce_capacity(&mut self) {
+    pub(super) fn announce_capacity(&mut self, now: Micros) {
         for gateway in 0..self.peer_gateways.len() {
-            self.announce_capacity_to(gateway);
+            self.announce_capacity_to(now, gateway);
         }
     }
 
     /// Announces the available capacity of this gateway to another one, if a link to that one is up.
-    pub(super) fn announce_capacity_to(&mut self, gateway: PeerGatewayId) {
+    pub(super) fn announce_capacity_to(&mut self, now: Micros, gateway: PeerGatewayId) {
         if self.peer_gateways.get(gateway).is_some_and(|peer| !peer.links.is_empty()) {
-            let announcement = self.capacity_announcement(gateway);
+            let announcement = self.capacity_announcement(now, gateway);
             self.send(gateway, None, Outbound::CapacityAnnouncement(announcement));
         }
     }
 
-    fn capacity_announcement(&mut self, gateway: PeerGatewayId) -> CapacityAnnouncement {
+    fn capacity_announcement(&mut self, now: Micros, gateway: PeerGatewayId) -> CapacityAnnouncement {
         let offer = self.site_router.offered_capacity(gateway);
         let credits = self.class_names.iter().zip(offer.credits);
         CapacityAnnouncement {
@@ -43,6 +43,7 @@
                 .collect(),
             draining: self.draining,
             reads_attempt_ages: true,
+            number: self.announcement_times.announce(now),
         }
     }
 
@@ -54,7 +55,7 @@
             return;
         }
         self.next_announcement_at = now + ANNOUNCEMENT_INTERVAL;
-        self.announce_capacity();
+        self.announce_capacity(now);
         if let Some(outcome_log) = &mut self.outcome_log {
             outcome_log.renew_promise(now);
         }
@@ -138,10 +139,11 @@
     /// Announces to the other gateways that this one drains, because the process is stopping. Only the first
     /// call has an effect.
     pub(in crate::dispatcher) fn announce_draining(&mut self) {
+        let now = self.context.clock.now();
         let Some(gateway_part) = &mut self.gateway_part else { return };
         let drained_before = std::mem::replace(&mut gateway_part.draining, true);
         if !drained_before {
-            gateway_part.announce_capacity();
+            gateway_part.announce_capacity(now);
         }
     }
 
--- a/crates/proxy/src/dispatcher/gateway/answers.rs
+++ b/crates/proxy/src/dispatcher/gateway/answers.rs
@@ -106,7 +106,7 @@
         gateway_part.record_and_send(now, remote, outcome, kept_until, frame, data);
         let rejected = kind == ResponseKind::Rejected;
         if gateway_part.site_router.remote_request_ended(now, remote.gateway, pending.class, rejected) {
-            gateway_part.announce_capacity_to(remote.gateway);
+            gateway_part.announce_capacity_to(now, remote.gateway);
         }
     }
 }
--- a/crates/proxy/src/dispatcher/gateway/inbound_messages.rs
+++ b/crates/proxy/src/dispatcher/gateway/inbound_messages.rs
@@ -10,7 +10,7 @@
 use aldermill_site_routing::{Outcome, PeerAnswer, PeerGatewayId};
 
 use super::site_actions::ReceivedAnswer;
-use super::{GatewayPart, Requester, RetainedResponse, capped_micros};
+use super::{GatewayPart, ReceivedAnnouncement, Requester, RetainedResponse, capped_micros};
 use crate::dispatcher::Dispatcher;
 use crate::messages::{Answer, LinkId, Rows};
 
@@ -87,6 +87,8 @@
         let credits: Vec<u32> = gateway_part.class_names.iter().map(requests).collect();
         let homes: Vec<(u64, bool)> =
             announcement.homes.iter().map(|home| (home.group, home.has_primary)).collect();
+        gateway_part.peer_gateways[gateway].last_announcement = (announcement.number > 0)
+            .then_some(ReceivedAnnouncement { number: announcement.number, received_at: now });
         gateway_part.site_router.attempt_ages_announced(gateway, announcement.reads_attempt_ages);
         let actions =
             gateway_part.site_router.capacity_announced(now, gateway, credits, &homes, announcement.draining);
--- a/crates/proxy/src/dispatcher/gateway/links.rs
+++ b/crates/proxy/src/dispatcher/gateway/links.rs
@@ -55,7 +55,7 @@
         }
         let links = gateway_part.add_link(id, link);
         let actions = gateway_part.site_router.links_changed(now, id, site, links, same_incarnation);
-        gateway_part.announce_capacity_to(id);
+        gateway_part.announce_capacity_to(now, id);
         self.carry_out_site_actions(actions, None);
     }
 
@@ -88,7 +88,8 @@
         if let Some(id) = self.peer_gateways.iter().position(same) {
             return id;
         }
-        self.peer_gateways.push(PeerGateway { site, origin: origin.clone(), links: Vec::new() });
+        let origin = origin.clone();
+        self.peer_gateways.push(PeerGateway { site, origin, links: Vec::new(), last_announcement: None });
         self.peer_gateways.len() - 1
     }
 
@@ -98,6 +99,7 @@
             self.links.remove(&old);
         }
         self.peer_gateways[id].origin = origin;
+        self.peer_gateways[id].last_announcement = None;
     }
 
     /// Adds a link to a gateway. Returns how many links to it are up.
--- a/crates/proxy/src/dispatcher/gateway/mod.rs
+++ b/crates/proxy/src/dispatcher/gateway/mod.rs
@@ -24,7 +24,9 @@
 use aldermill_flow_control::PeerId;
 use aldermill_routing::{Micros, RequestHandle as RouterHandle};
 use aldermill_site_link::{Identity, Outbound, Request as RequestFrame, Response as ResponseFrame};
-use aldermill_site_routing::{Origin, OutcomeTable, PeerGatewayId, RequestHandle, SiteId, SiteRouter};
+use aldermill_site_routing::{
+    AnnouncementTimes, Origin, OutcomeTable, PeerGatewayId, RequestHandle, SiteId, SiteRouter,
+};
 use tokio::sync::mpsc;
 
 use super::open_request::WaitingClient;
@@ -90,6 +92,16 @@
     site: SiteId,
     origin: Origin,
     links: Vec<LinkId>,
+    /// The last announcement of its current incarnation; `None` if none has arrived, or it has no number.
+    last_announcement: Option<ReceivedAnnouncement>,
+}
+
+/// A capacity announcement that another gateway sent.
+#[derive(Clone, Copy)]
+struct ReceivedAnnouncement {
+    number: u64,
+    /// Time of arrival, in microseconds on the router's clock.
+    received_at: Micros,
 }
 
 /// Where a request was forwarded to: the gateway, the incarnation of its process, and the link.
@@ -143,6 +155,7 @@
     /// Decides at which site each request is served.
     site_router: SiteRouter,
     /// Outcomes of the remote requests that this process accepted.
+    announcement_times: AnnouncementTimes,
     outcomes: OutcomeTable<RetainedResponse>,
     /// Gateways that have greeted, by gateway index.
     peer_gateways: Vec<PeerGateway>,
--- a/crates/proxy/src/dispatcher/gateway/remote_requests.rs
+++ b/crates/proxy/src/dispatcher/gateway/remote_requests.rs
@@ -2,7 +2,7 @@
 
 use aldermill_routing::{Effect, Micros};
 use aldermill_site_link::{Outbound, Request as RequestFrame, Response as ResponseFrame, ResponseKind};
-use aldermill_site_routing::{NotAccepted, Outcome, PeerGatewayId};
+use aldermill_site_routing::{AnnouncementEcho, NotAccepted, Outcome, PeerGatewayId, StatedTimes};
 use aldermill_wire::statement::Comment;
 use slog::warn;
 use tokio::sync::mpsc;
@@ -22,6 +22,8 @@
     comment: Comment,
     /// How much longer the sender waits, less the delay of the response on its way back, in microseconds.
     timeout: Micros,
+    /// How long ago the first attempt that may have run began, in microseconds; `None` if none may have run.
+    earlier_attempt_age: Option<Micros>,
 }
 
 impl Dispatcher {
@@ -140,20 +142,8 @@
             Err(kind) => return self.reject_remote_request(&incoming, kind),
         };
         let Some(gateway_part) = &mut self.gateway_part else { return };
-        let IncomingRequest {
-            link,
-            gateway,
-            origin,
-            number,
-            received_at: incoming_received_at,
-            frame,
-            statement,
-        } = incoming;
+        let IncomingRequest { link, gateway, origin, number, frame, statement, .. } = incoming;
         let Some(peer) = gateway_part.links.get(&link).map(|active| active.peer) else { return };
-        let received_at = self.context.clock.now();
-        let waited = received_at - incoming_received_at;
-        let earlier_attempt_age =
-            (frame.earlier_attempt_ago_us > 0).then(|| capped_micros(frame.earlier_attempt_ago_us) + waited);
         gateway_part.site_router.remote_request_started(gateway, validated.class);
         gateway_part.last_remote_request_id += 1;
         // The answer goes over the link, so this mailbox has no receiver.
@@ -162,7 +152,7 @@
             request_id: gateway_part.last_remote_request_id,
             peer,
             mailbox,
-            received_at,
+            received_at: self.context.clock.now(),
             statement,
             comment: validated.comment,
             last_write_age: (frame.written_ago_us > 0).then(|| capped_micros(frame.written_ago_us)),
@@ -173,7 +163,7 @@
             timeout: validated.timeout.min(MAX_RECEIVED_DURATION),
             requester: Requester::Gateway(RemoteRequest { gateway, number, link, origin }),
             visited: frame.visited,
-            earlier_attempt_age,
+            earlier_attempt_age: validated.earlier_attempt_age,
         });
     }
 
@@ -191,15 +181,15 @@
             return Err(ResponseKind::NotPrimary);
         }
         let waited = self.context.clock.now() - incoming.received_at;
-        let timeout = capped_micros(frame.timeout_us)
-            - waited
-            - gateway_part.site_router.one_way_delay(incoming.gateway);
+        let arrived = gateway_part.times_on_arrival(incoming);
+        let timeout = arrived.timeout - waited - gateway_part.site_router.one_way_delay(incoming.gateway);
         let full = gateway_part.pending_requests.len() >= self.context.limits.open_requests;
         let under_way = self.open_comment_ids.contains(&comment.id);
         if gateway_part.draining || full || under_way || timeout <= 0 {
             return Err(ResponseKind::Rejected);
         }
-        Ok(ValidatedRequest { class, comment, timeout })
+        let earlier_attempt_age = arrived.earlier_attempt_age.map(|age| age + waited);
+        Ok(ValidatedRequest { class, comment, timeout, earlier_attempt_age })
     }
 
     /// Handles the cancellation of a request by the gateway that sent it.
@@ -219,6 +209,23 @@
 }
 
 impl GatewayPart {
+    /// Returns the times that a remote request states, as of its arrival.
+    fn times_on_arrival(&self, incoming: &IncomingRequest) -> StatedTimes {
+        let frame = &incoming.frame;
+        let stated = StatedTimes {
+            timeout: capped_micros(frame.timeout_us),
+            one_way_delay: capped_micros(frame.one_way_delay_us),
+            earlier_attempt_age: (frame.earlier_attempt_ago_us > 0)
+                .then(|| capped_micros(frame.earlier_attempt_ago_us)),
+        };
+        let echo = (frame.announcement > 0).then(|| AnnouncementEcho {
+            number: frame.announcement,
+            age: capped_micros(frame.announcement_ago_us),
+        });
+        let max_transit = self.announcement_times.max_transit(incoming.received_at, echo);
+        stated.on_arrival(max_transit, self.site_router.one_way_delay(incoming.gateway))
+    }
+
     /// Cancels a remote request that still waits for its record. It never runs, and counts as rejected.
     fn cancel_waiting_request(&mut self, gateway: PeerGatewayId, number: u64) {
         let before = self.waiting_requests.len();
--- a/crates/proxy/src/dispatcher/gateway/site_actions.rs
+++ b/crates/proxy/src/dispatcher/gateway/site_actions.rs
@@ -24,7 +24,7 @@
     number: u64,
     /// The time until the request's deadline when it arrives at the gateway, in microseconds.
     timeout: Micros,
-    /// How long before its arrival there the first attempt that may have run began, in microseconds.
+    /// How long ago the first attempt that may have run began, in microseconds.
     earlier_attempt_age: Option<Micros>,
 }
 
@@ -39,12 +39,13 @@
         for (handle, action) in actions.requests {
             self.carry_out_site_action(handle, action, &mut received);
         }
+        let now = self.context.clock.now();
         let Some(gateway_part) = &mut self.gateway_part else { return };
         for (gateway, up_to) in actions.confirmations {
             gateway_part.send(gateway, None, Outbound::Confirm(Confirm { up_to }));
         }
         if actions.announce_capacity {
-            gateway_part.announce_capacity();
+            gateway_part.announce_capacity(now);
         }
         if let Some(at) = actions.wake_at {
             gateway_part.wake_at = at;
@@ -129,12 +130,17 @@
         let Some(peer) = gateway_part.peer_gateways.get(gateway) else { return };
         let incarnation = peer.origin.incarnation;
         let mut frame = gateway_part.request_frame(pending);
+        if let Some(last) = peer.last_announcement {
+            frame.announcement = last.number;
+            frame.announcement_ago_us = (now - last.received_at).max(0) as u64;
+        }
         // Zero on the wire means that no last write is known. The receiver may know the members' clock less exactly by
         // `MIN_OFFSET_CHANGE`.
         frame.written_ago_us = last_write_age.map_or(0, |age| (age - MIN_OFFSET_CHANGE).max(1) as u64);
         frame.number = number;
         frame.receiver_incarnation = incarnation;
         frame.timeout_us = timeout.max(0) as u64;
+        frame.one_way_delay_us = gateway_part.site_router.one_way_delay(gateway).max(0) as u64;
         // Zero on the wire means that no attempt may have run.
         frame.earlier_attempt_ago_us = earlier_attempt_age.map_or(0, |age| age.max(1) as u64);
         let frame = Outbound::Request(frame, pending.request.statement.clone());
@@ -191,7 +197,7 @@
 
 impl GatewayPart {
     /// Returns the frame that forwards a request. The caller sets its number, the incarnation of the receiver, the
-    /// timeout and the ages of attempts and writes.
+    /// timeout, the announcement and the ages of attempts and writes.
     fn request_frame(&self, pending: &PendingRequest) -> RequestFrame {
         let request = &pending.request;
         let mut visited = pending.visited.clone();
--- a/crates/proxy/src/dispatcher/gateway/start.rs
+++ b/crates/proxy/src/dispatcher/gateway/start.rs
@@ -6,7 +6,9 @@
 use aldermill_routing::{DeduplicationScope, Effect as RouterEffect, Micros, Need as RouterNeed};
 use aldermill_settings::Settings;
 use aldermill_site_link::Identity;
-use aldermill_site_routing::{Effect, Need, OutcomeTable, RequestClass, SiteRouter, SiteRouterConfig};
+use aldermill_site_routing::{
+    AnnouncementTimes, Effect, Need, OutcomeTable, RequestClass, SiteRouter, SiteRouterConfig,
+};
 use tokio::sync::mpsc;
 
 use super::{EndedRequestCounts, GatewayPart, QUERY_GRACE};
@@ -64,6 +66,7 @@
             site_names,
             class_names: settings.class_names(),
             site_router,
+            announcement_times: AnnouncementTimes::default(),
             outcomes: OutcomeTable::new(max_outcomes_per_sender, QUERY_GRACE),
             peer_gateways: Vec::new(),
             links: HashMap::new(),
--- a/crates/site-link/src/frame.rs
+++ b/crates/site-link/src/frame.rs
@@ -110,10 +110,19 @@
     /// The length of its statement, in bytes.
     #[prost(uint32, tag = "9")]
     pub length: u32,
-    /// How long before the arrival the first attempt of it began that may have run, in microseconds; 0 if none may have
+    /// How long before the sending the first attempt of it began that may have run, in microseconds; 0 if none may have
     /// run or a repeat does no harm at any time.
     #[prost(uint64, tag = "10")]
     pub earlier_attempt_ago_us: u64,
+    /// The number of the receiver's last capacity announcement that had arrived when it was sent; 0 if none has a number.
+    #[prost(uint64, tag = "11")]
+    pub announcement: u64,
+    /// How long before the sending that announcement had arrived, in microseconds.
+    #[prost(uint64, tag = "12")]
+    pub announcement_ago_us: u64,
+    /// The delay of the way there that is taken off `timeout_us`, in microseconds.
+    #[prost(uint64, tag = "13")]
+    pub one_way_delay_us: u64,
 }
 
 /// A part of a statement, or of the data of a response.
@@ -294,6 +303,9 @@
     /// The sender reads `Request.earlier_attempt_ago_us`.
     #[prost(bool, tag = "4")]
     pub reads_attempt_ages: bool,
+    /// Rises with each announcement of this incarnation, from 1; a request names the last one that its sender received.
+    #[prost(uint64, tag = "5")]
+    pub number: u64,
 }
 
 /// The last frame of a link.
--- a/crates/site-link/tests/pinned_frames.rs
+++ b/crates/site-link/tests/pinned_frames.rs
@@ -72,6 +72,16 @@
     );
 }
 
+#[test]
+fn request_that_states_its_transit() {
+    let stating = Request { announcement: 300, announcement_ago_us: 40, one_way_delay_us: 5, ..request() };
+    pinned(
+        FrameKind::Request(stating),
+        b"\
+        \x12$\x08\xac\x02\x10\t\x1a\x04look \x07(\xe0\xc6[0(8\x01B\x01aB\x01bH\x05X\xac\x02`(h\x05",
+    );
+}
+
 // The types of data and of windows have no public name; their fields are public.
 
 #[test]
@@ -214,6 +224,17 @@
     );
 }
 
+#[test]
+fn capacity_announcement_with_a_number() {
+    let numbered = CapacityAnnouncement { number: 300, ..announcement() };
+    pinned(
+        FrameKind::CapacityAnnouncement(numbered),
+        b"\
+        b#\n\t\n\x04look\x10\xac\x02\n\x07\n\x05renew\x12\x04\x08\x07\x10\x01\x12\x02\x08\x08\x18\
+        \x01(\xac\x02",
+    );
+}
+
 #[test]
 fn close() {
     pinned(FrameKind::Close(Close { why: "enough".into() }), b"j\x08\n\x06enough");
--- a/crates/site-routing/src/actions.rs
+++ b/crates/site-routing/src/actions.rs
@@ -23,8 +23,8 @@
         number: ForwardNumber,
         /// The time until the request's deadline when it arrives at the gateway, in microseconds.
         timeout: Micros,
-        /// How long before its arrival at the gateway the first attempt that may have run began, in
-        /// microseconds; `None` if none may have run, or if repeating the request is harmless at any time.
+        /// How long ago the first attempt that may have run began, in microseconds; `None` if none may have
+        /// run, or if repeating the request is harmless at any time.
         earlier_attempt_age: Option<Micros>,
     },
     /// Ask a gateway for the outcome of a request that was forwarded to it.
--- a/crates/site-routing/src/lib.rs
+++ b/crates/site-routing/src/lib.rs
@@ -80,6 +80,7 @@
 mod session_assignment;
 mod site_selection;
 mod stored_promises;
+mod transit;
 
 pub use actions::{Action, Actions};
 pub use config::{Effect, Need, RequestClass, SiteRouterConfig};
@@ -93,6 +94,7 @@
 pub use router::{CapacityOffer, HomeView, SiteRouter};
 pub use session_assignment::OpenWorkBySite;
 pub use stored_promises::{BootId, BootInstant, PromiseEnd, PromiseRecord, StoredPromises};
+pub use transit::{AnnouncementEcho, AnnouncementTimes, StatedTimes};
 
 /// A time in whole microseconds: either an instant on the caller's clock or a duration.
 pub type Micros = i64;
--- a/crates/site-routing/src/router/placement.rs
+++ b/crates/site-routing/src/router/placement.rs
@@ -73,8 +73,8 @@
             return self.report_not_primary(handle, Some(site));
         }
         let class = pending.request.class;
-        let attempt_age = self.earlier_attempt_age(now, handle);
-        let Some(gateway) = self.choose_gateway(now, site, class, attempt_age.is_some()) else {
+        let earlier_attempt_age = self.earlier_attempt_age(now, handle);
+        let Some(gateway) = self.choose_gateway(now, site, class, earlier_attempt_age.is_some()) else {
             // The request is forwarded as soon as the site has capacity.
             return self.queue(now, handle);
         };
@@ -83,8 +83,6 @@
         };
         let number = self.forwarded.open(now, handle, gateway, class);
         self.mark_forwarded(handle, gateway, number);
-        // The age counts from the first attempt to the arrival, like the timeout.
-        let earlier_attempt_age = attempt_age.map(|age| age + self.one_way_delay(gateway));
         self.push_action(handle, Action::Forward { gateway, number, timeout, earlier_attempt_age });
     }
 
