Ask for the outcome of every request whose link was lost before sending a copy

No setting allows two attempts at once.

Cause: for a request that may be repeated the loss of its link counted as its end, and it was placed again at once.

Change: its outcome is asked for as for any other request; a copy goes out once the first one is over or its process was replaced. Outcomes of deduplicated requests are kept in memory until confirmed. The window counts from when the first copy was sent, not from the last question about it.

Cost: a request waits for its gateway until its deadline.

--- a/crates/proxy/src/dispatcher/gateway/answers.rs
+++ b/crates/proxy/src/dispatcher/gateway/answers.rs
@@ -99,10 +99,9 @@
             ..ResponseFrame::default()
         };
         let timeout = Micros::from(pending.request.comment.timeout_ms) * 1000;
-        let non_idempotent = matches!(effect, Effect::NonIdempotent);
-        // Nobody queries the outcome of a request that may simply be sent again, so its response is not kept.
-        let outcome = if non_idempotent { outcome } else { Outcome::Failed };
-        let kept_until = non_idempotent.then_some(now + timeout + QUERY_GRACE);
+        // An idempotent request may simply be run again if its response is lost, so its response is not kept.
+        let outcome = if effect == Effect::Idempotent { Outcome::Failed } else { outcome };
+        let kept_until = (effect == Effect::NonIdempotent).then_some(now + timeout + QUERY_GRACE);
         gateway_part.record_and_send(now, remote, outcome, kept_until, frame, data);
         let rejected = kind == ResponseKind::Rejected;
         if gateway_part.site_router.remote_request_ended(now, remote.gateway, pending.class, rejected) {
--- a/crates/proxy/tests/deduplicated_writes.rs
+++ b/crates/proxy/tests/deduplicated_writes.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use aldermill_test_support::{Cable, Client, Ledger, Site, named, new_id, order, served, until};
+use aldermill_test_support::{Cable, Client, Ledger, Site, list, named, new_id, order, served, until};
 
 /// How long members remember the key of a write after its first attempt, in milliseconds.
 const WINDOW_MS: u64 = 700;
@@ -62,3 +62,36 @@
     assert_ne!(response.code, "53300", "rejected as harmless to repeat, though it ran");
     assert_eq!(ledger.runs(&id), 1, "sent to a member again after its key was forgotten");
 }
+
+/// Guards against two attempts of one write at once: the link to one of two gateways drops, and the write was sent over
+/// the other one while the first attempt still ran.
+#[test]
+fn a_write_whose_link_is_lost_is_not_attempted_through_another_gateway_while_it_runs() {
+    let ledger = Ledger::default();
+    ledger.home.store(1, Ordering::SeqCst);
+    let unexpired = |settings: String| deduplicated(settings).replace(&WINDOW_MS.to_string(), "20000");
+    let mut local = Site::new(0, 1, &ledger, unexpired);
+    let mut remote = Site::new(1, 1, &ledger, unexpired);
+    // The second gateway of the remote site has the same member, and opens its links itself.
+    let mut second = Site::new(1, 0, &ledger, |settings| unexpired(settings).replace(r#""n1""#, r#""n9""#));
+    second.discovery.say(list(2, true, &[("s1-a", &remote.members[0], "in_service")]));
+    let relay = Cable::to(remote.links);
+    remote.start(&[(0, None)]);
+    local.start(&[(1, Some(relay.address))]);
+    second.start(&[(0, Some(local.links))]);
+    let links_up =
+        || local.driver().log.lock().unwrap().iter().filter(|line| line.contains("link up")).count();
+    until("links to both gateways", || links_up() >= 4);
+    let mut client = local.client();
+    until("a forwarded write", || served(&client.ask(&order(TIMEOUT_MS))));
+
+    ledger.work.store(3 * WORK_MS as usize, Ordering::SeqCst);
+    for _ in 0..10 {
+        let id = start_write(&mut client, &ledger);
+        let links_before = links_up();
+        relay.cut(false);
+        assert!(served(&client.answer().expect("a final answer")));
+        assert_eq!(ledger.runs(&id), 1, "attempted twice at once");
+        until("the links after the cut", || links_up() >= links_before + 2);
+    }
+}
--- a/crates/site-routing/src/forwarded_requests.rs
+++ b/crates/site-routing/src/forwarded_requests.rs
@@ -33,9 +33,17 @@
 }
 
 impl ForwardState {
-    /// Handles the loss of the request's link. If a second execution is harmless, the outcome does not need to be
-    /// known.
-    pub fn link_lost(&mut self, harmless_to_repeat: bool) -> Conclusion {
+    /// Handles the loss of the request's link: the receiver may still have attempts under way.
+    ///
+    /// Even if a second execution is harmless, the outcome is asked for, as a copy that is sent elsewhere would make two
+    /// attempts at once. The cost: the request waits for a link to the same gateway.
+    pub fn link_lost(&mut self) {
+        *self = ForwardState::Unresolved;
+    }
+
+    /// Handles the replacement of the receiver's process, whose attempts ended with it. If a second execution is harmless,
+    /// the outcome does not need to be known.
+    pub fn receiver_replaced(&mut self, harmless_to_repeat: bool) -> Conclusion {
         *self = ForwardState::Unresolved;
         if harmless_to_repeat { Conclusion::MayHaveRun } else { Conclusion::Open }
     }
@@ -71,7 +79,7 @@
     pub(crate) gateway: PeerGatewayId,
     pub(crate) class: usize,
     pub(crate) sent_at: Micros,
-    /// When the request was sent, or its receiver was last asked about it.
+    /// When the receiver was last asked about the request; when it was sent, if the receiver was not asked.
     pub(crate) last_contact_at: Micros,
     pub(crate) state: ForwardState,
 }
--- a/crates/site-routing/src/pending_requests.rs
+++ b/crates/site-routing/src/pending_requests.rs
@@ -30,7 +30,7 @@
 /// An attempt that may have taken effect.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PossibleExecution {
-    /// When the attempt began, or its site was last asked about it.
+    /// When the attempt began, or when the request was forwarded.
     pub(crate) at: Micros,
     pub(crate) site: SiteId,
 }
--- a/crates/site-routing/src/router/completion.rs
+++ b/crates/site-routing/src/router/completion.rs
@@ -39,7 +39,7 @@
             }
         }
         if let Some(pending) = self.pending.get_mut(forwarded.handle) {
-            pending.record_possible_execution(forwarded.last_contact_at, site);
+            pending.record_possible_execution(forwarded.sent_at, site);
             self.place(now, forwarded.handle);
         }
     }
--- a/crates/site-routing/src/router/link_events.rs
+++ b/crates/site-routing/src/router/link_events.rs
@@ -55,22 +55,31 @@
 
     /// Handles a restart of a gateway's process. The new process may have restored what the old one accepted,
     /// so it is queried about the non-idempotent requests that were sent to the old one; it may not know
-    /// their outcome.
+    /// their outcome. All other requests may be sent again at once.
     fn gateway_restarted(&mut self, now: Micros, gateway: PeerGatewayId) {
         if let Some(gateway) = self.gateways.get_mut(gateway) {
             gateway.process_restarted();
         }
         self.link_credit.reset(gateway);
         for number in self.forwarded.open_at(gateway) {
-            self.forward_lost(now, number);
+            self.receiver_replaced(now, number);
         }
     }
 
+    /// Handles a forwarded request whose receiver's process was replaced.
+    fn receiver_replaced(&mut self, now: Micros, number: ForwardNumber) {
+        let Some(request) = self.forwarded.get_mut(number) else { return };
+        let harmless_to_repeat = self.config.classes[request.class].effect != Effect::NonIdempotent;
+        let conclusion = request.state.receiver_replaced(harmless_to_repeat);
+        self.conclude(now, number, conclusion);
+    }
+
     /// Handles the loss of a link to the gateway, over which the requests with these numbers had been sent.
     pub fn link_lost(&mut self, now: Micros, gateway: PeerGatewayId, numbers: &[ForwardNumber]) -> Actions {
         for &number in numbers {
-            if self.forwarded.get(number).is_some_and(|request| request.gateway == gateway) {
-                self.forward_lost(now, number);
+            if let Some(request) = self.forwarded.get_mut(number).filter(|request| request.gateway == gateway)
+            {
+                request.state.link_lost();
             }
         }
         self.query_unresolved_at(now, gateway);
@@ -78,14 +87,6 @@
         self.take_actions()
     }
 
-    /// Handles a forwarded request whose answer may be lost.
-    fn forward_lost(&mut self, now: Micros, number: ForwardNumber) {
-        let Some(request) = self.forwarded.get_mut(number) else { return };
-        let harmless_to_repeat = self.config.classes[request.class].effect != Effect::NonIdempotent;
-        let conclusion = request.state.link_lost(harmless_to_repeat);
-        self.conclude(now, number, conclusion);
-    }
-
     /// Handles a gateway's announcement of its capacity: its credits by class, the groups that have members
     /// at its site, each with whether the site has the primary, and whether the gateway drains.
     pub fn capacity_announced(
