Send a copy over another gateway at once where two attempts are allowed

Since copies wait for the outcome of the first one, a request whose gateway cannot be reached waits until its deadline. Where the settings allow two attempts at once (limits.mayDuplicate, not decoded before), it need not.

A test holds both: no copy before the outcome is known by default, one at once where the settings say so.

--- a/crates/proxy/src/dispatcher/gateway/start.rs
+++ b/crates/proxy/src/dispatcher/gateway/start.rs
@@ -95,6 +95,7 @@
         max_hops: setup.max_hops,
         max_credit: setup.max_credit,
         max_retry_after: settings.router_config.max_retry_after,
+        duplicate_attempts_allowed: settings.duplicate_attempts_allowed,
     }
 }
 
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -118,6 +118,9 @@
     /// Requests that one router may hold at once.
     #[serde(rename = "maxOpen")]
     pub(crate) max_open_requests: usize,
+    /// A request that may be repeated may have two attempts at once.
+    #[serde(default, rename = "mayDuplicate")]
+    pub(crate) duplicate_attempts_allowed: bool,
 }
 
 /// The `drainGraceMs` of a document without that key, in milliseconds.
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -27,6 +27,8 @@
     pub drain_grace: Micros,
     /// Requests that one router may hold at once (`limits.maxOpen`).
     pub max_open_requests: usize,
+    /// Whether a request that may be repeated may have two attempts at once (`limits.mayDuplicate`).
+    pub duplicate_attempts_allowed: bool,
     /// The bench's clock where positions are zero, in microseconds (`familyInfo.positionZeroMs`).
     pub position_origin: Micros,
     class_indices: HashMap<String, usize>,
@@ -50,6 +52,7 @@
             connect_timeout: span("limits.connectTimeoutMs", document.limits.connect_timeout_ms)?,
             drain_grace: span("rules.drainGraceMs", document.member_rules.drain_grace_ms)?,
             max_open_requests: document.limits.max_open_requests,
+            duplicate_attempts_allowed: document.limits.duplicate_attempts_allowed,
             position_origin: micros_from_millis(document.replication.position_origin_ms),
             class_indices: class_indices(&document),
             listed_weights_are_sizes: matches!(document.listed_weights.as_str(), "nominal" | "rough"),
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -76,6 +76,8 @@
             .unlisted_members_usable
     );
     assert!(rejection("/rules/onlyDrainingBinds", json!("yes")).contains("expected a boolean"));
+    assert!(!with_value("/limits/mayDuplicate", None).unwrap().duplicate_attempts_allowed);
+    assert!(with_value("/limits/mayDuplicate", Some(json!(true))).unwrap().duplicate_attempts_allowed);
     assert!(with_value("/somethingNew", Some(json!({"a": [1]}))).is_ok());
 }
 
--- a/crates/site-routing/src/config.rs
+++ b/crates/site-routing/src/config.rs
@@ -58,4 +58,6 @@
     pub max_credit: u32,
     /// The maximum retry-after that is returned to a requester, in microseconds.
     pub max_retry_after: Micros,
+    /// Whether a request that may be repeated may have attempts at two gateways at once.
+    pub duplicate_attempts_allowed: bool,
 }
--- a/crates/site-routing/src/forwarded_requests.rs
+++ b/crates/site-routing/src/forwarded_requests.rs
@@ -33,19 +33,11 @@
 }
 
 impl ForwardState {
-    /// Handles the loss of the request's link: the receiver may still have attempts under way.
-    ///
-    /// Even if a second execution is harmless, the outcome is asked for, as a copy that is sent elsewhere would make two
-    /// attempts at once. The cost: the request waits for a link to the same gateway.
-    pub fn link_lost(&mut self) {
+    /// Handles an event by which the answer to the request may be lost. If the request may be sent again in any case,
+    /// its outcome does not need to be known.
+    pub fn answer_lost(&mut self, may_send_again: bool) -> Conclusion {
         *self = ForwardState::Unresolved;
-    }
-
-    /// Handles the replacement of the receiver's process, whose attempts ended with it. If a second execution is harmless,
-    /// the outcome does not need to be known.
-    pub fn receiver_replaced(&mut self, harmless_to_repeat: bool) -> Conclusion {
-        *self = ForwardState::Unresolved;
-        if harmless_to_repeat { Conclusion::MayHaveRun } else { Conclusion::Open }
+        if may_send_again { Conclusion::MayHaveRun } else { Conclusion::Open }
     }
 
     /// Handles the receiver's answer to the request.
--- a/crates/site-routing/src/lib.rs
+++ b/crates/site-routing/src/lib.rs
@@ -47,6 +47,7 @@
 //!     max_hops: 1,
 //!     max_credit: 64,
 //!     max_retry_after: 500_000,
+//!     duplicate_attempts_allowed: false,
 //! };
 //! let mut router = SiteRouter::new(config, 1, 0);
 //! // Group 7 has three members at this site, so its reads are served locally.
--- a/crates/site-routing/src/router/link_events.rs
+++ b/crates/site-routing/src/router/link_events.rs
@@ -62,24 +62,29 @@
         }
         self.link_credit.reset(gateway);
         for number in self.forwarded.open_at(gateway) {
-            self.receiver_replaced(now, number);
+            self.answer_lost(now, number, true);
         }
     }
 
-    /// Handles a forwarded request whose receiver's process was replaced.
-    fn receiver_replaced(&mut self, now: Micros, number: ForwardNumber) {
+    /// Handles an event by which the answer to a forwarded request may be lost. `attempts_ended` says whether the receiver
+    /// has no attempt under way any more.
+    ///
+    /// While it may have one, the outcome is asked for even if a second execution is harmless, as a copy that is sent
+    /// elsewhere would make two attempts at once, unless the configuration allows them. The cost: the request waits for
+    /// a link to the same gateway.
+    fn answer_lost(&mut self, now: Micros, number: ForwardNumber, attempts_ended: bool) {
         let Some(request) = self.forwarded.get_mut(number) else { return };
         let harmless_to_repeat = self.config.classes[request.class].effect != Effect::NonIdempotent;
-        let conclusion = request.state.receiver_replaced(harmless_to_repeat);
+        let may_overlap = attempts_ended || self.config.duplicate_attempts_allowed;
+        let conclusion = request.state.answer_lost(harmless_to_repeat && may_overlap);
         self.conclude(now, number, conclusion);
     }
 
     /// Handles the loss of a link to the gateway, over which the requests with these numbers had been sent.
     pub fn link_lost(&mut self, now: Micros, gateway: PeerGatewayId, numbers: &[ForwardNumber]) -> Actions {
         for &number in numbers {
-            if let Some(request) = self.forwarded.get_mut(number).filter(|request| request.gateway == gateway)
-            {
-                request.state.link_lost();
+            if self.forwarded.get(number).is_some_and(|request| request.gateway == gateway) {
+                self.answer_lost(now, number, false);
             }
         }
         self.query_unresolved_at(now, gateway);
--- a/crates/site-routing/tests/draining_site.rs
+++ b/crates/site-routing/tests/draining_site.rs
@@ -34,8 +34,14 @@
         late_priority_weight: 0.5,
     };
     let classes = vec![class(Effect::Idempotent, Need::Any), class(Effect::NonIdempotent, Need::Primary)];
-    let config =
-        SiteRouterConfig { classes, sites: 3, max_hops: 1, max_credit: 10_000, max_retry_after: 500 * MS };
+    let config = SiteRouterConfig {
+        classes,
+        sites: 3,
+        max_hops: 1,
+        max_credit: 10_000,
+        max_retry_after: 500 * MS,
+        duplicate_attempts_allowed: false,
+    };
     let mut router = SiteRouter::new(config, 1, 0);
     router.groups_listed(0, &[(GROUP, 2)]);
     for gateway in 0..2 {
--- a/crates/site-routing/tests/earlier_attempts.rs
+++ b/crates/site-routing/tests/earlier_attempts.rs
@@ -33,6 +33,7 @@
         max_hops: 3,
         max_credit: 64,
         max_retry_after: 1_000 * MS,
+        duplicate_attempts_allowed: false,
     }
 }
 
--- a/crates/site-routing/tests/forwarding_model/protocol.rs
+++ b/crates/site-routing/tests/forwarding_model/protocol.rs
@@ -154,7 +154,7 @@
         if let Phase::Forwarded(forward) = phase
             && incarnation < state.incarnation
         {
-            forward.receiver_replaced(false);
+            forward.answer_lost(false);
         }
     }
 }
@@ -242,7 +242,7 @@
                 state.link_losses += 1;
                 for phase in &mut state.phases {
                     if let Phase::Forwarded(forward) = phase {
-                        forward.link_lost();
+                        forward.answer_lost(false);
                     }
                 }
             }
--- a/crates/site-routing/tests/link_loss.rs
+++ b/crates/site-routing/tests/link_loss.rs
@@ -14,7 +14,7 @@
 /// Index of the class whose repeats are deduplicated; the other one is idempotent.
 const DEDUPLICATED: usize = 1;
 
-fn config() -> SiteRouterConfig {
+fn config(duplicate_attempts_allowed: bool) -> SiteRouterConfig {
     let class = |effect| RequestClass {
         effect,
         need: Need::Primary,
@@ -29,6 +29,7 @@
         max_hops: 1,
         max_credit: 64,
         max_retry_after: 1_000 * MS,
+        duplicate_attempts_allowed,
     }
 }
 
@@ -41,7 +42,11 @@
 
 impl Forwarded {
     fn new(class: usize) -> Forwarded {
-        let mut router = SiteRouter::new(config(), 1, 0);
+        Forwarded::with_config(class, config(false))
+    }
+
+    fn with_config(class: usize, config: SiteRouterConfig) -> Forwarded {
+        let mut router = SiteRouter::new(config, 1, 0);
         for gateway in 0..2 {
             router.links_changed(0, gateway, REMOTE_SITE, 1, true);
             router.attempt_ages_announced(gateway, true);
@@ -85,6 +90,15 @@
     }
 }
 
+/// Where two attempts at once are allowed, a request need not wait for its first one.
+#[test]
+fn a_request_whose_link_is_lost_is_sent_again_at_once_where_two_attempts_are_allowed() {
+    for class in [0, DEDUPLICATED] {
+        let mut forwarded = Forwarded::with_config(class, config(true));
+        assert!(matches!(forwarded.lose_link(100 * MS)[..], [Action::Forward { .. }]));
+    }
+}
+
 /// A process that was replaced has no attempts under way: its requests need not wait for an answer that it cannot give.
 #[test]
 fn a_request_of_a_replaced_process_is_sent_again_at_once_if_it_may_be_repeated() {
--- a/crates/site-routing/tests/two_sites/gateway.rs
+++ b/crates/site-routing/tests/two_sites/gateway.rs
@@ -39,6 +39,7 @@
         max_hops: 1,
         max_credit: 64,
         max_retry_after: 1_000 * MS,
+        duplicate_attempts_allowed: false,
     }
 }
 
