Begin no attempt of a remote request while the link to its sender is lost

Cause: the receiver knew that its link was lost, and did not use it.

Change: such a request is suspended at the local router. An attempt in flight goes on and its outcome is kept; the sender's query over another link resumes the request. Requests of a process that was replaced are dropped.

Limit: behind two links the third site goes on while only the first one is down.

--- a/crates/proxy/src/dispatcher/gateway/inbound_messages.rs
+++ b/crates/proxy/src/dispatcher/gateway/inbound_messages.rs
@@ -75,6 +75,7 @@
         gateway_part.set_response_link(gateway, query.number, link);
         let (frame, data) = encode_outcome_reply(query.number, outcome);
         gateway_part.send(gateway, Some(link), Outbound::OutcomeReply(frame, data));
+        self.resume_remote_request(gateway, query.number);
     }
 
     /// Handles another gateway's announcement of its capacity and of the groups at its site. A request class that
--- a/crates/proxy/src/dispatcher/gateway/links.rs
+++ b/crates/proxy/src/dispatcher/gateway/links.rs
@@ -1,10 +1,11 @@
 //! Links to other gateways: how they come up, are identified by a greeting, and are lost.
 
+use aldermill_routing::{Actions, RequestHandle as RouterHandle};
 use aldermill_site_link::{Identity, Inbound};
-use aldermill_site_routing::{LOCAL_SITE, Origin, PeerGatewayId, SiteId};
+use aldermill_site_routing::{LOCAL_SITE, Origin, PeerGatewayId, RequestHandle, SiteId};
 use slog::{info, warn};
 
-use super::{ActiveLink, GatewayPart, PeerGateway};
+use super::{ActiveLink, GatewayPart, PeerGateway, PendingRequest, Requester};
 use crate::dispatcher::Dispatcher;
 use crate::messages::{LinkEvent, LinkId};
 
@@ -52,7 +53,9 @@
             info!(self.context.log, "peer gateway restarted";
                 "site" => &origin.site, "instance" => &origin.instance);
             gateway_part.replace_incarnation(id, origin);
+            self.abandon_requests_of(id);
         }
+        let Some(gateway_part) = &mut self.gateway_part else { return };
         let links = gateway_part.add_link(id, link);
         let actions = gateway_part.site_router.links_changed(now, id, site, links, same_incarnation);
         gateway_part.announce_capacity_to(now, id);
@@ -72,6 +75,8 @@
             warn!(self.context.log, "last link to peer gateway lost"; "site" => &gateway_part.site_names[site],
                 "instance" => &peer.origin.instance, "unresolved" => numbers.len());
         }
+        self.suspend_requests_of(link);
+        let Some(gateway_part) = &mut self.gateway_part else { return };
         let after_count = gateway_part.site_router.links_changed(now, id, site, links, true);
         let after_loss = gateway_part.site_router.link_lost(now, id, &numbers);
         self.carry_out_site_actions(after_count, None);
@@ -79,7 +84,58 @@
     }
 }
 
+impl Dispatcher {
+    /// Suspends the remote requests whose sender expects the response over a link that is lost. The sender resumes
+    /// each by a query over another link.
+    fn suspend_requests_of(&mut self, link: LinkId) {
+        let Some(gateway_part) = &self.gateway_part else { return };
+        for local in gateway_part.local_requests_of(link) {
+            let ((), actions) = self.decide(|router| (local.suspend(router), Actions::default()));
+            self.carry_out(actions);
+        }
+    }
+
+    /// Drops the remote requests of a gateway whose process was replaced, as nobody waits for them any more. Attempts that
+    /// were already sent continue.
+    fn abandon_requests_of(&mut self, gateway: PeerGatewayId) {
+        let Some(gateway_part) = &self.gateway_part else { return };
+        let requests = gateway_part.remote_requests.iter().filter(|((sender, _), _)| *sender == gateway);
+        let mut handles: Vec<RequestHandle> = requests.map(|(_, &handle)| handle).collect();
+        handles.sort_unstable();
+        handles.into_iter().for_each(|handle| self.abandon_pending_request(handle));
+    }
+
+    /// Resumes a remote request that its sender still waits for.
+    pub(super) fn resume_remote_request(&mut self, gateway: PeerGatewayId, number: u64) {
+        let now = self.context.clock.now();
+        let Some(gateway_part) = &self.gateway_part else { return };
+        let handle = gateway_part.remote_requests.get(&(gateway, number));
+        let pending = handle.and_then(|handle| gateway_part.pending_requests.get(handle));
+        if let Some(local) = pending.and_then(|pending| pending.local_handle) {
+            let ((), actions) = self.decide(|router| ((), local.resume(router, now)));
+            self.carry_out(actions);
+        }
+    }
+
+    /// Returns whether a request came from another gateway over a link that is lost.
+    pub(super) fn is_requester_unlinked(&self, handle: RequestHandle) -> bool {
+        let Some(gateway_part) = &self.gateway_part else { return false };
+        let requester = gateway_part.pending_requests.get(&handle).map(|pending| &pending.requester);
+        matches!(requester, Some(Requester::Gateway(remote)) if !gateway_part.links.contains_key(&remote.link))
+    }
+}
+
 impl GatewayPart {
+    /// Returns the local router's handles of the remote requests whose response is expected over this link.
+    fn local_requests_of(&self, link: LinkId) -> Vec<RouterHandle> {
+        let is_expected = |pending: &&PendingRequest| matches!(&pending.requester, Requester::Gateway(remote) if remote.link == link);
+        self.pending_requests
+            .values()
+            .filter(is_expected)
+            .filter_map(|pending| pending.local_handle)
+            .collect()
+    }
+
     /// Returns the index of the gateway with the site and instance of `origin`, after adding it if it has never
     /// greeted.
     fn get_or_add_gateway(&mut self, site: SiteId, origin: &Origin) -> PeerGatewayId {
--- a/crates/proxy/src/dispatcher/gateway/site_actions.rs
+++ b/crates/proxy/src/dispatcher/gateway/site_actions.rs
@@ -88,6 +88,7 @@
         let Some(pending) = self.pending_request_mut(handle) else { return };
         let request = pending.request.clone();
         let class = pending.class;
+        let is_suspended = self.is_requester_unlinked(handle);
         let deadline = self.context.clock.now() + timeout;
         let (local_handle, actions) = self.submit_to_router(RouterSubmission {
             request,
@@ -95,6 +96,7 @@
             deadline,
             site_handle: Some(handle),
             earlier_attempt_age,
+            is_suspended,
         });
         if let Some(pending) = self.pending_request_mut(handle) {
             pending.local_handle = Some(local_handle);
--- a/crates/proxy/src/dispatcher/requests.rs
+++ b/crates/proxy/src/dispatcher/requests.rs
@@ -28,6 +28,8 @@
     /// How long ago the first attempt began that another router made and that may have run, in microseconds;
     /// `None` if there is none.
     pub(super) earlier_attempt_age: Option<Micros>,
+    /// Whether the request is suspended, as the link to its sender is lost.
+    pub(super) is_suspended: bool,
 }
 
 /// The gateway part's reaction to a member's answer that it is not the primary.
@@ -93,6 +95,7 @@
             deadline,
             site_handle: None,
             earlier_attempt_age: None,
+            is_suspended: false,
         };
         let (handle, actions) = self.submit_to_router(submission);
         self.request_owners.insert(request_id, RequestOwner::Router(handle));
@@ -123,7 +126,8 @@
 
     /// Converts the request to the router's form.
     fn routed_request(&self, submission: &RouterSubmission, now: Micros) -> Request {
-        let &RouterSubmission { ref request, class, deadline, earlier_attempt_age, .. } = submission;
+        let &RouterSubmission { ref request, class, deadline, earlier_attempt_age, is_suspended, .. } =
+            submission;
         let comment = &request.comment;
         Request {
             class,
@@ -134,6 +138,7 @@
             min_position: request.min_position(),
             last_write_age: request.last_write_age_at(now),
             earlier_attempt_age,
+            is_suspended,
             marked_retry: comment.client_retry,
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -160,6 +160,8 @@
     /// Time since the first attempt that another router made of this request and that may have run, in
     /// microseconds; `None` if there is none.
     pub earlier_attempt_age: Option<Micros>,
+    /// Whether the request is suspended from the start, see [`RequestHandle::suspend`].
+    pub is_suspended: bool,
     /// Whether the client marked the request as a retry.
     pub marked_retry: bool,
 }
--- a/crates/routing/src/policy/admission.rs
+++ b/crates/routing/src/policy/admission.rs
@@ -33,6 +33,7 @@
         let client_attempt = self.client_attempt(&request);
         let objective_at = self.objective_at(now, &request, client_attempt);
         let pending = PendingRequest {
+            is_suspended: request.is_suspended,
             request,
             group,
             arrived_at: now,
--- a/crates/routing/src/policy/dispatch.rs
+++ b/crates/routing/src/policy/dispatch.rs
@@ -49,7 +49,7 @@
         }
         let need = class.need;
         let target = match need {
-            _ if self.stall_pacing.blocks_attempts(now) => None,
+            _ if pending.is_suspended || self.stall_pacing.blocks_attempts(now) => None,
             Need::Write => self.write_target(now, pending),
             _ => self.read_target(now, handle, need),
         };
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -71,6 +71,28 @@
         router.take_actions()
     }
 
+    /// Suspends the request: no attempt begins until it is resumed. An attempt in flight continues, and the
+    /// request still ends by its deadline.
+    ///
+    /// This protects members from attempts that nobody may wait for any more, while the requester cannot be
+    /// reached. The cost: the request loses that time.
+    pub fn suspend(self, router: &mut Router) {
+        if let Some(pending) = router.pending_requests.get_mut(&self) {
+            pending.is_suspended = true;
+        }
+    }
+
+    /// Resumes a suspended request, whose requester still waits for it.
+    pub fn resume(self, router: &mut Router, now: Micros) -> Actions {
+        let pending = router.pending_requests.get_mut(&self);
+        if let Some(pending) = pending.filter(|pending| pending.is_suspended) {
+            pending.is_suspended = false;
+            let group = pending.group;
+            router.route_queued(now, group);
+        }
+        router.take_actions()
+    }
+
     /// Handles the departure of the client, which needs no answer any more.
     pub fn client_left(self, router: &mut Router, now: Micros) -> Actions {
         router.close(self);
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -66,6 +66,8 @@
     pub(crate) awaited_report: bool,
     /// Member of the newest attempt that has ended.
     pub(crate) last_member: Option<MemberId>,
+    /// Whether no attempt may begin for now, as it is not known whether anybody still waits for the answer.
+    pub(crate) is_suspended: bool,
     /// Whether the request is over: it has its final answer, or its client needs none.
     pub(crate) is_closed: bool,
 }
--- a/crates/routing/tests/router/main.rs
+++ b/crates/routing/tests/router/main.rs
@@ -12,3 +12,4 @@
 mod random_runs;
 mod replica_subset;
 mod simulation;
+mod suspension;
