Remember announcements by number, not by age

The times of announcements that bound a request's transit are kept for the last 4,096 in place of the last minute, so that a process with many peers and quick changes of its credits needs no more memory for them.

--- a/crates/site-routing/src/transit.rs
+++ b/crates/site-routing/src/transit.rs
@@ -8,8 +8,8 @@
 
 use crate::Micros;
 
-/// How long announcements are remembered, in microseconds. No request is of use after so long a transit.
-const ANNOUNCEMENT_MEMORY: Micros = 60_000_000;
+/// Number of announcements that are remembered, to all gateways together.
+const MAX_REMEMBERED: usize = 4096;
 /// Transit assumed if the announcement that a request names is not remembered, in microseconds: longer than any timeout.
 const UNBOUNDED_TRANSIT: Micros = 1_000_000_000;
 
@@ -35,7 +35,7 @@
     pub fn announce(&mut self, now: Micros) -> u64 {
         self.last_number += 1;
         self.sent.push_back((self.last_number, now));
-        while self.sent.front().is_some_and(|&(_, sent_at)| now - sent_at > ANNOUNCEMENT_MEMORY) {
+        if self.sent.len() > MAX_REMEMBERED {
             self.sent.pop_front();
         }
         self.last_number
