--- a/crates/proxy/tests/sessions_across_sites.rs
+++ b/crates/proxy/tests/sessions_across_sites.rs
@@ -5,9 +5,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use aldermill_test_support::{
-    Client, Ledger, Member, Site, list, look, order, refuse, serve, served, unix_millis, until,
+    Client, Ledger, Member, Site, list, look, order, refuse, replica_at, serve, served, unix_millis, until,
 };
-use aldermill_wire::pg;
 
 /// How long clients wait, in milliseconds.
 const TIMEOUT_MS: u32 = 5_000;
@@ -37,16 +36,7 @@
 /// Starts a replica that applies no commit after its start.
 fn stuck_replica() -> Member {
     let position = unix_millis();
-    Member::start(move |text, stream| {
-        let mut out = Vec::new();
-        let report = format!("x0={}.0,x1=0,inflight=0", position / 1000);
-        let value = if text == "SHOW usage" { report.as_bytes() } else { b"nothing written" };
-        pg::write_single_row(&mut out, "val", value, "SELECT 1");
-        pg::write_parameter_status(&mut out, "server_role", "reader");
-        pg::write_parameter_status(&mut out, "commit_clock", &position.to_string());
-        pg::write_ready_for_query(&mut out);
-        let _ = std::io::Write::write_all(stream, &out);
-    })
+    replica_at(move || position)
 }
 
 /// Two sites: clients use the gateway of the local one. The remote site has one or two gateways, and a member and a
--- a/crates/proxy/tests/wall_clock.rs
+++ b/crates/proxy/tests/wall_clock.rs
@@ -1,14 +1,12 @@
 //! The proxy under a wall clock that is wrong at the start or is stepped while it serves, over loopback.
 
-use std::io::Write;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use aldermill_test_support::{
-    Client, Discovery, Driver, Member, SteppedClock, config, list, look, order, served, sound, unix_millis,
-    until,
+    Client, Discovery, Driver, Member, SteppedClock, config, list, look, order, replica_at, served, sound,
+    unix_millis, until,
 };
-use aldermill_wire::pg;
 
 /// A second in microseconds.
 const SECOND: i64 = 1_000_000;
@@ -110,20 +108,6 @@
     assert_slow_start_duration([0].iter().chain(&CLOCK_STEPS).map(constant).collect());
 }
 
-/// Starts a replica that reports the replication position that `position` returns, in Unix milliseconds.
-fn replica_at(position: impl Fn() -> u128 + Send + Sync + 'static) -> Member {
-    Member::start(move |text, stream| {
-        let (mut out, position) = (Vec::new(), position());
-        let report = format!("x0={}.0,x1=0,inflight=0", position / 1000);
-        let value = if text == "SHOW usage" { report.as_bytes() } else { b"the value" };
-        pg::write_single_row(&mut out, "val", value, "SELECT 1");
-        pg::write_parameter_status(&mut out, "server_role", "reader");
-        pg::write_parameter_status(&mut out, "commit_clock", &position.to_string());
-        pg::write_ready_for_query(&mut out);
-        let _ = stream.write_all(&out);
-    })
-}
-
 /// Starts a proxy with this replica and a primary. `need` is the value in the settings for how fresh the data
 /// of reads must be, and the maximum age of that data is set to 300 ms.
 fn proxy_with_replica(clock: &SteppedClock, replica: Member, need: &str) -> (Driver, Member, Member) {
--- a/crates/test-support/src/member.rs
+++ b/crates/test-support/src/member.rs
@@ -103,16 +103,28 @@
 
 /// The bytes of such an answer.
 pub fn whole(value: &[u8], text: &str, role: &str) -> Vec<u8> {
+    whole_at(unix_millis(), value, text, role)
+}
+
+/// The bytes of such an answer of a member that has applied all commits up to `position`, in Unix milliseconds.
+fn whole_at(position: u128, value: &[u8], text: &str, role: &str) -> Vec<u8> {
     let mut out = Vec::new();
-    let report = format!("x0={}.0,x1={},inflight=0", unix_millis() / 1000, u8::from(role == "writer"));
+    let report = format!("x0={}.0,x1={},inflight=0", position / 1000, u8::from(role == "writer"));
     let value = if text == "SHOW usage" { report.as_bytes() } else { value };
     pg::write_single_row(&mut out, "val", value, "SELECT 1");
     pg::write_parameter_status(&mut out, "server_role", role);
-    pg::write_parameter_status(&mut out, "commit_clock", &unix_millis().to_string());
+    pg::write_parameter_status(&mut out, "commit_clock", &position.to_string());
     pg::write_ready_for_query(&mut out);
     out
 }
 
+/// A replica that has applied all commits up to the position that `position` returns, in Unix milliseconds.
+pub fn replica_at(position: impl Fn() -> u128 + Send + Sync + 'static) -> Member {
+    Member::start(move |text, stream| {
+        let _ = stream.write_all(&whole_at(position(), b"the value", text, "reader"));
+    })
+}
+
 pub fn refuse(code: &str, role: &str, stream: &mut TcpStream) {
     let mut out = Vec::new();
     pg::write_error_response(&mut out, false, code, "stand-in", None);
--- a/crates/test-support/src/site.rs
+++ b/crates/test-support/src/site.rs
@@ -63,6 +63,8 @@
     pub driver: Option<Driver>,
     pub address: SocketAddr,
     pub links: SocketAddr,
+    /// How many links a request may cross.
+    pub hops: usize,
     /// Where its gateway keeps what is to survive a restart.
     pub warm: Option<std::path::PathBuf>,
     config: String,
@@ -81,7 +83,7 @@
         let config = config(discovery.start(), 256, &list(1, true, &lines));
         let config = terms(config.replace("\"n0\"", &format!("\"n{number}\"")));
         let (address, links) = (free_port(), free_port());
-        Site { number, members, discovery, driver: None, address, links, warm: None, config }
+        Site { number, members, discovery, driver: None, address, links, hops: 1, warm: None, config }
     }
 
     /// Starts its gateway, which goes to these sites at these addresses; others may come from loopback.
@@ -97,9 +99,10 @@
             std::env::temp_dir().join(format!("aldermill-{}-{}.sock", std::process::id(), self.links.port()));
         let warm = self.warm.as_ref().map(|folder| format!(r#","warm":{{"folder":{folder:?}}}"#));
         let operator = format!(
-            r#"{{"gateway":{{"site":"site{}","listen":"{}","status":{:?},"peers":[{}]}}{}}}"#,
+            r#"{{"gateway":{{"site":"site{}","listen":"{}","hops":{},"status":{:?},"peers":[{}]}}{}}}"#,
             self.number,
             self.links,
+            self.hops,
             status,
             peers.join(","),
             warm.unwrap_or_default()
