Add trials of one proxy beside hostile clients to the fault injection

Change: `aldermill-fault-injection hostile` starts one proxy with 32 MiB beside 20 ordinary clients and up to some hundreds of hostile ones of 24 behaviours, by name or drawn from a seed, with signals in between. It reports what the ordinary clients got, the process's memory, attempts that began after their client had left, and writes that ran twice.

--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod figures;
 pub mod front;
 pub mod history;
+pub mod hostile;
 pub mod judge;
 pub mod keys;
 mod lists;
--- a/crates/fault-injection/src/main.rs
+++ b/crates/fault-injection/src/main.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use aldermill_fault_injection::Trouble;
+use aldermill_fault_injection::hostile::{Behaviour, HostileGroup, Trial};
 use aldermill_fault_injection::plan::Plan;
 use aldermill_fault_injection::report;
 use aldermill_fault_injection::run::run;
@@ -56,6 +57,28 @@
     /// Print the JSON schema of a plan
     #[bpaf(command)]
     Schema,
+    /// Play hostile clients against one process with little memory: by chance, or of one behaviour
+    #[bpaf(command)]
+    Hostile {
+        /// The seed of the first trial
+        #[bpaf(long, argument("N"), fallback(1))]
+        seed: u64,
+        /// How many trials, each with the next seed
+        #[bpaf(long, argument("N"), fallback(1))]
+        runs: u64,
+        /// Descriptors of the process, without chance
+        #[bpaf(long, argument("N"), fallback(1024))]
+        sockets: usize,
+        /// Connections of the hostile clients, without chance
+        #[bpaf(long, argument("N"), fallback(6))]
+        connections: usize,
+        /// The hostile clients do not read what they are sent
+        #[bpaf(long)]
+        unread: bool,
+        /// `drawn`, `none`, or a behaviour
+        #[bpaf(positional("BEHAVIOUR"))]
+        behaviour: String,
+    },
 }
 
 const PLANS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/plans");
@@ -66,6 +89,10 @@
         Command::Plans => plans().map(|()| true),
         Command::Shrink { seed, plan } => find(&plan, seed).and_then(|plan| shrink(plan, seed)),
         Command::Wide { day, times, shape } => widen(&day, times, &shape),
+        Command::Hostile { seed, runs, sockets, connections, unread, behaviour } => {
+            let chosen = Chosen { sockets, connections, reads: !unread, behaviour };
+            play_hostile(&chosen, seed, runs)
+        }
         Command::Schema => {
             print!("{}", Plan::schema());
             Ok(true)
@@ -81,6 +108,55 @@
     }
 }
 
+/// What the command line says of a trial of hostile clients.
+struct Chosen {
+    sockets: usize,
+    connections: usize,
+    reads: bool,
+    behaviour: String,
+}
+
+impl Chosen {
+    fn trial(&self, seed: u64) -> Result<Trial, Trouble> {
+        if self.behaviour == "drawn" {
+            return Ok(Trial::drawn(seed));
+        }
+        let mut trial = Trial {
+            memory_mb: 32,
+            sockets: self.sockets,
+            ordinary: 20,
+            length_ms: 8_000,
+            hostile: Vec::new(),
+            signals: Vec::new(),
+        };
+        if self.behaviour != "none" {
+            let behaviour = Behaviour::named(&self.behaviour)
+                .ok_or_else(|| Trouble::Behaviour(self.behaviour.clone()))?;
+            let (connections, reads) = (self.connections, self.reads);
+            trial.hostile.push(HostileGroup { behaviour, connections, reads });
+        }
+        Ok(trial)
+    }
+}
+
+/// Plays trials of hostile clients. Returns whether all held.
+fn play_hostile(chosen: &Chosen, seed: u64, runs: u64) -> Result<bool, Trouble> {
+    let mut held = 0;
+    for seed in seed..seed + runs {
+        let trial = chosen.trial(seed)?;
+        let report = trial.run();
+        let violations = report.violations();
+        println!("seed {seed}, {} sockets, {:?} {:?}", trial.sockets, trial.hostile, trial.signals);
+        println!("  {report}");
+        for violation in &violations {
+            println!("  BROKEN {violation}");
+        }
+        held += u64::from(violations.is_empty());
+    }
+    println!("{held} of {runs} trials held");
+    Ok(held == runs)
+}
+
 /// The day of the small fleet, by the command line.
 fn day() -> impl Parser<Day> {
     let usual = Day::default();
--- a/crates/fault-injection/src/trouble.rs
+++ b/crates/fault-injection/src/trouble.rs
@@ -30,6 +30,8 @@
     Picture { path: PathBuf, why: String },
     #[error("shape: {0} is not `large`, `many` or `both`")]
     Shape(String),
+    #[error("behaviour: {0} is not `drawn`, `none` or a behaviour of hostile clients")]
+    Behaviour(String),
     #[error("the plan does not fail: there is nothing to take away")]
     Sound,
 }
