Look for a target once for all waiting requests with the same options

Seen by callers: beside six clients that pipelined valid reads at full speed, other clients' p99 rose from 6 to 556 ms (674 ms where the six never read), 1.5% of their requests were rejected, and the proxy passed on 430 requests a second with one core used up.

Cause: after each end of an attempt the router routed every queued request of the group again, and each looked at each member, whose capacity is computed from all attempts in flight and several quantiles of histograms, computed anew each time. With 384 requests open one event took over a millisecond.

Evidence: a profile of the process showed 98% of its time in `route_queued`, 44% in `Histogram::quantile`.

Change: a pass over the queue remembers which options (class, last member, zone of the first attempt, refusals) found no target, until an attempt is sent; a search that may check replicas' freshness is never skipped.

--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -29,6 +29,7 @@
 mod list_subscription;
 mod local_failures;
 mod primary_search;
+mod queue_scan;
 mod read_routing;
 mod replica_subset;
 mod retry;
--- a/crates/routing/tests/router/main.rs
+++ b/crates/routing/tests/router/main.rs
@@ -9,6 +9,7 @@
 mod local_failures;
 mod own_writes;
 mod primary_search;
+mod queued_requests;
 mod random_runs;
 mod replica_subset;
 mod simulation;
