Route the requests of clients that pipeline after those of clients that wait

Cause: the router's queue goes by weight, then the newest first. Clients that pipeline always have the newest requests, so that capacity never reached anybody else.

Change: each request states how many earlier ones of its connection are open (`client_backlog`), and among equal weights fewer go first. Requests of clients that wait for each answer all have none, so their order is as before; the simulator's requests too.

--- a/crates/bench-adapter/src/router_instance.rs
+++ b/crates/bench-adapter/src/router_instance.rs
@@ -194,6 +194,7 @@
             min_position: None,
             last_write_age: last_write,
             earlier_attempt_age: None,
+            client_backlog: 0,
             is_suspended: false,
             marked_retry: repeat,
         })
--- a/crates/proxy/src/client/statement.rs
+++ b/crates/proxy/src/client/statement.rs
@@ -66,6 +66,7 @@
             comment.timeout_ms = comment.timeout_ms.min(time_left.as_millis() as u32);
         }
         let request_id = self.next_request_id();
+        let client_backlog = self.pending_responses.len();
         self.pending_responses.push_request(PendingRequest {
             request_id,
             write_key: write_key(&statement[comment.end..]),
@@ -81,6 +82,7 @@
             statement,
             comment,
             last_write_age: None,
+            client_backlog,
         };
         let request = DispatcherMessage::ClientRequest(request);
         self.context.dispatcher.send(request).await.map_err(|_| CloseReason::Normal)
--- a/crates/proxy/src/dispatcher/gateway/remote_requests.rs
+++ b/crates/proxy/src/dispatcher/gateway/remote_requests.rs
@@ -156,6 +156,7 @@
             statement,
             comment: validated.comment,
             last_write_age: (frame.written_ago_us > 0).then(|| capped_micros(frame.written_ago_us)),
+            client_backlog: 0,
         };
         self.route_request(RequestToRoute {
             request,
--- a/crates/proxy/src/dispatcher/requests.rs
+++ b/crates/proxy/src/dispatcher/requests.rs
@@ -140,6 +140,7 @@
             earlier_attempt_age,
             is_suspended,
             marked_retry: comment.client_retry,
+            client_backlog: request.client_backlog,
         }
     }
 
--- a/crates/proxy/src/messages/dispatcher.rs
+++ b/crates/proxy/src/messages/dispatcher.rs
@@ -102,6 +102,9 @@
     /// The time from the commit of the session's last write to `received_at`, in microseconds, as another
     /// gateway stated it; `None` if it stated none or the request came from a client.
     pub last_write_age: Option<Micros>,
+    /// Number of earlier requests of the connection that were not answered yet when this one arrived; zero if it came
+    /// from another gateway.
+    pub client_backlog: usize,
 }
 
 impl ClientRequest {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -164,6 +164,8 @@
     pub is_suspended: bool,
     /// Whether the client marked the request as a retry.
     pub marked_retry: bool,
+    /// Number of earlier requests of the same connection that were not answered yet when this one arrived.
+    pub client_backlog: usize,
 }
 
 /// Whether a member takes requests, according to the endpoint list.
--- a/crates/routing/src/policy/dispatch.rs
+++ b/crates/routing/src/policy/dispatch.rs
@@ -143,6 +143,7 @@
         QueuedRequest {
             handle,
             weight: self.queue_weight(now, pending),
+            client_backlog: pending.request.client_backlog,
         }
     }
 
--- a/crates/routing/src/policy/queue_scan.rs
+++ b/crates/routing/src/policy/queue_scan.rs
@@ -13,13 +13,21 @@
     pub(super) handle: RequestHandle,
     /// Priority weight of the request by now.
     pub(super) weight: f64,
+    /// Number of earlier requests of the same connection that were not answered when the request arrived.
+    pub(super) client_backlog: usize,
 }
 
 impl QueuedRequest {
-    /// Compares two requests of a group: the one of greater weight is routed first, then the newest.
+    /// Compares two requests of a group: the one of greater weight is routed first, then the one with fewer requests
+    /// of its connection before it, then the newest.
+    ///
+    /// The backlog shares the members among connections. Without it, a few clients that pipeline requests faster than
+    /// they are served get all capacity, and the requests of others wait until they are given up. The cost: while
+    /// capacity is short, a client that pipelines is served after those that wait for each answer.
     pub(super) fn routing_order(&self, other: &QueuedRequest) -> Ordering {
         let by_weight = other.weight.total_cmp(&self.weight);
-        by_weight.then(other.handle.cmp(&self.handle))
+        let by_backlog = self.client_backlog.cmp(&other.client_backlog);
+        by_weight.then(by_backlog).then(other.handle.cmp(&self.handle))
     }
 }
 
