Let others run after a bounded amount of one connection's messages and responses

Seen by callers: six clients that sent Sync messages at full speed and read the responses raised the p99 of 20 ordinary clients from 6 to 940 ms; empty queries, which went through one of the runtime's budgeted channels, to 28 ms.

Cause: the actor of a connection gives up the thread only where the runtime makes it wait. Reads are budgeted, 128 of 4 KiB each; the messages in between and the writes of their responses are not, so that one turn was some 100,000 responses as long as the client was fast.

Change: each message and each part of a response counts one unit and one more for each 4 KiB; after 16 the actor yields, and the runtime looks for events.

`a_flood_of_messages_that_need_no_member_does_not_delay_others` failed on, passes now.

--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -14,6 +14,7 @@
 use super::receipt_times::ReceiptTimes;
 use super::response::UnreadResponses;
 use super::shared_state::SharedState;
+use super::turn::Turn;
 use crate::flow_control::ConnectionGuard;
 use crate::lifecycle::process_context::ProcessContext;
 use crate::messages::{Answer, ClientMessage, ClientRequestId};
@@ -52,6 +53,8 @@
     pub(super) unread_responses: UnreadResponses,
     /// Number of requests sent to the dispatcher so far.
     pub(super) requests_sent: u64,
+    /// Work since other actors last had their turn.
+    pub(super) turn: Turn,
     /// True if the last request arrived so long after the request to stop that it was not owed an answer.
     pub(super) is_past_arrival_window: bool,
     /// Phase of the connection: accepting or draining.
@@ -104,6 +107,7 @@
             pending_responses: PendingResponses::default(),
             unread_responses: UnreadResponses::default(),
             requests_sent: 0,
+            turn: Turn::default(),
             is_past_arrival_window: false,
             phase: Phase::Accepting,
         }
@@ -133,6 +137,7 @@
     /// Writes the responses that are ready, then takes the step that [`NextStep`] names.
     async fn step(&mut self) -> Result<(), CloseReason> {
         self.write_ready_responses().await?;
+        self.turn.yield_if_used_up().await;
         match self.next_step() {
             NextStep::Accept(message) => self.accept(message).await,
             NextStep::WaitForEvent => {
--- a/crates/proxy/src/client/message_handling.rs
+++ b/crates/proxy/src/client/message_handling.rs
@@ -103,6 +103,7 @@
 
     /// Takes a complete message from the buffer and acts on it.
     pub(super) async fn accept(&mut self, message: ReceivedMessage) -> Result<(), CloseReason> {
+        self.turn.record(message.length);
         let statement = self.take_statement(&message);
         if self.pending_responses.is_empty() {
             self.unread_responses.clear();
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -13,3 +13,4 @@
 mod shared_state;
 mod startup;
 mod statement;
+mod turn;
--- a/crates/proxy/src/client/response.rs
+++ b/crates/proxy/src/client/response.rs
@@ -159,9 +159,11 @@
     async fn write_piece(&mut self, piece: &[u8]) -> Result<(), CloseReason> {
         let mut rest = piece;
         while !rest.is_empty() {
+            self.turn.yield_if_used_up().await;
             match system::try_write(Party::Client, &self.stream, rest) {
                 Ok(count) if count > 0 => {
                     rest = &rest[count..];
+                    self.turn.record(count);
                     self.unread_responses.record_written(count);
                     if self.shared_state.slow_reader.get() {
                         // The kernel accepted more bytes, so the client has read as many.
--- a/crates/proxy/tests/flooding_clients.rs
+++ b/crates/proxy/tests/flooding_clients.rs
@@ -141,3 +141,10 @@
 fn hundreds_of_queued_writes_of_clients_that_never_read_do_not_delay_others() {
     assert_not_delayed(false, || block_of(|| query(&order(1_500))));
 }
+
+/// Guards against a connection that keeps the thread as long as it finds more bytes to read and room to write.
+#[test]
+fn a_flood_of_messages_that_need_no_member_does_not_delay_others() {
+    const SYNC: [u8; 5] = [b'S', 0, 0, 0, 4];
+    assert_not_delayed(true, || SYNC.repeat(2_000));
+}
