Close a client connection that asks for encryption more than twice

Cause: the handshake answered encryption requests without a limit, each with a write of its own, and waited for nothing in between: up to 65,000 a turn.

Change: a client may ask once for each of TLS and GSSAPI, as the protocol has it; a third request is a protocol error (08P01) and closes the connection.

`a_client_may_ask_for_each_kind_of_encryption_once` failed before.

--- a/crates/proxy/src/client/startup.rs
+++ b/crates/proxy/src/client/startup.rs
@@ -1,5 +1,6 @@
 //! Startup handshake, and the encryption requests that may precede it.
 
+use aldermill_wire::Malformed;
 use aldermill_wire::pg::{self, InitialMessageKind};
 use tokio::time::{Instant, timeout_at};
 
@@ -10,11 +11,14 @@
 
 /// Answer to an encryption request: the client continues without encryption, or closes the connection.
 const ENCRYPTION_REJECTED: &[u8] = b"N";
+/// Number of encryption requests that a client may send: one for each of TLS and GSSAPI.
+const MAX_ENCRYPTION_REQUESTS: usize = 2;
 
 impl ClientConnection {
     /// Reads the client's startup message and answers it. Encryption requests that precede it are rejected.
     pub(super) async fn handle_startup(&mut self) -> Result<(), CloseReason> {
         let deadline = self.connected_at + self.context.limits.client.startup_timeout;
+        let mut encryption_requests = 0;
         loop {
             let Some(message) = pg::initial_message(self.buffer.held())? else {
                 self.read_startup_message(deadline).await?;
@@ -22,7 +26,11 @@
             };
             match message.kind {
                 InitialMessageKind::CancelRequest => return Err(CloseReason::Normal),
+                InitialMessageKind::EncryptionRequest if encryption_requests == MAX_ENCRYPTION_REQUESTS => {
+                    return Err(Malformed::RepeatedEncryptionRequest.into());
+                }
                 InitialMessageKind::EncryptionRequest => {
+                    encryption_requests += 1;
                     self.buffer.consume(message.length);
                     let rejection = EncodedResponse::unreserved(ENCRYPTION_REJECTED.to_vec());
                     self.write_response(rejection).await?;
--- a/crates/proxy/tests/flooding_clients.rs
+++ b/crates/proxy/tests/flooding_clients.rs
@@ -148,3 +148,22 @@
     const SYNC: [u8; 5] = [b'S', 0, 0, 0, 4];
     assert_not_delayed(true, || SYNC.repeat(2_000));
 }
+
+/// Guards against a client that asks for encryption for ever, each time with an answer.
+#[test]
+fn a_client_may_ask_for_each_kind_of_encryption_once() {
+    const ENCRYPTION_REQUEST: [u8; 8] = [0, 0, 0, 8, 4, 210, 22, 47];
+    let proxy = Driver::before(&[]);
+    let mut client = Client::bare(proxy.address);
+    client.raw(&ENCRYPTION_REQUEST.repeat(2));
+    let mut rejections = [0; 2];
+    client.stream.read_exact(&mut rejections).unwrap();
+    assert_eq!(&rejections, b"NN");
+    assert!(client.greeted().is_some(), "no session after two encryption requests");
+    let mut client = Client::bare(proxy.address);
+    client.raw(&ENCRYPTION_REQUEST.repeat(3));
+    client.stream.read_exact(&mut rejections).unwrap();
+    let error = client.answer().expect("an error after the third one");
+    assert_eq!(error.code, "08P01");
+    assert!(client.ended());
+}
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -15,6 +15,9 @@
     /// A startup message of another major version than 3.
     #[error("unsupported protocol version")]
     UnsupportedProtocolVersion,
+    /// More encryption requests than there are kinds of encryption to ask for.
+    #[error("repeated encryption request")]
+    RepeatedEncryptionRequest,
     /// A type that is no letter, or a length too small for the length word itself.
     #[error("bytes that are no message")]
     InvalidMessageHeader,
