Attempt nothing for a client that has left behind statements that were not read

Cause: the end of a stream is delivered only behind all bytes before it. The proxy reads 8 KiB ahead, so that the end of a client that had sent more was not seen, and up to 64 statements that had been accepted were attempted at leisure. Where the end could be seen, the timer that looks for it began anew with every answer; a connection that waited for room in the dispatcher's mailbox, or for the first endpoint list, did not look at all; and a departure reached the member only through the mailbox, behind up to 800 messages, each followed by a pass over the queue.

Change: - Up to 48 KiB are read ahead while buffer space can be reserved for them. Beyond that, while bytes are left unread, statements are attempted one at a time: the response to the first shows whether the client is still there. - Before a statement is accepted the system is asked whether the client has closed its side; the timer is kept over answers; both waits look for the close. - Requests share a flag with their connection, which is the last thing looked at before an attempt is sent, and the first in the dispatcher. - All requests of a client that leaves are abandoned together, with one pass over the queue. The router's table of requests has a hasher for handles that count up.

Found on the way and mended with it, as the same types change: the buffer space of a large statement was given back when its client left, while the request and its statement stayed until the attempt's end. It belongs to the request now. Large statements from other gateways were not charged at all; they are, to their link, and are rejected where there is no space.

Cost: a client that pipelines over 48 KiB without an end is served one statement at a time.

--- a/crates/proxy/src/client/close.rs
+++ b/crates/proxy/src/client/close.rs
@@ -55,11 +55,14 @@
 }
 
 impl ClientConnection {
-    /// Tells the dispatcher that the client no longer waits for the requests that have no response yet.
+    /// Tells the dispatcher that the client no longer waits for the requests that have no response yet. None of them is
+    /// attempted from now on, however long the dispatcher takes to read that.
     pub(super) async fn abandon_pending_requests(&mut self) {
-        while let Some(abandoned) = self.pending_responses.abandon_next() {
-            let left = ClientLeft { request_id: abandoned.request_id };
-            let _ = self.context.dispatcher.send(DispatcherMessage::ClientLeft(left)).await;
+        self.client_gone.cancel();
+        let request_ids = self.pending_responses.abandon();
+        if !request_ids.is_empty() {
+            let left = DispatcherMessage::ClientLeft(ClientLeft { request_ids });
+            let _ = self.context.dispatcher.send(left).await;
         }
     }
 
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -15,9 +15,9 @@
 use super::response::UnreadResponses;
 use super::shared_state::SharedState;
 use super::turn::Turn;
-use crate::flow_control::ConnectionGuard;
+use crate::flow_control::{BufferReservation, ConnectionGuard};
 use crate::lifecycle::process_context::ProcessContext;
-use crate::messages::{Answer, ClientMessage, ClientRequestId};
+use crate::messages::{Answer, Cancellation, ClientMessage, ClientRequestId};
 
 /// Mailbox capacity for requests to close the connection, in messages. It is added to the capacity for one
 /// answer per pipelined statement.
@@ -53,6 +53,12 @@
     pub(super) unread_responses: UnreadResponses,
     /// Number of requests sent to the dispatcher so far.
     pub(super) requests_sent: u64,
+    /// Buffer space for what is read ahead beyond `limits.client.read_ahead`.
+    pub(super) read_ahead_reservation: Option<BufferReservation>,
+    /// Set once the client has left, so that no attempt of its requests begins any more.
+    pub(super) client_gone: Cancellation,
+    /// When to look whether the client has left, while nothing is read from it.
+    pub(super) next_departure_check: Instant,
     /// Work since other actors last had their turn.
     pub(super) turn: Turn,
     /// True if the last request arrived so long after the request to stop that it was not owed an answer.
@@ -107,6 +113,9 @@
             pending_responses: PendingResponses::default(),
             unread_responses: UnreadResponses::default(),
             requests_sent: 0,
+            read_ahead_reservation: None,
+            client_gone: Cancellation::default(),
+            next_departure_check: Instant::now(),
             turn: Turn::default(),
             is_past_arrival_window: false,
             phase: Phase::Accepting,
@@ -187,9 +196,11 @@
     }
 
     /// Returns whether another statement may be accepted in addition to the pending ones.
-    fn may_accept(&self) -> bool {
+    fn may_accept(&mut self) -> bool {
         let pipelined = self.context.limits.client.pipelined_statements;
-        matches!(self.phase, Phase::Accepting) && self.pending_responses.len() < pipelined
+        matches!(self.phase, Phase::Accepting)
+            && self.pending_responses.len() < pipelined
+            && (self.pending_responses.is_empty() || !self.departure_may_be_hidden())
     }
 
     /// Stops accepting statements, and closes the connection once the responses that are owed are written.
--- a/crates/proxy/src/client/events.rs
+++ b/crates/proxy/src/client/events.rs
@@ -5,10 +5,9 @@
 use std::time::Duration;
 
 use aldermill_flow_control::Transfer;
-use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 use super::close::CloseReason;
 use super::connection::ClientConnection;
@@ -51,17 +50,17 @@
 }
 
 impl ClientConnection {
-    /// Waits for an event while requests are pending. Once `limits.client.read_ahead` bytes are buffered,
-    /// nothing more is read, and the connection is only polled for a close by the client.
+    /// Waits for an event while requests are pending. Once enough is read ahead, nothing more is read, and the
+    /// connection is only polled for a close by the client.
     pub(super) async fn wait_for_event(&mut self) -> ClientEvent {
-        let may_read = self.buffer.held().len() < self.context.limits.client.read_ahead;
+        let may_read = self.may_read_ahead();
         let poll_interval = self.context.limits.client.disconnect_poll_interval;
-        let Self { stream, buffer, mailbox, .. } = self;
+        let Self { stream, buffer, mailbox, next_departure_check, .. } = self;
         let reading = async {
             if may_read {
                 return system::read(Party::Client, stream, buffer.tail()).await.unwrap_or(0);
             }
-            wait_for_client_close(stream, poll_interval).await;
+            wait_for_departure(stream, next_departure_check, poll_interval).await;
             0
         };
         tokio::select! {
@@ -78,6 +77,21 @@
         }
     }
 
+    /// Waits for `ready` while the client is connected.
+    pub(super) async fn wait_unless_client_leaves<T>(
+        &mut self,
+        ready: impl Future<Output = T>,
+    ) -> Result<T, CloseReason> {
+        let poll_interval = self.context.limits.client.disconnect_poll_interval;
+        tokio::select! {
+            biased;
+            ready = ready => Ok(ready),
+            () = wait_for_departure(&self.stream, &mut self.next_departure_check, poll_interval) => {
+                Err(CloseReason::Normal)
+            }
+        }
+    }
+
     /// Waits for more bytes while no request is pending. The connection may be closed here even in the middle
     /// of a message, so that clients that start a message and never complete it do not keep others out.
     pub(super) async fn read_more(&mut self) -> Result<(), CloseReason> {
@@ -171,14 +185,14 @@
     }
 }
 
-/// Returns once the client has closed its side, even if bytes that it sent before that are still unread.
-async fn wait_for_client_close(stream: &TcpStream, poll_interval: Duration) {
+/// Returns once the client has closed its side, even if bytes that it sent before that are still unread. `next_check`
+/// is kept by the caller, so that a wait that is interrupted again and again still looks every `interval`.
+async fn wait_for_departure(stream: &TcpStream, next_check: &mut Instant, interval: Duration) {
     loop {
-        sleep(poll_interval).await;
-        // Does not wait, because there are bytes to read.
-        match stream.ready(Interest::READABLE).await {
-            Ok(ready) if !ready.is_read_closed() => {}
-            _ => return,
+        sleep_until(*next_check).await;
+        *next_check = Instant::now() + interval;
+        if system::is_closed_by_peer(stream) {
+            return;
         }
     }
 }
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -7,6 +7,7 @@
 pub mod listener;
 mod message_handling;
 mod pending_responses;
+mod read_ahead;
 mod receipt_times;
 mod registry;
 mod response;
--- a/crates/proxy/src/client/pending_responses.rs
+++ b/crates/proxy/src/client/pending_responses.rs
@@ -3,7 +3,6 @@
 use std::collections::VecDeque;
 
 use super::response::EncodedResponse;
-use crate::flow_control::BufferReservation;
 use crate::messages::{Answer, ClientRequestId};
 
 /// Request that was sent to the dispatcher.
@@ -13,16 +12,12 @@
     /// Key of a statement that may write; later statements on the same key wait for this one. `None` if the
     /// statement only reads or contains no key.
     pub(super) write_key: Option<String>,
-    /// Buffer space of a large statement.
-    pub(super) statement_reservation: Option<BufferReservation>,
 }
 
 /// Response to one statement.
 struct PendingResponse {
     /// State of the response.
     state: ResponseState,
-    /// Buffer space of a large statement, held until the response is the next to be written.
-    statement_reservation: Option<BufferReservation>,
 }
 
 /// State of a response.
@@ -78,15 +73,15 @@
 
     /// Adds the response to a request that the dispatcher will answer.
     pub(super) fn push_request(&mut self, pending: PendingRequest) {
-        let PendingRequest { request_id, write_key, statement_reservation } = pending;
+        let PendingRequest { request_id, write_key } = pending;
         let state = ResponseState::Awaited { request_id, write_key };
-        self.queue.push_back(PendingResponse { state, statement_reservation });
+        self.queue.push_back(PendingResponse { state });
     }
 
     /// Adds a response that needs no answer from the dispatcher.
     pub(super) fn push_ready(&mut self, response: EncodedResponse) {
         let state = ResponseState::Ready(response);
-        self.queue.push_back(PendingResponse { state, statement_reservation: None });
+        self.queue.push_back(PendingResponse { state });
     }
 
     /// Stores the dispatcher's answer to a request. Has no effect if the request is not awaited.
@@ -96,7 +91,7 @@
         }
     }
 
-    /// Removes the next response if it can be written, and frees the buffer space of its statement.
+    /// Removes the next response if it can be written.
     pub(super) fn pop_ready(&mut self) -> Option<EncodedResponse> {
         match self.queue.pop_front_if(|pending| pending.is_ready())?.state {
             ResponseState::Ready(response) => Some(response),
@@ -114,14 +109,12 @@
         self.queue.iter().any(|pending| pending.write_key() == Some(key))
     }
 
-    /// Drops responses up to the next one whose request the dispatcher still has, and returns that request.
-    /// Returns `None` if there is no such request.
-    pub(super) fn abandon_next(&mut self) -> Option<PendingRequest> {
-        loop {
-            let PendingResponse { state, statement_reservation } = self.queue.pop_front()?;
-            if let ResponseState::Awaited { request_id, write_key } = state {
-                return Some(PendingRequest { request_id, write_key, statement_reservation });
-            }
-        }
+    /// Drops all responses, and returns the ids of the requests that the dispatcher still has.
+    pub(super) fn abandon(&mut self) -> Vec<ClientRequestId> {
+        let awaited = self.queue.drain(..).filter_map(|pending| match pending.state {
+            ResponseState::Awaited { request_id, .. } => Some(request_id),
+            ResponseState::Ready(_) => None,
+        });
+        awaited.collect()
     }
 }
--- /dev/null
+++ b/crates/proxy/src/client/read_ahead.rs
@@ -0,0 +1,43 @@
+//! Reading ahead of the statements in progress, so that the end of a client that closes its connection is seen.
+//!
+//! The kernel delivers the end of a stream only after all bytes before it have been read. While bytes are left unread,
+//! a client that has closed its connection looks like one that waits.
+
+use aldermill_flow_control::Priority;
+
+use super::connection::ClientConnection;
+use super::events::has_unread_bytes;
+
+/// The read buffer grows by half, so that for a moment two and a half times its contents are allocated.
+const GROWTH_FACTOR: usize = 5;
+/// Divisor that goes with [`GROWTH_FACTOR`].
+const GROWTH_DIVISOR: usize = 2;
+
+impl ClientConnection {
+    /// Returns whether more may be read while requests are in progress: up to `limits.client.read_ahead` bytes, and up
+    /// to `limits.client.extended_read_ahead` while buffer space can be reserved.
+    pub(super) fn may_read_ahead(&mut self) -> bool {
+        let limits = &self.context.limits.client;
+        let held = self.buffer.held().len();
+        if held < limits.read_ahead {
+            if self.read_ahead_reservation.take().is_some() {
+                self.buffer.shrink();
+            }
+            return true;
+        }
+        if held >= limits.extended_read_ahead {
+            return false;
+        }
+        if self.read_ahead_reservation.is_none() {
+            let bytes = limits.extended_read_ahead * GROWTH_FACTOR / GROWTH_DIVISOR;
+            self.read_ahead_reservation = self.connection_guard.try_reserve(bytes, Priority::Normal);
+        }
+        self.read_ahead_reservation.is_some()
+    }
+
+    /// Returns whether the client may have closed its connection behind bytes that are not read. If so, its requests
+    /// are attempted one at a time: the response to the first one shows whether it is still there.
+    pub(super) fn departure_may_be_hidden(&mut self) -> bool {
+        !self.may_read_ahead() && has_unread_bytes(&self.stream)
+    }
+}
--- a/crates/proxy/src/client/statement.rs
+++ b/crates/proxy/src/client/statement.rs
@@ -7,6 +7,7 @@
 use super::connection::ClientConnection;
 use super::pending_responses::PendingRequest;
 use crate::messages::{ClientRequest, ClientRequestId, DispatcherMessage};
+use crate::system;
 
 /// Number of low bits of a request id that hold the request's number within its connection. The bits above
 /// hold the number of the connection.
@@ -26,8 +27,11 @@
     }
 
     /// Handles a simple query: sends a request to the dispatcher, unless the query is empty or has no valid
-    /// comment.
+    /// comment, or its client has left since it was read.
     pub(super) async fn accept_statement(&mut self, statement: Vec<u8>) -> Result<(), CloseReason> {
+        if system::is_closed_by_peer(&self.stream) {
+            return Err(CloseReason::Normal);
+        }
         let mut response = Vec::new();
         if is_empty(&statement) {
             self.wait_for_first_endpoint_list().await?;
@@ -53,9 +57,10 @@
     }
 
     /// Waits until there is an endpoint list to base decisions on. Empty queries are not answered before.
-    async fn wait_for_first_endpoint_list(&self) -> Result<(), CloseReason> {
+    async fn wait_for_first_endpoint_list(&mut self) -> Result<(), CloseReason> {
         let mut ready = self.context.ready.clone();
-        ready.wait_for(|&ready| ready).await.map_err(|_| CloseReason::Normal)?;
+        let listed = self.wait_unless_client_leaves(ready.wait_for(|&ready| ready)).await?;
+        listed.map_err(|_| CloseReason::Normal)?;
         Ok(())
     }
 
@@ -67,11 +72,8 @@
         }
         let request_id = self.next_request_id();
         let client_backlog = self.pending_responses.len();
-        self.pending_responses.push_request(PendingRequest {
-            request_id,
-            write_key: write_key(&statement[comment.end..]),
-            statement_reservation: self.receive_state.reservation.take(),
-        });
+        self.pending_responses
+            .push_request(PendingRequest { request_id, write_key: write_key(&statement[comment.end..]) });
         let received_at = self.receipt_times.received_at(self.buffer.is_empty());
         self.is_past_arrival_window = self.context.is_past_arrival_window(received_at);
         let request = ClientRequest {
@@ -83,9 +85,13 @@
             comment,
             last_write_age: None,
             client_backlog,
+            client_gone: self.client_gone.clone(),
+            _statement_reservation: self.receive_state.reservation.take(),
         };
-        let request = DispatcherMessage::ClientRequest(request);
-        self.context.dispatcher.send(request).await.map_err(|_| CloseReason::Normal)
+        let context = self.context.clone();
+        let permit = self.wait_unless_client_leaves(context.dispatcher.reserve()).await?;
+        permit.map_err(|_| CloseReason::Normal)?.send(DispatcherMessage::ClientRequest(request));
+        Ok(())
     }
 
     /// Returns a new id for the connection's next request.
--- a/crates/proxy/src/dispatcher/gateway/pending_requests.rs
+++ b/crates/proxy/src/dispatcher/gateway/pending_requests.rs
@@ -71,7 +71,7 @@
         let now = self.context.clock.now();
         let Some(pending) = self.remove_pending_request(handle) else { return };
         if let Some(local) = pending.local_handle {
-            self.abandon(local);
+            self.abandon(&[local]);
         }
         let Some(gateway_part) = &mut self.gateway_part else { return };
         let actions = gateway_part.site_router.abandon(now, handle);
--- a/crates/proxy/src/dispatcher/gateway/remote_requests.rs
+++ b/crates/proxy/src/dispatcher/gateway/remote_requests.rs
@@ -1,5 +1,6 @@
 //! Remote requests, from their arrival until they are handed to the site router.
 
+use aldermill_flow_control::{Priority, ReservationOwner};
 use aldermill_routing::{Effect, Micros};
 use aldermill_site_link::{Outbound, Request as RequestFrame, Response as ResponseFrame, ResponseKind};
 use aldermill_site_routing::{AnnouncementEcho, NotAccepted, Outcome, PeerGatewayId, StatedTimes};
@@ -14,7 +15,8 @@
 };
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::outcome_log::{AcceptanceDecision, OutcomeLog, RecordId};
-use crate::messages::{ClientRequest, LinkId};
+use crate::flow_control::BufferReservation;
+use crate::messages::{Cancellation, ClientRequest, LinkId};
 
 /// What validation determines about a remote request.
 struct ValidatedRequest {
@@ -141,6 +143,9 @@
             Ok(validated) => validated,
             Err(kind) => return self.reject_remote_request(&incoming, kind),
         };
+        let Some(statement_reservation) = self.reserve_for_remote_statement(&incoming) else {
+            return self.reject_remote_request(&incoming, ResponseKind::Rejected);
+        };
         let Some(gateway_part) = &mut self.gateway_part else { return };
         let IncomingRequest { link, gateway, origin, number, frame, statement, .. } = incoming;
         let Some(peer) = gateway_part.links.get(&link).map(|active| active.peer) else { return };
@@ -157,6 +162,8 @@
             comment: validated.comment,
             last_write_age: (frame.written_ago_us > 0).then(|| capped_micros(frame.written_ago_us)),
             client_backlog: 0,
+            client_gone: Cancellation::default(),
+            _statement_reservation: statement_reservation,
         };
         self.route_request(RequestToRoute {
             request,
@@ -168,6 +175,18 @@
         });
     }
 
+    /// Reserves buffer space for the statement of a remote request, on behalf of its link, if the statement is large.
+    /// Returns `None` if there is no space.
+    fn reserve_for_remote_statement(&self, incoming: &IncomingRequest) -> Option<Option<BufferReservation>> {
+        let length = incoming.statement.len();
+        let link = self.gateway_part.as_ref().and_then(|gateway_part| gateway_part.links.get(&incoming.link));
+        let Some(link) = link.filter(|_| length > self.context.limits.buffers.small_message) else {
+            return Some(None);
+        };
+        let owner = ReservationOwner { peer: link.peer, priority: Priority::Normal };
+        self.context.flow_control.try_reserve(owner, length).map(Some)
+    }
+
     /// Returns the class, comment and timeout of a remote request, or the kind of response that rejects it.
     fn validate_remote_request(&self, incoming: &IncomingRequest) -> Result<ValidatedRequest, ResponseKind> {
         let frame = &incoming.frame;
--- a/crates/proxy/src/dispatcher/gateway/site_actions.rs
+++ b/crates/proxy/src/dispatcher/gateway/site_actions.rs
@@ -116,7 +116,7 @@
         let local_handle =
             self.gateway_part.as_mut().and_then(|gateway_part| gateway_part.take_local_handle(handle));
         if let Some(local_handle) = local_handle {
-            self.abandon(local_handle);
+            self.abandon(&[local_handle]);
         }
     }
 
--- a/crates/proxy/src/dispatcher/mod.rs
+++ b/crates/proxy/src/dispatcher/mod.rs
@@ -258,7 +258,7 @@
     fn handle_message(&mut self, message: DispatcherMessage) {
         match message {
             DispatcherMessage::ClientRequest(request) => self.handle_client_request(request),
-            DispatcherMessage::ClientLeft(left) => self.handle_client_left(left.request_id),
+            DispatcherMessage::ClientLeft(left) => self.handle_client_left(&left.request_ids),
             DispatcherMessage::AttemptFinished(finished) => self.handle_attempt_finished(finished),
             DispatcherMessage::HealthCheckFinished(finished) => self.handle_health_check_finished(finished),
             DispatcherMessage::ShadowReplaced(shadow) => self.replace_shadow(shadow.map(|shadow| *shadow)),
--- a/crates/proxy/src/dispatcher/open_request.rs
+++ b/crates/proxy/src/dispatcher/open_request.rs
@@ -59,6 +59,11 @@
 }
 
 impl OpenRequest {
+    /// Returns whether the request was answered, or its client has left.
+    pub(super) fn is_no_longer_awaited(&self) -> bool {
+        self.client.is_none() || self.request.client_gone.is_cancelled()
+    }
+
     /// Cancels the request because nobody waits for its answer any more.
     pub(super) fn cancel(&mut self) {
         self.client = None;
--- a/crates/proxy/src/dispatcher/requests.rs
+++ b/crates/proxy/src/dispatcher/requests.rs
@@ -43,8 +43,11 @@
 
 impl Dispatcher {
     /// Handles a client's request: answers it immediately if it is invalid or rejected, and otherwise routes
-    /// it.
+    /// it. Drops it if its client has left while it waited here.
     pub(super) fn handle_client_request(&mut self, request: ClientRequest) {
+        if request.client_gone.is_cancelled() {
+            return;
+        }
         match self.validate(&request) {
             Err(answer) => WaitingClient::from_request(&request).answer(answer),
             Ok(class) if self.gateway_part.is_some() => self.route_between_sites(request, class),
@@ -174,7 +177,7 @@
         // The gateway part is told first if the member is not the primary, since it may withdraw the request
         // before the router retries it.
         let follow_up = self.notify_gateway_part(site_handle, verdict, elapsed);
-        let no_longer_awaited = self.open_requests.get(&handle).is_none_or(|open| open.client.is_none());
+        let no_longer_awaited = self.open_requests.get(&handle).is_none_or(OpenRequest::is_no_longer_awaited);
         let closed = follow_up.withdrawn || no_longer_awaited;
         let outcome = Outcome { verdict, duration: elapsed, report, request_closed: closed };
         let now = self.context.clock.now();
@@ -227,26 +230,36 @@
         NotPrimaryFollowUp::default()
     }
 
-    /// Handles a client that no longer waits for its request, whether the router alone or the gateway part
-    /// decides on it.
-    pub(super) fn handle_client_left(&mut self, request_id: ClientRequestId) {
-        match self.request_owners.remove(&request_id) {
-            Some(RequestOwner::Router(handle)) => self.abandon(handle),
-            Some(RequestOwner::Gateway(handle)) => self.abandon_pending_request(handle),
-            None => {}
+    /// Handles a client that no longer waits for its requests, whether the router alone or the gateway part
+    /// decides on them.
+    pub(super) fn handle_client_left(&mut self, request_ids: &[ClientRequestId]) {
+        let mut at_router = Vec::new();
+        for request_id in request_ids {
+            match self.request_owners.remove(request_id) {
+                Some(RequestOwner::Router(handle)) => at_router.push(handle),
+                Some(RequestOwner::Gateway(handle)) => self.abandon_pending_request(handle),
+                None => {}
+            }
+        }
+        if !at_router.is_empty() {
+            self.abandon(&at_router);
         }
     }
 
-    /// Abandons a request at the router because nobody waits for its answer here any more. Attempts that were
-    /// already sent continue.
-    pub(super) fn abandon(&mut self, handle: RequestHandle) {
-        if let Some(open) = self.open_requests.get_mut(&handle) {
-            open.cancel();
+    /// Abandons requests at the router because nobody waits for their answers here any more. Attempts that
+    /// were already sent continue.
+    pub(super) fn abandon(&mut self, handles: &[RequestHandle]) {
+        for handle in handles {
+            if let Some(open) = self.open_requests.get_mut(handle) {
+                open.cancel();
+            }
         }
         let now = self.context.clock.now();
-        let ((), actions) = self.decide(|router| ((), handle.client_left(router, now)));
+        let ((), actions) = self.decide(|router| ((), router.clients_left(now, handles)));
         self.carry_out(actions);
-        self.release_if_finished(handle);
+        for &handle in handles {
+            self.release_if_finished(handle);
+        }
     }
 
     /// Drops the record of a request if the router has finished with it.
--- a/crates/proxy/src/flow_control/connection_guard.rs
+++ b/crates/proxy/src/flow_control/connection_guard.rs
@@ -88,6 +88,12 @@
         self.flow_control.reserve(owner, bytes, until).await
     }
 
+    /// Reserves buffer space for the peer without waiting. Returns `None` if it cannot be granted at once.
+    pub fn try_reserve(&self, bytes: usize, priority: Priority) -> Option<BufferReservation> {
+        let owner = ReservationOwner { peer: self.peer, priority };
+        self.flow_control.try_reserve(owner, bytes)
+    }
+
     /// Reserves buffer space for unread bytes that the kernel keeps after the connection is closed, and
     /// returns whether the space was granted. If it was, the space stays in use for
     /// [`ConnectionGuard::linger_timeout`]. If not, the caller must reset the connection, so that the kernel
--- a/crates/proxy/src/lifecycle/limits/client.rs
+++ b/crates/proxy/src/lifecycle/limits/client.rs
@@ -7,6 +7,9 @@
 const PIPELINED_STATEMENTS: usize = 64;
 /// One small message. Further bytes stay in the kernel's socket buffers, which applies backpressure to the client.
 const READ_AHEAD: usize = 8 * 1024;
+/// The end of a client that closes its connection arrives behind what it sent before. With so much read, the end of
+/// hundreds of pipelined statements is seen.
+const EXTENDED_READ_AHEAD: usize = 48 * 1024;
 /// Longest delay before a closed connection is noticed behind unread bytes. A shorter interval costs CPU time.
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Clients send the startup message as soon as they are connected.
@@ -35,6 +38,8 @@
     /// Bytes that are read from a client while its requests are in progress. Further bytes stay in the kernel's
     /// socket buffers.
     pub read_ahead: usize,
+    /// The same while buffer space can be reserved for what exceeds `read_ahead`, in bytes.
+    pub extended_read_ahead: usize,
     /// How often a connection that has reached `read_ahead` is checked for whether the client has closed it.
     pub disconnect_poll_interval: Duration,
     /// Time from accepting the connection to receiving the complete startup message.
@@ -62,6 +67,7 @@
         ClientLimits {
             pipelined_statements: PIPELINED_STATEMENTS,
             read_ahead: READ_AHEAD,
+            extended_read_ahead: EXTENDED_READ_AHEAD,
             disconnect_poll_interval: DISCONNECT_POLL_INTERVAL,
             startup_timeout: STARTUP_TIMEOUT,
             // A client that never completes its first statement is treated like one that stalls within a message.
--- a/crates/proxy/src/member/query.rs
+++ b/crates/proxy/src/member/query.rs
@@ -201,6 +201,7 @@
         let Validity { expires_at, requires_primary } = attempt.validity;
         let is_still_primary = self.conditions.replica_report_count.get() == attempt.replica_reports;
         !attempt.cancellation.is_cancelled()
+            && !attempt.request.client_gone.is_cancelled()
             && self.context.clock.now() < expires_at
             && (is_still_primary || !requires_primary)
     }
--- a/crates/proxy/src/messages/dispatcher.rs
+++ b/crates/proxy/src/messages/dispatcher.rs
@@ -9,8 +9,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use super::{ClientMessage, ClientRequestId, ObservationSummary, Rows};
+use super::{Cancellation, ClientMessage, ClientRequestId, ObservationSummary, Rows};
 use crate::discovery::endpoint_list::EndpointList;
+use crate::flow_control::BufferReservation;
 use crate::shadow::ShadowRouter;
 
 /// Identifies a link, which is a connection to another gateway, for as long as this process runs.
@@ -47,10 +48,10 @@
     DescriptorsExhausted(MemberId),
 }
 
-/// Notice that a client no longer waits for a request.
+/// Notice that a client no longer waits for its requests.
 pub struct ClientLeft {
-    /// The id of the abandoned request.
-    pub request_id: ClientRequestId,
+    /// The ids of the abandoned requests.
+    pub request_ids: Vec<ClientRequestId>,
 }
 
 /// The number of proxies that share the available capacity of members.
@@ -105,6 +106,11 @@
     /// Number of earlier requests of the connection that were not answered yet when this one arrived; zero if it came
     /// from another gateway.
     pub client_backlog: usize,
+    /// Set once the client has left. No attempt of the request begins from then on.
+    pub client_gone: Cancellation,
+    /// Buffer space of a large statement, in use for as long as anybody holds the request, whether or not its client
+    /// is still connected; `None` if the statement is small.
+    pub _statement_reservation: Option<BufferReservation>,
 }
 
 impl ClientRequest {
--- a/crates/proxy/src/system/mod.rs
+++ b/crates/proxy/src/system/mod.rs
@@ -18,4 +18,4 @@
 pub use errors::{AcceptError, SocketErrorKind};
 pub use injection::Party;
 pub use sockets::{BufferSizes, bind_datagrams, connect, listen, listen_local};
-pub use streams::{Peeked, peek, read, try_write, write, write_all};
+pub use streams::{Peeked, is_closed_by_peer, peek, read, try_write, write, write_all};
--- a/crates/proxy/src/system/streams.rs
+++ b/crates/proxy/src/system/streams.rs
@@ -2,10 +2,12 @@
 
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
+use std::os::fd::AsRawFd;
 
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use uapi::c;
 
 use super::SocketErrorKind;
 use super::injection::{Party, SystemCall, inject_fault};
@@ -39,6 +41,15 @@
     }
 }
 
+/// Returns whether the remote end has closed its side of the connection, or the connection has failed, even if data that
+/// arrived before is still unread. This calls the system, because the runtime may not have looked for events yet.
+pub fn is_closed_by_peer(stream: &TcpStream) -> bool {
+    const CLOSED: i16 = c::POLLRDHUP | c::POLLHUP | c::POLLERR;
+    let mut descriptors = [c::pollfd { fd: stream.as_raw_fd(), events: c::POLLRDHUP, revents: 0 }];
+    // An interrupted call says nothing; callers ask again.
+    uapi::poll(&mut descriptors, 0).is_ok_and(|ready| ready > 0) && descriptors[0].revents & CLOSED != 0
+}
+
 /// Waits for data, appends it to `buffer` and returns the number of bytes, which is 0 at the end of the
 /// stream. Cancel safe: no data is lost if the future is dropped.
 pub async fn read(party: Party, stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<usize> {
--- /dev/null
+++ b/crates/proxy/tests/departed_clients.rs
@@ -0,0 +1,94 @@
+//! Tests, over loopback, that nothing is sent to a member for a client that has left, and that it holds nothing.
+
+use std::thread;
+use std::time::Duration;
+
+use aldermill_test_support::{
+    Client, Driver, Hold, Member, closed, look, named, order, serve, served, until,
+};
+use aldermill_wire::pg;
+
+/// Number of statements that a client pipelines before it leaves: several times as many as a proxy accepts at once.
+const PIPELINED: usize = 400;
+/// Time after its client's close within which a request may still be attempted.
+const GRACE: Duration = Duration::from_millis(100);
+
+/// Time that the member takes for a request.
+const SERVICE_TIME: Duration = Duration::from_millis(100);
+/// Time that clients wait for their answers, in milliseconds.
+const TIMEOUT_MS: u32 = 15_000;
+
+/// Encodes statements as Query messages.
+fn queries(statements: impl IntoIterator<Item = String>) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for statement in statements {
+        pg::write_query(&mut bytes, &[statement.as_bytes()]);
+    }
+    bytes
+}
+
+/// Returns how many statements are attempted for a client later than [`GRACE`] after it has closed its connection. It has
+/// sent these statements, the first of which the member holds up; the others take [`SERVICE_TIME`] each.
+fn attempted_after_departure(statements: impl IntoIterator<Item = String>) -> usize {
+    let hold = Hold::default();
+    let member_hold = hold.clone();
+    let member = Member::start(move |text, stream| {
+        if text.contains("id=first,") {
+            member_hold.pass();
+        }
+        thread::sleep(SERVICE_TIME);
+        serve(text, "writer", stream);
+    });
+    let proxy = Driver::before(&[("a", &member)]);
+    assert!(served(&Client::connect(proxy.address).ask(&look(TIMEOUT_MS))));
+    hold.close();
+    let mut client = Client::connect(proxy.address);
+    client.raw(&queries([named(&look(TIMEOUT_MS), "first")].into_iter().chain(statements)));
+    hold.reached();
+    drop(client);
+    thread::sleep(GRACE);
+    let attempted = member.requests().len();
+    thread::sleep(SERVICE_TIME * 5);
+    hold.open();
+    thread::sleep(SERVICE_TIME * 2);
+    member.requests().len() - attempted
+}
+
+/// Guards against a proxy that does not see the end of a client behind the statements that it has not read.
+#[test]
+fn pipelined_reads_of_a_client_that_has_left_are_not_attempted() {
+    assert_eq!(attempted_after_departure((0..PIPELINED).map(|_| look(TIMEOUT_MS))), 0);
+}
+
+/// The same for writes to one key, each of which waits for the one before it.
+#[test]
+fn pipelined_writes_of_a_client_that_has_left_are_not_attempted() {
+    assert_eq!(attempted_after_departure((0..PIPELINED).map(|_| order(TIMEOUT_MS))), 0);
+}
+
+/// The same where so much is left unread that the end of the client cannot be seen.
+#[test]
+fn statements_before_more_than_is_read_ahead_are_attempted_one_at_a_time() {
+    let long = |_| format!("{} -- {}", look(TIMEOUT_MS), "x".repeat(6_000));
+    assert_eq!(attempted_after_departure((0..PIPELINED / 10).map(long)), 0);
+}
+
+/// Guards against a connection that waits for the first endpoint list and does not notice that its client has left.
+#[test]
+fn a_client_that_leaves_before_the_first_endpoint_list_frees_its_connection() {
+    let proxy = Driver::of(&without_members());
+    let descriptors = || std::fs::read_dir(format!("/proc/{}/fd", proxy.child.id())).unwrap().count();
+    let before = descriptors();
+    for _ in 0..8 {
+        let mut client = Client::connect(proxy.address);
+        client.send("");
+        closed(client.stream);
+    }
+    until("the end of the connections", || descriptors() <= before);
+}
+
+/// Returns a configuration without members, whose discovery does not answer.
+fn without_members() -> String {
+    let known = r#"{"revision":0,"complete":false,"members":[]}"#;
+    aldermill_test_support::config("127.0.0.1:9".parse().unwrap(), 256, known)
+}
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -12,7 +12,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use crate::state::{RequestHandle, Router};
+use crate::state::{HandleMap, RequestHandle, Router};
 use crate::{Actions, LearnedState, MemberStatus, Micros, Outcome, RouterConfig};
 
 mod admission;
@@ -96,9 +96,7 @@
 
     /// Handles the departure of the client, which needs no answer any more.
     pub fn client_left(self, router: &mut Router, now: Micros) -> Actions {
-        router.close(self);
-        router.route_all_queued(now);
-        router.take_actions()
+        router.clients_left(now, &[self])
     }
 }
 
@@ -114,7 +112,7 @@
             members: Vec::new(),
             groups: Vec::new(),
             group_ids: HashMap::new(),
-            pending_requests: HashMap::new(),
+            pending_requests: HandleMap::default(),
             next_handle: 0,
             sessions: Sessions::default(),
             clock_offset: 0,
@@ -171,6 +169,13 @@
         }
     }
 
+    /// Records that nobody waits for the answers to these requests any more. Attempts in flight continue.
+    pub fn clients_left(&mut self, now: Micros, handles: &[RequestHandle]) -> Actions {
+        handles.iter().for_each(|&handle| self.close(handle));
+        self.route_all_queued(now);
+        self.take_actions()
+    }
+
     /// Does the work that is due at `now`. The caller calls it at [`Actions::wake_at`].
     pub fn wake(&mut self, now: Micros) -> Actions {
         if now >= self.next_tick {
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -1,6 +1,7 @@
 //! State of a router, and access to it. Decisions are made in `policy`.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::hash::{BuildHasherDefault, Hasher};
 
 use aldermill_statistics::Histogram;
 use rand_pcg::Pcg64Mcg;
@@ -11,6 +12,30 @@
 };
 use crate::{Actions, LearnedState, MemberId, MemberStatus, Micros, ReadShift, Request, RouterConfig};
 
+/// Hasher of request handles, which count up and are not chosen by peers: the bits of the handle, spread by one
+/// multiplication.
+#[derive(Clone, Default)]
+pub(crate) struct HandleHasher(u64);
+
+impl Hasher for HandleHasher {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        bytes.iter().for_each(|&byte| self.write_u64(u64::from(byte)));
+    }
+
+    fn write_u64(&mut self, value: u64) {
+        /// An odd number with bits in no regular pattern: 2^64 divided by the golden ratio.
+        const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+        self.0 = (self.0 ^ value).wrapping_mul(SPREAD);
+    }
+}
+
+/// Map from request handles.
+pub(crate) type HandleMap<T> = HashMap<RequestHandle, T, BuildHasherDefault<HandleHasher>>;
+
 /// Handle of a request that a router has accepted. It is valid until the router forgets the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestHandle(pub(crate) u64);
@@ -179,7 +204,7 @@
     pub(crate) members: Vec<Member>,
     pub(crate) groups: Vec<Group>,
     pub(crate) group_ids: HashMap<u64, usize>,
-    pub(crate) pending_requests: HashMap<RequestHandle, PendingRequest>,
+    pub(crate) pending_requests: HandleMap<PendingRequest>,
     pub(crate) next_handle: u64,
     pub(crate) sessions: Sessions,
     /// Lead of the members' clock, on which positions are reported, over the caller's, in microseconds.
--- a/crates/wire/src/buffer.rs
+++ b/crates/wire/src/buffer.rs
@@ -45,6 +45,12 @@
         }
     }
 
+    /// Gives back memory that what is held does not need.
+    pub fn shrink(&mut self) {
+        self.compact();
+        self.data.shrink_to(BASE_CAPACITY);
+    }
+
     /// Reserves exactly the memory for a message of `length` bytes, of which the first may be held already.
     pub fn expect(&mut self, length: usize) {
         self.compact();
