Do not grow a read buffer that has memory for the message it receives

Cause: the buffer of a large statement is allocated at its announced length, which is charged. Once all but 1 KiB had come it grew by half, as a read wanted that much free space: 65 KB a connection that nobody was charged for, and twice that while it was moved.

Change: the last read of a message that memory was reserved for needs no more space than the message.

--- a/crates/wire/src/buffer.rs
+++ b/crates/wire/src/buffer.rs
@@ -12,6 +12,8 @@
     data: Vec<u8>,
     /// How many bytes of `data` have been consumed.
     start: usize,
+    /// The length of the message at the front, if memory was reserved for it; else 0.
+    expected: usize,
 }
 
 impl Buffer {
@@ -28,7 +30,7 @@
     /// Where a read is to append its bytes, with free space for at least a few.
     pub fn tail(&mut self) -> &mut Vec<u8> {
         self.compact();
-        if self.data.capacity() - self.data.len() < MIN_FREE {
+        if self.data.capacity() - self.data.len() < self.wanted() {
             // It grows by half, not to twice its size: a statement of the greatest size must not take twice its memory.
             self.data.reserve_exact((self.data.len() / 2).max(BASE_CAPACITY));
         }
@@ -38,6 +40,7 @@
     /// Consumes the first `count` bytes.
     pub fn consume(&mut self, count: usize) {
         self.start = (self.start + count).min(self.data.len());
+        self.expected = 0;
         if self.is_empty() {
             self.data.clear();
             self.start = 0;
@@ -55,15 +58,26 @@
     pub fn expect(&mut self, length: usize) {
         self.compact();
         self.data.reserve_exact(length.saturating_sub(self.data.len()));
+        self.expected = length;
     }
 
     /// Takes the first `count` bytes. They are not copied: the buffer's allocation is handed out, and the rest is copied.
     pub fn take(&mut self, count: usize) -> Vec<u8> {
         self.compact();
+        self.expected = 0;
         let rest = self.data.split_off(count.min(self.data.len()));
         std::mem::replace(&mut self.data, rest)
     }
 
+    /// How much free space a read needs. The last read of a message that memory was reserved for needs no more than that
+    /// has: otherwise the buffer would grow when nearly all has come.
+    fn wanted(&self) -> usize {
+        match self.expected.saturating_sub(self.data.len()) {
+            0 => MIN_FREE,
+            missing => missing.min(MIN_FREE),
+        }
+    }
+
     fn compact(&mut self) {
         if self.start > 0 {
             self.data.copy_within(self.start.., 0);
