Keep names and keys of requests no longer than they need to be

Seen by callers: 400 clients that sent statements with ids of 130 KB made the process take 68.5 of 32 MiB, with keys of 130 KB 57.8 MiB.

Cause: the id is kept by the parsed comment and in the table of open ids, the key by the connection, the request's session and the router's table of sessions, for ten seconds after the write. Only the statement itself was charged.

Change: an id or class of over 256 bytes is a protocol error of its statement (08P01). A key of over 64 bytes is kept as a digest; it is compared within this process only. Keys up to that stay as they are.

--- a/crates/proxy/src/dispatcher/requests.rs
+++ b/crates/proxy/src/dispatcher/requests.rs
@@ -4,7 +4,7 @@
 
 use aldermill_routing::{Micros, Need, Outcome, Request, RequestHandle, Role, Verdict};
 use aldermill_site_routing::{Actions as SiteActions, RequestHandle as SiteRequestHandle};
-use aldermill_wire::statement::first_quoted_text;
+use aldermill_wire::statement::first_quoted_key;
 
 use super::Dispatcher;
 use super::gateway::GatewayPart;
@@ -152,7 +152,7 @@
     pub(super) fn session(&self, request: &ClientRequest, class: usize) -> Option<String> {
         let need = self.settings.router_config.classes[class].need;
         let uses_session = matches!(need, Need::Write | Need::OwnWrites);
-        if uses_session { first_quoted_text(&request.statement[request.comment.end..]) } else { None }
+        if uses_session { first_quoted_key(&request.statement[request.comment.end..]) } else { None }
     }
 
     /// Handles the end of an attempt: records it in the observations, answers the request if there is a
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -62,6 +62,9 @@
     /// A field that stands twice, or an empty `id`.
     #[error("comment field repeated or empty")]
     CommentFieldRepeatedOrEmpty,
+    /// A name that is longer than [`crate::statement::MAX_NAME_LENGTH`].
+    #[error("comment field too long")]
+    CommentFieldTooLong,
     /// A field that each request must have is absent; its key.
     #[error("comment lacks {0}")]
     CommentLacks(&'static str),
--- a/crates/wire/src/statement.rs
+++ b/crates/wire/src/statement.rs
@@ -1,5 +1,6 @@
 //! The comment at the front of a client's statement, and the quoted key behind it.
 
+use std::hash::{DefaultHasher, Hasher};
 use std::ops::Range;
 use std::str::FromStr;
 
@@ -7,6 +8,11 @@
 
 /// The longest timeout that a client may state, in milliseconds: an hour.
 pub const MAX_TIMEOUT_MS: u32 = 3_600_000;
+/// The greatest length of a request's name and of its class's name, in bytes. Both are kept for as long as the request is
+/// open.
+pub const MAX_NAME_LENGTH: usize = 256;
+/// The greatest length of a key that [`first_quoted_key`] returns as it is, in bytes.
+const MAX_KEY_LENGTH: usize = 64;
 /// The length of `/*` and of `*/`, in bytes.
 const COMMENT_MARK: usize = 2;
 
@@ -91,6 +97,7 @@
     /// statement.
     fn set(&mut self, name: &str, value: &'a str, value_end: usize) -> Result<bool, Malformed> {
         let is_first = match name {
+            "id" | "c" if value.len() > MAX_NAME_LENGTH => return Err(Malformed::CommentFieldTooLong),
             "id" => self.id.replace(value).is_none() && !value.is_empty(),
             "c" => self.class.replace(value).is_none(),
             "d" => {
@@ -142,16 +149,64 @@
 /// The first quoted text of a statement, unquoted: doubled quotes, and backslashes where it is an escape string. `None`
 /// where there is none, or it does not end.
 pub fn first_quoted_text(statement: &[u8]) -> Option<String> {
+    let mut text = Vec::new();
+    for_each_quoted_byte(statement, |byte| text.push(byte))?;
+    String::from_utf8(text).ok()
+}
+
+/// The first quoted text of a statement as a key that takes little memory however long the text is: the text itself, or
+/// from 65 bytes on a digest of it that is the same throughout the process. `None` as with [`first_quoted_text`].
+pub fn first_quoted_key(statement: &[u8]) -> Option<String> {
+    let mut key = KeyDigest::default();
+    for_each_quoted_byte(statement, |byte| key.push(byte))?;
+    key.finish()
+}
+
+/// A text that turns into a digest once it is long.
+#[derive(Default)]
+struct KeyDigest {
+    /// What was pushed since it was last hashed.
+    block: Vec<u8>,
+    /// The hash of the blocks before, and how many bytes they had.
+    hashed: Option<(DefaultHasher, usize)>,
+}
+
+impl KeyDigest {
+    fn push(&mut self, byte: u8) {
+        if self.block.len() == MAX_KEY_LENGTH {
+            self.hash_block();
+        }
+        self.block.push(byte);
+    }
+
+    fn hash_block(&mut self) {
+        let (hasher, length) = self.hashed.get_or_insert_default();
+        hasher.write(&self.block);
+        *length += self.block.len();
+        self.block.clear();
+    }
+
+    fn finish(mut self) -> Option<String> {
+        if self.hashed.is_none() {
+            return String::from_utf8(self.block).ok();
+        }
+        self.hash_block();
+        let (hasher, length) = self.hashed?;
+        Some(format!("{length} bytes, {:016x}", hasher.finish()))
+    }
+}
+
+/// Calls `take` with each byte of the first quoted text, unquoted. `None` if there is none, or it does not end.
+fn for_each_quoted_byte(statement: &[u8], mut take: impl FnMut(u8)) -> Option<()> {
     let open = memchr::memchr(b'\'', statement)?;
     let is_escape_string = ends_with_escape_prefix(&statement[..open]);
-    let mut text = Vec::new();
     let mut bytes = statement[open + 1..].iter().copied().peekable();
     loop {
         match bytes.next()? {
-            b'\'' if bytes.peek() == Some(&b'\'') => text.extend(bytes.next()),
-            b'\'' => return String::from_utf8(text).ok(),
-            b'\\' if is_escape_string => text.push(unescaped(bytes.next()?)),
-            other => text.push(other),
+            b'\'' if bytes.peek() == Some(&b'\'') => take(bytes.next()?),
+            b'\'' => return Some(()),
+            b'\\' if is_escape_string => take(unescaped(bytes.next()?)),
+            other => take(other),
         }
     }
 }
