Send large statements without copying what stands before their timeout

Seen by callers: heads of very many short fields took more memory than was charged for them.

Cause: an attempt's query is the statement with another timeout. What follows the timeout stayed in the request; what stands before it was copied, twice for a moment. With the fields in front that is nearly all of the statement.

Change: the query has the header and the new digits alone, and both parts of the statement stay in the request. The fault injection's statements have their short fields in front now.

--- a/crates/fault-injection/src/hostile/behaviour.rs
+++ b/crates/fault-injection/src/hostile/behaviour.rs
@@ -211,14 +211,14 @@
     [&[kind], length.to_be_bytes().as_slice(), body].concat()
 }
 
-/// Adds short fields to the comment of a statement up to this length in bytes.
+/// Adds short fields to the front of a statement's comment, up to this length in bytes.
 fn padded(statement: &str, length: usize) -> String {
-    let (comment, rest) = statement.split_once(" */").unwrap_or((statement, ""));
-    let mut padded = comment.to_owned();
+    let rest = statement.trim_start_matches("/* ");
+    let mut padded = "/* ".to_owned();
     let mut number = 0;
     while padded.len() + rest.len() + 16 < length {
-        let _ = write!(padded, ",x{number}=1");
+        let _ = write!(padded, "x{number}=1,");
         number += 1;
     }
-    format!("{padded} */{rest}")
+    padded + rest
 }
--- a/crates/proxy/src/member/query.rs
+++ b/crates/proxy/src/member/query.rs
@@ -217,7 +217,7 @@
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let margin = (time_left / MARGIN_DIVISOR).min(TIMEOUT_MARGIN);
         let timeout = time_left.saturating_sub(margin).as_millis().max(1);
-        Query::with_timeout(&attempt.request, &timeout.to_string())
+        Query::with_timeout(&attempt.request, timeout.to_string())
     }
 
     /// Writes the query, and fails if the member takes its bytes below the minimum rate.
--- a/crates/proxy/src/messages/member.rs
+++ b/crates/proxy/src/messages/member.rs
@@ -90,11 +90,14 @@
 pub enum Query {
     /// The entire message in one buffer.
     Whole(Vec<u8>),
-    /// A message with a large statement that is not copied: the bytes after the timeout stay in the request.
+    /// A message with a large statement that is not copied: what stands before and after the timeout stays in
+    /// the request.
     Split {
-        /// The message up to and including the timeout.
-        prefix: Vec<u8>,
-        /// The request that holds the rest of the statement.
+        /// The message's type and length.
+        header: Vec<u8>,
+        /// The digits of the timeout.
+        timeout: String,
+        /// The request that holds the statement.
         request: Rc<ClientRequest>,
     },
 }
@@ -102,28 +105,33 @@
 impl Query {
     /// Encodes the client's statement with its timeout replaced by `timeout`, a decimal number of
     /// milliseconds.
-    pub fn with_timeout(request: &Rc<ClientRequest>, timeout: &str) -> Query {
-        let ClientRequest { statement, comment, .. } = &**request;
-        let before = &statement[..comment.timeout_range.start];
-        let after = &statement[comment.timeout_range.end..];
-        if statement.len() <= MAX_COPIED_STATEMENT_BYTES {
-            let mut query = Vec::with_capacity(statement.len() + QUERY_OVERHEAD_BYTES);
+    pub fn with_timeout(request: &Rc<ClientRequest>, timeout: String) -> Query {
+        let [before, after] = around_timeout(request);
+        if request.statement.len() <= MAX_COPIED_STATEMENT_BYTES {
+            let mut query = Vec::with_capacity(request.statement.len() + QUERY_OVERHEAD_BYTES);
             pg::write_query(&mut query, &[before, timeout.as_bytes(), after]);
             return Query::Whole(query);
         }
-        let mut prefix = Vec::with_capacity(before.len() + QUERY_OVERHEAD_BYTES);
-        pg::write_query_start(&mut prefix, &[before, timeout.as_bytes()].concat(), after.len() + 1);
-        Query::Split { prefix, request: request.clone() }
+        let mut header = Vec::with_capacity(pg::MESSAGE_HEADER_LENGTH);
+        pg::write_query_start(&mut header, &[], before.len() + timeout.len() + after.len() + 1);
+        Query::Split { header, timeout, request: request.clone() }
     }
 
     /// Returns the bytes of the message in order. Pieces may be empty. The terminating zero byte of a large
     /// statement is a piece of its own.
-    pub fn pieces(&self) -> [&[u8]; 3] {
+    pub fn pieces(&self) -> [&[u8]; 5] {
         match self {
-            Query::Whole(query) => [query, &[], &[]],
-            Query::Split { prefix, request } => {
-                [prefix, &request.statement[request.comment.timeout_range.end..], &[0]]
+            Query::Whole(query) => [query, &[], &[], &[], &[]],
+            Query::Split { header, timeout, request } => {
+                let [before, after] = around_timeout(request);
+                [header, before, timeout.as_bytes(), after, &[0]]
             }
         }
     }
 }
+
+/// Returns what stands before and after the timeout in a statement.
+fn around_timeout(request: &ClientRequest) -> [&[u8]; 2] {
+    let ClientRequest { statement, comment, .. } = request;
+    [&statement[..comment.timeout_range.start], &statement[comment.timeout_range.end..]]
+}
