Do not run a write again under the id of a client that left without its answer

Cause: an id was refused only while a request with it was open. A request whose client has left ends with its attempt, whatever came of it, and the gateway part forgets it at once.

With it, and without a failure shown: the loops that read members' responses and handshakes, discovery and links yield after each read, and the backlog accepted at the end of a shutdown is bounded by its length.

--- a/crates/proxy/src/client/listener.rs
+++ b/crates/proxy/src/client/listener.rs
@@ -19,7 +19,8 @@
     let mut acceptor = Acceptor::new(listener, context.log.clone());
     let mut registry = ConnectionRegistry::new(context.clone());
     accept_until_stopped(&context, &mut acceptor, &mut registry).await;
-    accept_backlog(&mut acceptor, &mut registry).await;
+    let backlog = context.limits.queues.listen_backlog as usize;
+    accept_backlog(&mut acceptor, &mut registry, backlog).await;
     drop(acceptor);
     registry.join_all().await;
 }
@@ -60,11 +61,16 @@
     }
 }
 
-/// Accepts the connections that the kernel had accepted before the end. The kernel is asked for them once
-/// more.
-async fn accept_backlog(acceptor: &mut Acceptor<TcpListener>, registry: &mut ConnectionRegistry) {
-    task::yield_now().await;
-    while let Some((stream, address)) = acceptor.next_from_backlog().await {
+/// Accepts the connections that the kernel had accepted before the end: at most `backlog`, as clients may go on to
+/// connect faster than they are accepted. The kernel is asked for them once more.
+async fn accept_backlog(
+    acceptor: &mut Acceptor<TcpListener>,
+    registry: &mut ConnectionRegistry,
+    backlog: usize,
+) {
+    for _ in 0..backlog {
+        task::yield_now().await;
+        let Some((stream, address)) = acceptor.next_from_backlog().await else { return };
         registry.reap_ended();
         registry.admit_or_reject(stream, address.ip());
     }
--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -9,6 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 use slog::{info, warn};
 use tokio::sync::{mpsc, watch};
+use tokio::task;
 use tokio::time::{sleep, timeout};
 
 use super::endpoint_list::EndpointList;
@@ -154,6 +155,8 @@
         let mut stream = ListStream::open(peer, self.revision, self.first_byte_timeout, limits).await?;
         loop {
             stream.read().await?;
+            // Discovery may send without a pause; other tasks on this thread run in between.
+            task::yield_now().await;
             while let Some(line) = stream.next_line()? {
                 self.record_line(peer);
                 let Some(text) = stream.add_line(&line)? else { continue };
--- a/crates/proxy/src/dispatcher/actions.rs
+++ b/crates/proxy/src/dispatcher/actions.rs
@@ -97,6 +97,8 @@
     }
 
     fn send_attempt(&mut self, decided: DecidedAttempt) {
+        let Some(open) = self.open_requests.get_mut(&decided.handle) else { return };
+        open.was_attempted = true;
         let Some(open) = self.open_requests.get(&decided.handle) else { return };
         let handle = decided.handle;
         let member = decided.member;
--- a/crates/proxy/src/dispatcher/open_request.rs
+++ b/crates/proxy/src/dispatcher/open_request.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 
 use aldermill_flow_control::Priority;
-use aldermill_routing::{Micros, RequestHandle};
+use aldermill_routing::{Effect, Micros, RequestHandle};
+use aldermill_settings::Settings;
 use aldermill_site_routing::RequestHandle as SiteRequestHandle;
 use tokio::sync::mpsc;
 
@@ -54,6 +55,8 @@
     pub(super) client: Option<WaitingClient>,
     /// Set when the client has left, or the gateway part has withdrawn the request from the router.
     pub(super) cancellation: Cancellation,
+    /// Whether the router has decided on an attempt of the request.
+    pub(super) was_attempted: bool,
     /// The client's request: the statement and its comment.
     pub(super) request: Rc<ClientRequest>,
 }
@@ -64,6 +67,15 @@
         self.client.is_none() || self.request.client_gone.is_cancelled()
     }
 
+    /// Returns whether the request may have had an effect that its client, which has left, does not know of.
+    pub(super) fn has_left_possible_effect(&self, settings: &Settings) -> bool {
+        let class = settings.class_index(&self.request.comment.class);
+        let effect = class.map(|class| settings.router_config.classes[class].effect);
+        self.cancellation.is_cancelled()
+            && self.was_attempted
+            && !matches!(effect, Ok(Effect::Idempotent) | Err(_))
+    }
+
     /// Cancels the request because nobody waits for its answer any more.
     pub(super) fn cancel(&mut self) {
         self.client = None;
--- a/crates/proxy/src/dispatcher/requests.rs
+++ b/crates/proxy/src/dispatcher/requests.rs
@@ -66,7 +66,7 @@
         if !self.knows_group(comment.group) {
             return Err(Answer::Rejected { retry_after: 0 });
         }
-        if self.open_comment_ids.contains(&comment.id) {
+        if self.is_id_in_use(&comment.id) {
             return Err(Answer::InvalidStatement("a task with this id is under way"));
         }
         if self.has_max_open_requests() {
@@ -75,6 +75,11 @@
         Ok(class)
     }
 
+    /// Returns whether a request with this id is open, or may have run for a client that left a short time ago.
+    fn is_id_in_use(&self, id: &str) -> bool {
+        self.open_comment_ids.contains(id) || self.departed_ids.contains(self.context.clock.now(), id)
+    }
+
     /// Returns whether the group was ever listed, here or at another site.
     fn knows_group(&self, group: u64) -> bool {
         let elsewhere = |gateway_part: &GatewayPart| gateway_part.knows_group(group);
@@ -121,6 +126,7 @@
             deadline,
             client: Some(WaitingClient::from_request(&request)),
             cancellation: Cancellation::default(),
+            was_attempted: false,
             request,
         };
         self.open_requests.insert(handle, open);
@@ -270,6 +276,9 @@
         let Some(open) = self.open_requests.remove(&handle) else { return };
         // For requests that came through it, the gateway part removes these entries itself.
         if open.site_handle.is_none() {
+            if open.has_left_possible_effect(&self.settings) {
+                self.departed_ids.remember(self.context.clock.now(), &open.request.comment.id);
+            }
             self.open_comment_ids.remove(&open.request.comment.id);
             if let Some(client) = open.client {
                 self.request_owners.remove(&client.request_id);
--- a/crates/proxy/src/gateway/link.rs
+++ b/crates/proxy/src/gateway/link.rs
@@ -12,6 +12,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::task;
 use tokio::time::{sleep_until, timeout};
 
 use super::LinkRegistry;
@@ -162,6 +163,8 @@
                 ready = stream.readable(), if self.protocol.accepts_input() => {
                     ready?;
                     self.read().await?;
+                    // A gateway that sends without a pause must not keep other tasks on this thread from running.
+                    task::yield_now().await;
                 }
                 message = self.outbound.recv() => match message {
                     Some(message) => self.protocol.send(message),
--- a/crates/proxy/src/member/connection.rs
+++ b/crates/proxy/src/member/connection.rs
@@ -8,6 +8,7 @@
 use aldermill_wire::{Buffer, pg};
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
+use tokio::task;
 use tokio::time::{Instant, timeout_at};
 
 use super::outcome::QueryError;
@@ -97,6 +98,7 @@
             if count == 0 {
                 return None;
             }
+            task::yield_now().await;
             continue;
         };
         let length = message.length;
@@ -168,6 +170,8 @@
             if system::read(Party::Member, &mut stream, buffer.tail()).await? == 0 {
                 return Err(QueryError::Closed);
             }
+            // A member that never becomes ready must not keep other tasks on this thread from running.
+            task::yield_now().await;
             continue;
         };
         let length = message.length;
--- a/crates/proxy/src/member/response.rs
+++ b/crates/proxy/src/member/response.rs
@@ -32,6 +32,8 @@
     deadline: Instant,
     /// Measures the member's transfer rate from the first bytes of the response on.
     meter: Option<ProgressMeter>,
+    /// Whether part of the response was read.
+    has_begun: bool,
     response: &'a mut Response,
 }
 
@@ -43,7 +45,7 @@
         deadline: Instant,
         response: &'a mut Response,
     ) -> ResponseReader<'a> {
-        ResponseReader { context, reservation_owner, deadline, meter: None, response }
+        ResponseReader { context, reservation_owner, deadline, meter: None, has_begun: false, response }
     }
 
     /// Reads until the response is complete, or no buffer space is available for it.
@@ -105,8 +107,8 @@
             Ok(Ok(0)) => Err(QueryError::Closed),
             Ok(Ok(count)) => {
                 self.record_bytes(count);
-                if self.response.reservation.is_some() {
-                    // A large response must not keep other tasks on this thread from running.
+                if std::mem::replace(&mut self.has_begun, true) {
+                    // A response that goes on and on must not keep other tasks on this thread from running.
                     task::yield_now().await;
                 }
                 Ok(())
--- a/crates/proxy/tests/departed_clients.rs
+++ b/crates/proxy/tests/departed_clients.rs
@@ -73,6 +73,37 @@
     assert_eq!(attempted_after_departure((0..PIPELINED / 10).map(long)), 0);
 }
 
+/// Guards against a second run of a write whose client left before its answer, when it comes again under the same id:
+/// while its first attempt is in progress, and after that.
+#[test]
+fn a_write_whose_client_left_is_not_run_again_under_the_same_id() {
+    let hold = Hold::default();
+    let member_hold = hold.clone();
+    let member = Member::start(move |text, stream| {
+        if text.contains("id=first,") {
+            member_hold.pass();
+        }
+        serve(text, "writer", stream);
+    });
+    let proxy = Driver::before(&[("a", &member)]);
+    let write = named(&order(TIMEOUT_MS), "first");
+    hold.close();
+    let mut client = Client::connect(proxy.address);
+    client.send(&write);
+    hold.reached();
+    closed(client.stream);
+    assert_eq!(Client::connect(proxy.address).ask(&write).code, "08P01");
+    hold.open();
+    // The answer to the first attempt has arrived once its connection is used again, or another has been served.
+    for _ in 0..5 {
+        assert!(served(&Client::connect(proxy.address).ask(&look(TIMEOUT_MS))));
+        thread::sleep(GRACE / 5);
+    }
+    assert_eq!(Client::connect(proxy.address).ask(&write).code, "08P01");
+    let runs = member.requests().iter().filter(|text| text.contains("id=first,")).count();
+    assert_eq!(runs, 1);
+}
+
 /// Guards against a connection that waits for the first endpoint list and does not notice that its client has left.
 #[test]
 fn a_client_that_leaves_before_the_first_endpoint_list_frees_its_connection() {
--- a/crates/proxy/tests/flooding_clients.rs
+++ b/crates/proxy/tests/flooding_clients.rs
@@ -22,6 +22,8 @@
 const TIMEOUT_MS: u32 = 15_000;
 /// Time that the member takes for a request.
 const SERVICE_TIME: Duration = Duration::from_millis(4);
+/// Time from SIGTERM after which the process may be killed: the longest timeout, taken as 3 s, and a margin.
+const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
 /// Number of bytes that the flood has sent before the ordinary clients begin.
 const FLOOD_BYTES: usize = 64 * 1024;
 
@@ -167,3 +169,31 @@
     assert_eq!(error.code, "08P01");
     assert!(client.ended());
 }
+
+/// Guards against a shutdown that goes on accepting for as long as clients connect faster than they are served.
+#[test]
+fn a_flood_of_connections_does_not_hold_up_the_shutdown() {
+    let member = Member::start(|text, stream| serve(text, "writer", stream));
+    let mut proxy = Driver::before(&[("a", &member)]);
+    let stop = Arc::<AtomicBool>::default();
+    let clients: Vec<_> = (0..FLOODING_CLIENTS)
+        .map(|_| {
+            let (address, stop) = (proxy.address, stop.clone());
+            thread::spawn(move || {
+                while !stop.load(Ordering::SeqCst) {
+                    let _ = TcpStream::connect(address);
+                }
+            })
+        })
+        .collect();
+    assert!(served(&Client::connect(proxy.address).ask(&look(TIMEOUT_MS))));
+    let stopped_at = Instant::now();
+    proxy.signal("-TERM");
+    while proxy.child.try_wait().unwrap().is_none() && stopped_at.elapsed() < 2 * EARLIEST_KILL {
+        thread::sleep(Duration::from_millis(10));
+    }
+    let took = stopped_at.elapsed();
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    assert!(took < EARLIEST_KILL, "{took:?}");
+}
