Keep clients between two requests connected beside a busy crowd

Seen by callers: with 148 clients that always had a request in progress, at 256 descriptors, 52% of the ordinary requests found no connection and 7% lost theirs between two requests; at 1,024 descriptors and 400 such clients 20% found none.

Cause: once a quarter of the descriptors is in use by clients that were served, each new connection closes the served one that has been idle longest, however short that is. A busy crowd is never idle, so that only clients which wait for each answer were closed, and the crowd took their places.

Change: where most of these clients have a request pending, one that had its answer less than 250 ms ago (`recently_active`, as for new connections beyond the share) is kept. Where most are idle, as with clients that use each connection once, nothing changes.

--- a/crates/proxy/src/client/registry.rs
+++ b/crates/proxy/src/client/registry.rs
@@ -113,10 +113,23 @@
     }
 
     /// Closes an idle connection for the new one if the limit on active clients is reached.
+    ///
+    /// If most of them are idle, many clients use a connection once, and the one that has been idle longest is closed.
+    /// If most have requests pending, the few idle ones are between two requests and are kept for
+    /// `limits.connections.recently_active`: a crowd of busy clients would otherwise drive out those that wait for each
+    /// answer, and never lose a connection itself.
     fn evict_excess_active_client(&self) {
-        let active = self.connections.values().filter(|connection| connection.is_active()).count();
-        if active >= self.context.limits.connections.active_clients {
-            self.evict(Duration::ZERO, RegisteredConnection::was_served);
+        let limits = &self.context.limits.connections;
+        let active = self.connections.values().filter(|connection| connection.is_active());
+        let (mut active_count, mut idle_count) = (0, 0);
+        for connection in active {
+            active_count += 1;
+            idle_count += usize::from(connection.is_evictable(Duration::ZERO));
+        }
+        if active_count >= limits.active_clients {
+            let most_are_idle = 2 * idle_count > active_count;
+            let min_idle_time = if most_are_idle { Duration::ZERO } else { limits.recently_active };
+            self.evict(min_idle_time, RegisteredConnection::was_served);
         }
     }
 
