--- a/crates/proxy/src/lifecycle/startup/resources.rs
+++ b/crates/proxy/src/lifecycle/startup/resources.rs
@@ -107,6 +107,8 @@
         let listener = listen_for_clients(&configuration)?;
         let (channels, shared) = open_channels(&configuration);
         let buffers = &configuration.limits.buffers;
+        let pipeline_memory =
+            PipelineMemory::new(buffers.pipeline_memory, buffers.small_message, logger.clone());
         let context = Rc::new(ProcessContext {
             clock,
             unstalled_clock,
@@ -117,7 +119,7 @@
             ready: shared.ready,
             stopping: shared.stopping,
             flow_control,
-            pipeline_memory: PipelineMemory::new(buffers.pipeline_memory, buffers.small_message),
+            pipeline_memory,
             highest_priority_classes: configuration.settings.highest_priority_classes().into_iter().collect(),
             member_connection_permits: Arc::new(Semaphore::new(configuration.limits.connections.members)),
             waiting_for_permit: Cell::new(0),
