--- a/crates/proxy/src/dispatcher/departed_ids.rs
+++ b/crates/proxy/src/dispatcher/departed_ids.rs
@@ -8,7 +8,7 @@
 /// How long an id is remembered after its request has ended, in microseconds.
 const REMEMBERED_FOR: Micros = 10_000_000;
 /// Number of ids that are remembered before older ones are forgotten.
-const MAX_REMEMBERED: usize = 4096;
+const MAX_REMEMBERED: usize = 16_384;
 
 /// The ids of requests that may have run, whose clients left without an answer a short time ago. A client that comes back
 /// with such an id must not have the request run again.
