--- a/crates/routing/src/policy/sessions.rs
+++ b/crates/routing/src/policy/sessions.rs
@@ -9,9 +9,11 @@
 
 /// Number of sessions that are remembered before older ones are forgotten.
 const MAX_SESSIONS: usize = 10_000;
-/// Minimum age of a session's last commit, in microseconds, for the session to be forgotten when there are
+/// Minimum age of a session's last commit, in microseconds, for the session to be forgotten first when there are
 /// more than [`MAX_SESSIONS`].
 const FORGET_AFTER: Micros = FAILURE_WINDOW;
+/// Number of sessions that are kept if there are still more than [`MAX_SESSIONS`] then.
+const KEPT_SESSIONS: usize = MAX_SESSIONS / 10 * 9;
 
 /// The time on the router's clock, and the lead of the members' clock over it, in microseconds.
 #[derive(Clone, Copy)]
@@ -79,6 +81,13 @@
         self.last_ended_at = Some(now);
     }
 
+    /// Returns the time on the router's clock at which the session's last write that ran was committed, at the
+    /// latest.
+    fn last_write_at(&self, clock: ClockReading) -> Micros {
+        let committed_at = self.last_committed_at.saturating_sub(clock.members_lead);
+        self.last_forwarded_until.map_or(committed_at, |until| until.max(committed_at))
+    }
+
     /// Returns whether a write may have been committed after `at` on the router's clock.
     fn wrote_after(&self, at: Micros, clock: ClockReading) -> bool {
         self.writes_in_flight > 0
@@ -115,14 +124,32 @@
         self.by_name.get(name).map_or(forgotten, |session| session.write_age(now))
     }
 
-    /// Forgets sessions that wrote long ago if there are more than [`MAX_SESSIONS`].
+    /// Returns the number of sessions that are remembered.
+    pub(super) fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Forgets sessions if there are more than [`MAX_SESSIONS`]: those that wrote long ago, and if that is not
+    /// enough, those that wrote longest ago. A read of a session that is not known must see all writes that
+    /// were forgotten, which costs it the replicas that have not caught up with them.
     pub(super) fn forget_old(&mut self, clock: ClockReading) {
         if self.by_name.len() <= MAX_SESSIONS {
             return;
         }
-        let forgotten_until = clock.now - FORGET_AFTER;
-        self.forgotten_until = Some(forgotten_until);
-        self.by_name.retain(|_, session| session.wrote_after(forgotten_until, clock));
+        self.forget_until(clock.now - FORGET_AFTER, clock);
+        if self.by_name.len() > MAX_SESSIONS {
+            let mut last_writes: Vec<Micros> =
+                self.by_name.values().map(|session| session.last_write_at(clock)).collect();
+            let first_kept = last_writes.len() - KEPT_SESSIONS;
+            let (_, &mut cutoff, _) = last_writes.select_nth_unstable(first_kept);
+            self.forget_until(cutoff, clock);
+        }
+    }
+
+    /// Forgets sessions that have not written after `until`, on the router's clock.
+    fn forget_until(&mut self, until: Micros, clock: ClockReading) {
+        self.forgotten_until = self.forgotten_until.max(Some(until));
+        self.by_name.retain(|_, session| session.wrote_after(until, clock));
     }
 }
 
@@ -132,6 +159,11 @@
         ClockReading { now, members_lead: self.clock_offset }
     }
 
+    /// Returns the number of sessions whose writes the router remembers.
+    pub fn remembered_sessions(&self) -> usize {
+        self.sessions.len()
+    }
+
     /// Records that a write of the session is being forwarded to another site, until
     /// [`Router::forwarded_write_ended`]. Does nothing if the router tracks no sessions.
     pub fn write_forwarded(&mut self, session: &str) {
--- a/crates/routing/tests/router/own_writes.rs
+++ b/crates/routing/tests/router/own_writes.rs
@@ -73,3 +73,27 @@
     simulation.advance(30 * MS);
     assert_eq!(age(&simulation), Some(30 * MS));
 }
+
+/// Guards against sessions that are remembered without a limit under ever new names. The simulation checks that reads
+/// of forgotten sessions see their writes.
+#[test]
+fn the_sessions_remembered_are_bounded_and_reads_of_forgotten_ones_see_their_writes() {
+    const SESSIONS: usize = 12_000;
+    let mut simulation = checked_simulation(router_config());
+    for number in 0..SESSIONS {
+        let write = simulation.submit_in_session(WRITE, 2_000 * MS, &format!("session {number}"));
+        simulation.end_attempt(write, Verdict::Served);
+        if number % 500 == 0 {
+            simulation.advance(20 * MS);
+        }
+    }
+    simulation.advance(20 * MS);
+    let remembered = simulation.router.remembered_sessions();
+    assert!(remembered <= 10_000, "{remembered}");
+    for number in [0, SESSIONS / 2, SESSIONS - 1] {
+        let read = simulation.submit_in_session(OWN_WRITES_READ, 1_000 * MS, &format!("session {number}"));
+        simulation.advance(100 * MS);
+        assert!(target(&simulation, read).is_some(), "the read of session {number} is not attempted");
+        simulation.end_attempt(read, Verdict::Served);
+    }
+}
