--- a/crates/routing/src/policy/sessions.rs
+++ b/crates/routing/src/policy/sessions.rs
@@ -142,7 +142,8 @@
                 self.by_name.values().map(|session| session.last_write_at(clock)).collect();
             let first_kept = last_writes.len() - KEPT_SESSIONS;
             let (_, &mut cutoff, _) = last_writes.select_nth_unstable(first_kept);
-            self.forget_until(cutoff, clock);
+            // A position reported at the moment of a commit need not include it.
+            self.forget_until(cutoff + 1, clock);
         }
     }
 
