End a member's response that goes on after its deadline or is too long

Cause: the deadline of a response is a timeout around each single read. While there are always bytes to read, each read is ready at once, and the timeout is never looked at.

Change: after each read the deadline is compared with the clock, and a response of more bytes than one of the greatest length and its small messages is malformed.

The trials have a replica in trouble by chance since this commit.

--- a/crates/fault-injection/src/hostile/drawn.rs
+++ b/crates/fault-injection/src/hostile/drawn.rs
@@ -6,6 +6,7 @@
 
 use super::attack::HostileGroup;
 use super::behaviour::Behaviour;
+use super::members::MemberTrouble;
 use super::trial::{SignalPlan, Trial};
 
 /// Distinguishes the seeds of these trials from those of other plans.
@@ -30,6 +31,7 @@
             length_ms: 9_000,
             hostile,
             signals: draw_signals(&mut rng),
+            trouble: rng.random_bool(0.4).then(|| draw_trouble(&mut rng)),
         }
     }
 }
@@ -41,6 +43,10 @@
     HostileGroup { behaviour, connections, reads: rng.random_bool(0.5) }
 }
 
+fn draw_trouble(rng: &mut Pcg64Mcg) -> MemberTrouble {
+    *MemberTrouble::ALL.choose(rng).expect("there are troubles")
+}
+
 fn draw_signals(rng: &mut Pcg64Mcg) -> Vec<SignalPlan> {
     let mut signals = Vec::new();
     if rng.random_bool(0.3) {
--- a/crates/fault-injection/src/hostile/members.rs
+++ b/crates/fault-injection/src/hostile/members.rs
@@ -15,6 +15,15 @@
 /// Time that a member takes for a request.
 const SERVICE_TIME: Duration = Duration::from_millis(4);
 
+/// Time that a slow member takes in addition.
+const SLOW_SERVICE_TIME: Duration = Duration::from_millis(150);
+/// Time after which a member that hangs closes the connection.
+const HANG_TIME: Duration = Duration::from_secs(3);
+/// One request of so many on a connection meets the member's trouble.
+const TROUBLED_REQUEST: u32 = 4;
+/// A NoticeResponse without fields.
+const NOTICE: [u8; 6] = [b'N', 0, 0, 0, 5, 0];
+
 /// When a request was received, and how often.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrivals {
@@ -72,12 +81,42 @@
     }
 }
 
+/// How a member answers wrongly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+pub enum MemberTrouble {
+    /// Each answer takes 150 ms.
+    Slow,
+    /// One request of four is never answered.
+    Hangs,
+    /// One connection of four is reset under a request.
+    Resets,
+    /// One answer of four is notices without an end.
+    EndlessNotices,
+}
+
+impl MemberTrouble {
+    /// All troubles.
+    pub const ALL: [MemberTrouble; 4] =
+        [MemberTrouble::Slow, MemberTrouble::Hangs, MemberTrouble::Resets, MemberTrouble::EndlessNotices];
+}
+
+/// A member.
+#[derive(Clone)]
+pub struct Member {
+    /// What it is in its group.
+    pub role: Role,
+    /// Where it records what it received.
+    pub log: ArrivalLog,
+    /// How it answers wrongly; `None` if it is sound.
+    pub trouble: Option<MemberTrouble>,
+}
+
 /// Serves the connections of one member. Never returns.
-pub async fn serve(listener: TcpListener, role: Role, log: ArrivalLog) {
+pub async fn serve(listener: TcpListener, member: Member) {
     while let Ok((stream, _)) = listener.accept().await {
-        let log = log.clone();
+        let member = member.clone();
         tokio::task::spawn_local(async move {
-            let _ = serve_connection(stream, role, &log).await;
+            let _ = member.serve_connection(stream).await;
         });
     }
 }
@@ -89,19 +128,46 @@
     Ok((listener, address))
 }
 
-async fn serve_connection(mut stream: TcpStream, role: Role, log: &ArrivalLog) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let mut buffer = Buffer::default();
-    let mut started = false;
-    loop {
-        while let Some(length) = next_length(&buffer, started) {
-            let bytes = buffer.take(length);
-            let response = if started { respond(&bytes, role, log).await } else { startup_response() };
-            started = true;
-            stream.write_all(&response).await?;
+impl Member {
+    async fn serve_connection(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut buffer = Buffer::default();
+        let (mut started, mut requests) = (false, 0_u32);
+        loop {
+            while let Some(length) = next_length(&buffer, started) {
+                let bytes = buffer.take(length);
+                let response =
+                    if started { respond(&bytes, self.role, &self.log).await } else { startup_response() };
+                started = true;
+                requests += u32::from(statement::field(&bytes[pg::MESSAGE_HEADER_LENGTH..], "id").is_some());
+                if requests % TROUBLED_REQUEST == TROUBLED_REQUEST - 1 {
+                    requests += 1;
+                    self.make_trouble(&mut stream).await?;
+                }
+                if self.trouble == Some(MemberTrouble::Slow) {
+                    sleep(SLOW_SERVICE_TIME).await;
+                }
+                stream.write_all(&response).await?;
+            }
+            if stream.read_buf(buffer.tail()).await? == 0 {
+                return Ok(());
+            }
         }
-        if stream.read_buf(buffer.tail()).await? == 0 {
-            return Ok(());
+    }
+
+    /// Does instead of an answer what the member's trouble is. Fails if the connection is of no more use.
+    async fn make_trouble(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+        match self.trouble {
+            None | Some(MemberTrouble::Slow) => Ok(()),
+            Some(MemberTrouble::Hangs) => {
+                stream.readable().await?;
+                sleep(HANG_TIME).await;
+                Err(std::io::ErrorKind::TimedOut.into())
+            }
+            Some(MemberTrouble::Resets) => Err(std::io::ErrorKind::ConnectionReset.into()),
+            Some(MemberTrouble::EndlessNotices) => loop {
+                stream.write_all(&NOTICE.repeat(1024)).await?;
+            },
         }
     }
 }
--- a/crates/fault-injection/src/hostile/mod.rs
+++ b/crates/fault-injection/src/hostile/mod.rs
@@ -12,5 +12,6 @@
 
 pub use attack::HostileGroup;
 pub use behaviour::Behaviour;
+pub use members::MemberTrouble;
 pub use report::Report;
 pub use trial::{SignalPlan, Trial};
--- a/crates/fault-injection/src/hostile/trial.rs
+++ b/crates/fault-injection/src/hostile/trial.rs
@@ -13,7 +13,7 @@
 use tokio::task::{LocalSet, spawn_local};
 
 use super::attack::{AttackContext, DepartureLog, HostileClient, HostileGroup};
-use super::members::{self, ArrivalLog, Role};
+use super::members::{self, ArrivalLog, Member, MemberTrouble, Role};
 use super::ordinary::{DEADLINE, LATE_ANSWER_WINDOW, OrdinaryClient, RequestLog};
 use super::report::{Outage, Report};
 
@@ -73,6 +73,8 @@
     pub hostile: Vec<HostileGroup>,
     /// Signals, in the order of their times.
     pub signals: Vec<SignalPlan>,
+    /// How one of the two replicas answers wrongly; `None` if it is sound.
+    pub trouble: Option<MemberTrouble>,
 }
 
 /// What the trial's threads share.
@@ -89,7 +91,7 @@
     /// Plays the trial.
     pub fn run(&self) -> Report {
         let logs = Logs::default();
-        let (discovery, known) = start_members(&logs.arrivals);
+        let (discovery, known) = start_members(&logs.arrivals, self.trouble);
         let config = config(discovery, self.sockets, &known)
             .replace("\"memory_mb\":192", &format!("\"memory_mb\":{}", self.memory_mb))
             .replace("\"deadlineMs\":20000", &format!("\"deadlineMs\":{}", DEADLINE.as_millis()));
@@ -167,13 +169,14 @@
 }
 
 /// Starts the members and discovery. Returns discovery's address and the list.
-fn start_members(log: &ArrivalLog) -> (SocketAddr, String) {
+fn start_members(log: &ArrivalLog, trouble: Option<MemberTrouble>) -> (SocketAddr, String) {
     let (sender, receiver) = mpsc::channel();
     let log = log.clone();
     spawn_runtime(move || async move {
-        for (name, role) in [("a", Role::Primary), ("b", Role::Replica), ("c", Role::Replica)] {
+        let all = [("a", Role::Primary, None), ("b", Role::Replica, trouble), ("c", Role::Replica, None)];
+        for (name, role, trouble) in all {
             let (listener, address) = members::listen().await.expect("a socket");
-            spawn_local(members::serve(listener, role, log.clone()));
+            spawn_local(members::serve(listener, Member { role, log: log.clone(), trouble }));
             sender.send((name, address)).expect("the trial waits");
         }
         std::future::pending::<()>().await;
--- a/crates/fault-injection/src/main.rs
+++ b/crates/fault-injection/src/main.rs
@@ -128,6 +128,7 @@
             length_ms: 8_000,
             hostile: Vec::new(),
             signals: Vec::new(),
+            trouble: None,
         };
         if self.behaviour != "none" {
             let behaviour = Behaviour::named(&self.behaviour)
@@ -146,7 +147,10 @@
         let trial = chosen.trial(seed)?;
         let report = trial.run();
         let violations = report.violations();
-        println!("seed {seed}, {} sockets, {:?} {:?}", trial.sockets, trial.hostile, trial.signals);
+        println!(
+            "seed {seed}, {} sockets, {:?} {:?} {:?}",
+            trial.sockets, trial.hostile, trial.signals, trial.trouble
+        );
         println!("  {report}");
         for violation in &violations {
             println!("  BROKEN {violation}");
--- a/crates/fault-injection/tests/hostile_clients.rs
+++ b/crates/fault-injection/tests/hostile_clients.rs
@@ -19,6 +19,7 @@
         length_ms: LENGTH_MS,
         hostile: groups,
         signals: Vec::new(),
+        trouble: None,
     };
     let report = trial.run();
     assert!(report.violations().is_empty(), "{:?}: {report}", report.violations());
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -204,7 +204,7 @@
     }
 
     /// Returns whether another statement may be accepted although a response is owed: there is memory for it and
-    /// its response, and the client cannot have left unseen.
+    /// its response, and a close by the client would have been seen.
     fn may_pipeline(&mut self) -> bool {
         let small_message = self.context.limits.buffers.small_message;
         let announced = pg::announced_length(self.buffer.held()).min(small_message);
--- a/crates/proxy/src/client/read_ahead.rs
+++ b/crates/proxy/src/client/read_ahead.rs
@@ -8,10 +8,8 @@
 use super::connection::ClientConnection;
 use super::events::has_unread_bytes;
 
-/// The read buffer grows by half, so that for a moment two and a half times its contents are allocated.
-const GROWTH_FACTOR: usize = 5;
-/// Divisor that goes with [`GROWTH_FACTOR`].
-const GROWTH_DIVISOR: usize = 2;
+/// Free space beyond what is read ahead, in bytes, so that the buffer never grows.
+const SPARE_CAPACITY: usize = 4 * 1024;
 
 impl ClientConnection {
     /// Returns whether more may be read while requests are in progress: up to `limits.client.read_ahead` bytes, and up
@@ -29,15 +27,19 @@
             return false;
         }
         if self.read_ahead_reservation.is_none() {
-            let bytes = limits.extended_read_ahead * GROWTH_FACTOR / GROWTH_DIVISOR;
-            self.read_ahead_reservation = self.connection_guard.try_reserve(bytes, Priority::Normal);
+            let capacity = limits.extended_read_ahead + SPARE_CAPACITY;
+            self.read_ahead_reservation = self.connection_guard.try_reserve(capacity, Priority::Normal);
+            if self.read_ahead_reservation.is_some() {
+                self.buffer.expect(capacity);
+            }
         }
         self.read_ahead_reservation.is_some()
     }
 
-    /// Returns whether the client may have closed its connection behind bytes that are not read. If so, its requests
-    /// are attempted one at a time: the response to the first one shows whether it is still there.
-    pub(super) fn departure_may_be_hidden(&mut self) -> bool {
-        !self.may_read_ahead() && has_unread_bytes(&self.stream)
+    /// Returns whether the client may have closed its connection behind bytes that are not read. They are read before
+    /// another statement is accepted. Where no more may be read, requests are attempted one at a time: the response to
+    /// the first one shows whether the client is still there.
+    pub(super) fn departure_may_be_hidden(&self) -> bool {
+        has_unread_bytes(&self.stream)
     }
 }
--- a/crates/proxy/src/dispatcher/actions.rs
+++ b/crates/proxy/src/dispatcher/actions.rs
@@ -68,6 +68,7 @@
     pub(super) fn answer(&mut self, handle: RequestHandle, answer: Answer) {
         let Some(open) = self.open_requests.get_mut(&handle) else { return };
         let Some(client) = open.client.take() else { return };
+        open.was_rejected = matches!(answer, Answer::Rejected { .. });
         if let Some(site_handle) = open.site_handle {
             return self.local_request_answered(site_handle, answer);
         }
--- a/crates/proxy/src/dispatcher/departed_ids.rs
+++ b/crates/proxy/src/dispatcher/ended_ids.rs
@@ -1,4 +1,4 @@
-//! Ids of requests that may have run and whose clients left without an answer.
+//! Ids of requests that have ended and may have had an effect.
 
 use std::collections::{HashMap, VecDeque};
 use std::hash::{BuildHasher, RandomState};
@@ -10,13 +10,14 @@
 /// Number of ids that are remembered before older ones are forgotten.
 const MAX_REMEMBERED: usize = 16_384;
 
-/// The ids of requests that may have run, whose clients left without an answer a short time ago. A client that comes back
-/// with such an id must not have the request run again.
+/// The ids of requests that ended a short time ago and may have had an effect. Ids are new for each request, a client's
+/// retry included: whoever sends one again, as a client that left before its answer may, must not have the request run
+/// again.
 ///
 /// Ids are remembered by a keyed hash, so that an entry is small however long the id is. The cost: once in some 10^15
 /// requests, another id is taken for a remembered one and refused.
 #[derive(Default)]
-pub(super) struct DepartedIds {
+pub(super) struct EndedIds {
     hasher: RandomState,
     /// Hashes of the ids, and when each is forgotten.
     forgotten_at: HashMap<u64, Micros>,
@@ -24,7 +25,7 @@
     oldest: VecDeque<(Micros, u64)>,
 }
 
-impl DepartedIds {
+impl EndedIds {
     /// Remembers an id from `now` on.
     pub(super) fn remember(&mut self, now: Micros, id: &str) {
         self.forget_old(now);
--- a/crates/proxy/src/dispatcher/mod.rs
+++ b/crates/proxy/src/dispatcher/mod.rs
@@ -5,7 +5,7 @@
 //! part.
 
 mod actions;
-mod departed_ids;
+mod ended_ids;
 mod endpoints;
 mod gateway;
 mod members_clock;
@@ -30,7 +30,7 @@
 use tokio::task::yield_now;
 use tokio::time::sleep_until;
 
-use crate::dispatcher::departed_ids::DepartedIds;
+use crate::dispatcher::ended_ids::EndedIds;
 use crate::dispatcher::endpoints::MemberEntry;
 use crate::dispatcher::open_request::{OpenRequest, RequestOwner};
 use crate::dispatcher::warm_state::LastEndpointList;
@@ -114,7 +114,7 @@
     open_requests: HashMap<RequestHandle, OpenRequest>,
     /// The ids in the comments of open requests, as the clients chose them.
     open_comment_ids: HashSet<String>,
-    departed_ids: DepartedIds,
+    ended_ids: EndedIds,
     request_owners: HashMap<ClientRequestId, RequestOwner>,
     /// Ends of attempts and health checks that arose while a decision was carried out; they are handled after
     /// it.
@@ -148,7 +148,7 @@
             groups: HashSet::new(),
             open_requests: HashMap::new(),
             open_comment_ids: HashSet::new(),
-            departed_ids: DepartedIds::default(),
+            ended_ids: EndedIds::default(),
             request_owners: HashMap::new(),
             deferred: VecDeque::new(),
             warm_state: parts.warm_state,
--- a/crates/proxy/src/dispatcher/open_request.rs
+++ b/crates/proxy/src/dispatcher/open_request.rs
@@ -57,6 +57,8 @@
     pub(super) cancellation: Cancellation,
     /// Whether the router has decided on an attempt of the request.
     pub(super) was_attempted: bool,
+    /// Whether the request was rejected, so that its client may repeat it.
+    pub(super) was_rejected: bool,
     /// The client's request: the statement and its comment.
     pub(super) request: Rc<ClientRequest>,
 }
@@ -67,13 +69,11 @@
         self.client.is_none() || self.request.client_gone.is_cancelled()
     }
 
-    /// Returns whether the request may have had an effect that its client, which has left, does not know of.
-    pub(super) fn has_left_possible_effect(&self, settings: &Settings) -> bool {
+    /// Returns whether the request may have had an effect that a second run would repeat.
+    pub(super) fn may_have_had_effect(&self, settings: &Settings) -> bool {
         let class = settings.class_index(&self.request.comment.class);
         let effect = class.map(|class| settings.router_config.classes[class].effect);
-        self.cancellation.is_cancelled()
-            && self.was_attempted
-            && !matches!(effect, Ok(Effect::Idempotent) | Err(_))
+        self.was_attempted && !self.was_rejected && !matches!(effect, Ok(Effect::Idempotent) | Err(_))
     }
 
     /// Cancels the request because nobody waits for its answer any more.
--- a/crates/proxy/src/dispatcher/requests.rs
+++ b/crates/proxy/src/dispatcher/requests.rs
@@ -75,9 +75,9 @@
         Ok(class)
     }
 
-    /// Returns whether a request with this id is open, or may have run for a client that left a short time ago.
+    /// Returns whether a request with this id is open, or may have had an effect a short time ago.
     fn is_id_in_use(&self, id: &str) -> bool {
-        self.open_comment_ids.contains(id) || self.departed_ids.contains(self.context.clock.now(), id)
+        self.open_comment_ids.contains(id) || self.ended_ids.contains(self.context.clock.now(), id)
     }
 
     /// Returns whether the group was ever listed, here or at another site.
@@ -127,6 +127,7 @@
             client: Some(WaitingClient::from_request(&request)),
             cancellation: Cancellation::default(),
             was_attempted: false,
+            was_rejected: false,
             request,
         };
         self.open_requests.insert(handle, open);
@@ -276,8 +277,8 @@
         let Some(open) = self.open_requests.remove(&handle) else { return };
         // For requests that came through it, the gateway part removes these entries itself.
         if open.site_handle.is_none() {
-            if open.has_left_possible_effect(&self.settings) {
-                self.departed_ids.remember(self.context.clock.now(), &open.request.comment.id);
+            if open.may_have_had_effect(&self.settings) {
+                self.ended_ids.remember(self.context.clock.now(), &open.request.comment.id);
             }
             self.open_comment_ids.remove(&open.request.comment.id);
             if let Some(client) = open.client {
--- a/crates/proxy/src/lifecycle/limits/client.rs
+++ b/crates/proxy/src/lifecycle/limits/client.rs
@@ -9,7 +9,7 @@
 const READ_AHEAD: usize = 8 * 1024;
 /// The end of a client that closes its connection arrives behind what it sent before. With so much read, the end of
 /// hundreds of pipelined statements is seen.
-const EXTENDED_READ_AHEAD: usize = 48 * 1024;
+const EXTENDED_READ_AHEAD: usize = 64 * 1024;
 /// Longest delay before a closed connection is noticed behind unread bytes. A shorter interval costs CPU time.
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Clients send the startup message as soon as they are connected.
--- a/crates/proxy/src/member/response.rs
+++ b/crates/proxy/src/member/response.rs
@@ -32,8 +32,8 @@
     deadline: Instant,
     /// Measures the member's transfer rate from the first bytes of the response on.
     meter: Option<ProgressMeter>,
-    /// Whether part of the response was read.
-    has_begun: bool,
+    /// Number of bytes that were read.
+    received: usize,
     response: &'a mut Response,
 }
 
@@ -45,7 +45,7 @@
         deadline: Instant,
         response: &'a mut Response,
     ) -> ResponseReader<'a> {
-        ResponseReader { context, reservation_owner, deadline, meter: None, has_begun: false, response }
+        ResponseReader { context, reservation_owner, deadline, meter: None, received: 0, response }
     }
 
     /// Reads until the response is complete, or no buffer space is available for it.
@@ -107,15 +107,30 @@
             Ok(Ok(0)) => Err(QueryError::Closed),
             Ok(Ok(count)) => {
                 self.record_bytes(count);
-                if std::mem::replace(&mut self.has_begun, true) {
-                    // A response that goes on and on must not keep other tasks on this thread from running.
-                    task::yield_now().await;
-                }
-                Ok(())
+                self.check_progress(count).await
             }
         }
     }
 
+    /// Fails if the response goes on after its deadline, or is longer than any response may be. The deadline of
+    /// a single read does not pass while there are always bytes to read.
+    async fn check_progress(&mut self, count: usize) -> Result<(), QueryError> {
+        let is_first = self.received == 0;
+        self.received += count;
+        let buffers = &self.context.limits.buffers;
+        if self.received > buffers.max_response + buffers.small_message {
+            return Err(QueryError::Malformed);
+        }
+        if Instant::now() >= self.deadline && !self.response.exchange.is_served() {
+            return Err(QueryError::DeadlineExceeded);
+        }
+        if !is_first {
+            // A response that goes on and on must not keep other tasks on this thread from running.
+            task::yield_now().await;
+        }
+        Ok(())
+    }
+
     /// Returns by when more bytes must arrive: by the deadline, and as early as the minimum rate requires. If
     /// only the end of the response is missing, or the bytes held end like a complete response, more bytes
     /// must arrive within `limits.member.completion_timeout`.
