Refuse an id that has ended on other connections only

A client that is still connected has read its answer. An id is refused on other connections only now.

--- a/crates/proxy/src/dispatcher/gateway/pending_requests.rs
+++ b/crates/proxy/src/dispatcher/gateway/pending_requests.rs
@@ -71,7 +71,7 @@
         let now = self.context.clock.now();
         let Some(pending) = self.remove_pending_request(handle) else { return };
         // Whether it ran, here or at another site, is not known yet.
-        self.ended_ids.remember(now, &pending.request.comment.id);
+        self.ended_ids.remember(now, &pending.request.comment.id, pending.request.peer);
         if let Some(local) = pending.local_handle {
             self.abandon(&[local]);
         }
--- a/crates/proxy/src/dispatcher/requests.rs
+++ b/crates/proxy/src/dispatcher/requests.rs
@@ -66,7 +66,7 @@
         if !self.knows_group(comment.group) {
             return Err(Answer::Rejected { retry_after: 0 });
         }
-        if self.is_id_in_use(&comment.id) {
+        if self.is_id_in_use(request) {
             return Err(Answer::InvalidStatement("a task with this id is under way"));
         }
         if self.has_max_open_requests() {
@@ -75,9 +75,12 @@
         Ok(class)
     }
 
-    /// Returns whether a request with this id is open, or may have had an effect a short time ago.
-    fn is_id_in_use(&self, id: &str) -> bool {
-        self.open_comment_ids.contains(id) || self.ended_ids.contains(self.context.clock.now(), id)
+    /// Returns whether a request with the same id is open, or came on another connection and may have had an
+    /// effect a short time ago.
+    fn is_id_in_use(&self, request: &ClientRequest) -> bool {
+        let id = &request.comment.id;
+        let now = self.context.clock.now();
+        self.open_comment_ids.contains(id) || self.ended_ids.contains(now, id, request.peer)
     }
 
     /// Returns whether the group was ever listed, here or at another site.
@@ -278,7 +281,11 @@
         // For requests that came through it, the gateway part removes these entries itself.
         if open.site_handle.is_none() {
             if open.may_have_had_effect(&self.settings) {
-                self.ended_ids.remember(self.context.clock.now(), &open.request.comment.id);
+                self.ended_ids.remember(
+                    self.context.clock.now(),
+                    &open.request.comment.id,
+                    open.request.peer,
+                );
             }
             self.open_comment_ids.remove(&open.request.comment.id);
             if let Some(client) = open.client {
