--- a/review/7/test.py
+++ b/review/7/test.py
@@ -51,16 +51,7 @@
         return row(value) + member.note() + READY
 
     def die(self, member):
-        """The process dies: its connections are reset, new ones are refused, and a replica takes over."""
-        self.case.record("dies", member.name)
-        member.listener.shutdown(socket.SHUT_RDWR)
-        member.listener.close()
-        for sock in member.sockets:
-            try:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                sock.close()
-            except OSError:
-                pass
+        member.die()
         threading.Thread(target=self.take_over, daemon=True).start()
 
     def take_over(self):
--- a/review/tools-2/standin.py
+++ b/review/tools-2/standin.py
@@ -112,6 +112,7 @@
         self.phase = "in_service"
         self.runs = []
         self.lag_ms = 0
+        self.dead = False
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind((address, 0))
@@ -130,6 +131,20 @@
             self.sockets.append(sock)
             threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
 
+    def die(self):
+        """The process dies: its connections are reset, new ones are refused, and what it worked on is gone."""
+        self.record("dies", self.name)
+        self.dead = True
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for sock in self.sockets:
+            try:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                sock.shutdown(socket.SHUT_RDWR)
+                sock.close()
+            except OSError:
+                pass
+
     def note(self, position=None):
         position = wall_ms() - self.lag_ms if position is None else position
         return status("server_role", self.role) + status("commit_clock", position)
@@ -146,9 +161,7 @@
             sock.sendall(message(b"R", struct.pack(">I", 0)) + READY)
             while True:
                 tag, body = reader.message()
-                if tag == b"X":
-                    return
-                if tag != b"Q":
+                if tag != b"Q" or self.dead:
                     return
                 text = body[:-1].decode()
                 if text.strip(" ;") == "":
