--- a/review/6/test.py
+++ b/review/6/test.py
@@ -41,7 +41,7 @@
 def judge(case, members, outputs, stopped_at, killed_at):
     """What ran and got no answer, what SIGKILL found unanswered, and how much was sent."""
     ran = {name: at for member in members for at, name in member.runs}
-    lost, unanswered, sent = 0, 0, 0
+    lost, unanswered, sent, writes = 0, 0, 0, 0
     since = stopped_at or case.record.start
     for prefix, output in outputs:
         for line in output.splitlines():
@@ -57,9 +57,10 @@
                     unanswered += since + 0.7 + SLACK < sent_at < killed_at - SLACK
                 elif name in ran:
                     lost += 1
+                    writes += prefix.startswith("write")
                     case.record("no answer", name, "sent %.3f ran %.3f connection ended %.3f s after SIGTERM"
                                 % (sent_at - since, ran[name] - since, end_at - since))
-    return lost, unanswered, sent
+    return lost, writes, unanswered, sent
 
 
 def body(case):
@@ -77,17 +78,17 @@
             prefix = "%s%d" % (kind, turn)
             command = [sys.executable, "-B", TOOL, proxy.listen, str(CONNECTIONS), str(DEPTH), "7", cls, str(deadline),
                        prefix, str(writes)]
-            clients.append((prefix, subprocess.Popen(command, stdout=subprocess.PIPE, text=True)))
+            clients.append((prefix, case.child(command)))
         time.sleep(2)
         stopped_at, killed_at = stop(case, proxy) if TROUBLE else (None, None)
         outputs = [(prefix, process.communicate()[0]) for prefix, process in clients]
-        lost, unanswered, sent = judge(case, members, outputs, stopped_at, killed_at)
+        lost, writes, unanswered, sent = judge(case, members, outputs, stopped_at, killed_at)
         total += sent
         case.record("round", turn, "sent", sent, "lost", lost, "unanswered at SIGKILL", unanswered)
         if lost or unanswered:
-            case.broken("%d commands ran at a member and the driver ended their connection with no answer; %d that came "
-                        "over 0.7 s after SIGTERM were unanswered at SIGKILL; round %d, %d sent"
-                        % (lost, unanswered, turn + 1, sent))
+            case.broken("%d commands, %d of them renew, ran at a member and the driver ended their connection with no answer; "
+                        "%d that came over 0.7 s after SIGTERM were unanswered at SIGKILL; round %d, %d sent"
+                        % (lost, writes, unanswered, turn + 1, sent))
     if total < 1000:
         case.cannot("too little was sent: %d" % total)
     case.held("all of %d commands that ran were answered" % total)
--- a/review/tools-2/standin.py
+++ b/review/tools-2/standin.py
@@ -438,11 +438,16 @@
         self.folder = folder
         self.record = Record(folder)
         self.temporary = tempfile.mkdtemp(prefix="case-")
-        self.proxies = []
+        self.proxies, self.children = [], []
         self.record("TROUBLE=%d" % TROUBLE)
         if not os.path.exists(os.path.join(ROOT, "target", "release", "aldermill")):
             self.cannot("the program is not built")
 
+    def child(self, command):
+        """Starts a stand-in as a process of its own; it ends with the case at the latest."""
+        self.children.append(subprocess.Popen(command, stdout=subprocess.PIPE, text=True))
+        return self.children[-1]
+
     def proxy(self, *arguments, **more):
         proxy = Proxy(self, *arguments, **more)
         self.proxies.append(proxy)
@@ -451,6 +456,10 @@
     def finish(self, code, text):
         self.record("verdict", code, text)
         print(text)
+        for child in self.children:
+            if child.poll() is None:
+                child.kill()
+            child.wait()
         for proxy in self.proxies:
             proxy.end()
         for name in os.listdir(self.temporary):
