Deliver all answers before a client connection is closed

Callers saw: at a planned restart, commands that a member had run got no answer, writes too, and connections whose clients always have requests in progress were not closed before the kill.

Cause: a connection was closed once its answers were written, not once they were delivered. The system still held some; the client's next command met a closed socket, and the reset dropped them. And at a shutdown a connection closed only at a moment at which nothing was owed and nothing unread.

Change: a connection that the proxy ends sends the end of its stream and stays open, unread, until the client's system has acknowledged everything, or nothing more for 1 s. So a request that crosses the close stays unread, and its reset takes no answer along. After the arrival window a connection closes once nothing is owed; from the response deadline on reading ends.

--- a/crates/proxy/src/client/close.rs
+++ b/crates/proxy/src/client/close.rs
@@ -4,35 +4,37 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use aldermill_flow_control::Transfer;
 use aldermill_wire::pg::sql_state;
 use aldermill_wire::{Buffer, Malformed, pg};
 use slog::debug;
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::connection::ClientConnection;
-use super::events::has_unread_bytes;
 use super::response::EncodedResponse;
 use crate::lifecycle::process_context::ProcessContext;
 use crate::messages::{ClientLeft, DispatcherMessage};
-use crate::system::{self, Party};
+use crate::system::{self, Delivery, Party};
 
 /// Capacity of the buffer for input that is discarded while a connection is closed, in bytes.
 const DISCARD_READ_SIZE: usize = 16 * 1024;
+/// Time between two looks at what the client's system has acknowledged, which nothing signals.
+const DELIVERY_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Reason why a client connection is closed.
 #[derive(Clone, Copy)]
 pub(super) enum CloseReason {
     /// The client closed its side or ended the session, the connection failed, or the process is ending.
     Normal,
-    /// The connection's descriptor is needed, or the client was idle for too long. The connection is closed
-    /// at once: a request that arrives during the close stays unread, so the client sees a reset and knows
-    /// that it may send the request again elsewhere.
+    /// The connection's descriptor is needed, or the client was idle for too long. A request that arrives during
+    /// the close stays unread, so the client sees a reset and knows that it may send the request again elsewhere.
     Evicted,
     /// The process is shutting down. The end of the stream is sent together with the end of the last
-    /// response, so a client that has read its answer knows that no further request is accepted here.
+    /// response, so a client that has read its answer knows that no further request is accepted here. What
+    /// arrives behind the last request stays unread, as with [`CloseReason::Evicted`].
     Shutdown,
     /// The client was too slow while others needed the resources that it held, or was slow for too long. The
     /// connection is reset, so that the kernel discards at once what it still buffers for the client.
@@ -66,29 +68,70 @@
         }
     }
 
-    /// Closes the connection in the way that the reason requires.
+    /// Closes the connection in the way that the reason requires, once the client's system has acknowledged all
+    /// responses.
     pub(super) async fn close(mut self, reason: CloseReason) {
-        if matches!(reason, CloseReason::TooSlow) || !self.may_leave_unread() {
-            reset_on_close(&self.stream);
+        self.buffer = Buffer::default();
+        let is_delivered = match reason {
+            CloseReason::TooSlow => return reset_on_close(&self.stream),
+            CloseReason::Evicted if self.has_delivered() => true,
+            CloseReason::Evicted | CloseReason::Shutdown => {
+                let _ = self.stream.shutdown().await;
+                self.wait_until_delivered().await
+            }
+            CloseReason::Normal => self.discard_input().await || self.wait_until_delivered().await,
+            CloseReason::ProtocolError(malformed) => {
+                debug!(self.context.log, "client connection closed after a protocol error"; "error" => %malformed);
+                let error =
+                    EncodedResponse::fatal_error(sql_state::PROTOCOL_VIOLATION, &malformed.to_string());
+                let _ = self.write_response(error).await;
+                self.discard_input().await || self.wait_until_delivered().await
+            }
+        };
+        if is_delivered {
             return;
         }
-        if matches!(reason, CloseReason::Evicted) {
-            return;
+        debug!(self.context.log, "client connection closed before its responses were delivered");
+        if self.connection_guard.is_disconnected() || !self.may_leave_unread() {
+            reset_on_close(&self.stream);
         }
-        if matches!(reason, CloseReason::Shutdown) {
-            let _ = self.stream.shutdown().await;
-            if !has_unread_bytes(&self.stream) {
-                return;
+    }
+
+    /// Ends the sending side and discards what the client sends, as [`discard_input`] does. Returns whether the client has
+    /// ended its side, so that the kernel delivers the responses without a reset.
+    async fn discard_input(&mut self) -> bool {
+        let limits = &self.context.limits;
+        discard_input(&mut self.stream, limits.connections.linger, limits.client.discard_limit).await
+    }
+
+    /// Returns whether the client's system has acknowledged the responses, as far as the kernel reports that.
+    fn has_delivered(&self) -> bool {
+        !matches!(system::delivery(&self.stream), Some(Delivery::Pending { .. }))
+    }
+
+    /// Waits until the client's system has acknowledged the responses and the end of the stream, for as long as it makes
+    /// progress and flow control does not disconnect the client. Returns whether it has.
+    ///
+    /// The kernel resets a connection that is closed while input is unread or still arrives, and drops the responses that
+    /// it has not delivered by then.
+    async fn wait_until_delivered(&mut self) -> bool {
+        let stall_timeout = self.context.limits.connections.delivery_stall_timeout;
+        let mut last_acknowledged = None;
+        let mut stalled_at = Instant::now() + stall_timeout;
+        self.connection_guard.start_metering(Transfer::ToPeer);
+        while let Some(Delivery::Pending { acknowledged }) = system::delivery(&self.stream) {
+            let previous = last_acknowledged.replace(acknowledged).unwrap_or(acknowledged);
+            let progress = acknowledged.wrapping_sub(previous);
+            if progress > 0 {
+                stalled_at = Instant::now() + stall_timeout;
+                self.connection_guard.record_progress(progress as usize);
             }
+            if Instant::now() >= stalled_at || self.connection_guard.is_disconnected() {
+                return false;
+            }
+            sleep(DELIVERY_POLL_INTERVAL).await;
         }
-        self.buffer = Buffer::default();
-        if let CloseReason::ProtocolError(malformed) = reason {
-            debug!(self.context.log, "client connection closed after a protocol error"; "error" => %malformed);
-            let error = EncodedResponse::fatal_error(sql_state::PROTOCOL_VIOLATION, &malformed.to_string());
-            let _ = self.write_response(error).await;
-        }
-        let limits = &self.context.limits;
-        close_gracefully(self.stream, limits.connections.linger, limits.client.discard_limit).await;
+        true
     }
 
     /// Returns whether the kernel may keep the responses that the client has not read. If so, it keeps them
@@ -115,24 +158,24 @@
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-/// Closes the proxy's side of a connection and waits up to `linger` for the client to close the other side,
-/// so that the bytes written last are delivered: the kernel resets a connection that is closed with unread
-/// input. Input is discarded; once the client has sent `discard_limit` bytes, nothing more is read.
-pub(super) async fn close_gracefully(mut stream: TcpStream, linger: Duration, mut discard_limit: usize) {
+/// Ends the sending side of a connection, and discards what arrives until the client has ended the other side, up to
+/// `linger` and up to `discard_limit` bytes. Returns whether it has, or the connection has failed. Only for input that
+/// needs no answer: the client can't tell that it was not acted on.
+async fn discard_input(stream: &mut TcpStream, linger: Duration, mut discard_limit: usize) -> bool {
     let read_until_end = async {
         stream.shutdown().await?;
         let mut discarded = Vec::with_capacity(DISCARD_READ_SIZE);
         while discard_limit > 0 {
             discarded.clear();
-            match system::read(Party::Client, &mut stream, &mut discarded).await? {
-                0 => return Ok(()),
+            match system::read(Party::Client, stream, &mut discarded).await? {
+                0 => return Ok(true),
                 count => discard_limit = discard_limit.saturating_sub(count),
             }
         }
         sleep(linger).await;
-        std::io::Result::Ok(())
+        std::io::Result::Ok(false)
     };
-    let _ = timeout(linger, read_until_end).await;
+    timeout(linger, read_until_end).await.is_ok_and(|ended| ended.unwrap_or(true))
 }
 
 /// Sends a client the error that there are too many connections, and closes its connection.
@@ -142,5 +185,5 @@
     let limits = &context.limits;
     let write = system::write_all(Party::Client, &mut stream, &error);
     let _ = timeout(limits.client.error_write_timeout, write).await;
-    close_gracefully(stream, limits.connections.linger, limits.client.discard_limit).await;
+    discard_input(&mut stream, limits.connections.linger, limits.client.discard_limit).await;
 }
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::close::CloseReason;
-use super::events::{ClientEvent, has_unread_bytes};
+use super::events::ClientEvent;
 use super::message_handling::{NextMessage, ReceiveState, ReceivedMessage};
 use super::pending_responses::PendingResponses;
 use super::receipt_times::ReceiptTimes;
@@ -61,7 +61,8 @@
     pub(super) next_departure_check: Instant,
     /// Work since other actors last had their turn.
     pub(super) turn: Turn,
-    /// True if the last request arrived so long after the request to stop that it was not owed an answer.
+    /// True once bytes were read that arrived so long after the request to stop that their client need not have found the
+    /// connection open. It closes as soon as no response is owed.
     pub(super) is_past_arrival_window: bool,
     /// Phase of the connection: accepting or draining.
     phase: Phase,
@@ -175,14 +176,17 @@
             return NextStep::WaitForEvent;
         }
         match self.phase {
+            Phase::Accepting if self.is_past_arrival_window && self.buffer.is_empty() => {
+                NextStep::Close(CloseReason::Shutdown)
+            }
             Phase::Accepting => NextStep::ReadMore,
             Phase::Draining(reason) => NextStep::Close(reason),
         }
     }
 
     /// Returns whether the connection closes with the response that is about to be written: the process is
-    /// shutting down, the client's last request arrived when no answer was owed any more, and the client has
-    /// sent nothing since.
+    /// shutting down, the client's last request arrived late, and it is owed no further response. Requests
+    /// that are not read by now cross the close.
     ///
     /// Without this rule, a client that sends its next request as soon as it has an answer would be served
     /// until no time is left, and then rejected, whenever the machine schedules the client before this
@@ -192,7 +196,6 @@
             && matches!(self.phase, Phase::Accepting)
             && self.pending_responses.is_empty()
             && self.buffer.is_empty()
-            && !has_unread_bytes(&self.stream)
     }
 
     /// Returns whether another statement may be accepted in addition to the pending ones.
@@ -220,7 +223,7 @@
     fn handle_event(&mut self, event: ClientEvent) -> Result<(), CloseReason> {
         match event {
             ClientEvent::Answer(request_id, answer) => self.handle_answer(request_id, answer),
-            ClientEvent::BytesRead => self.record_read(),
+            ClientEvent::BytesRead => self.record_input(),
             // The connection is not idle: a request is pending.
             ClientEvent::CloseIfIdle => {}
             ClientEvent::Closed => return Err(CloseReason::Normal),
--- a/crates/proxy/src/client/events.rs
+++ b/crates/proxy/src/client/events.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use aldermill_flow_control::Transfer;
+use aldermill_wire::pg;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
@@ -50,15 +51,15 @@
 }
 
 impl ClientConnection {
-    /// Waits for an event while requests are pending. Once enough is read ahead, nothing more is read, and the
-    /// connection is only polled for a close by the client.
+    /// Waits for an event while requests are pending. While nothing more may be read, the connection is only polled for
+    /// a close by the client.
     pub(super) async fn wait_for_event(&mut self) -> ClientEvent {
-        let may_read = self.may_read_ahead();
+        let limit = if self.may_read_ahead() { self.input_limit() } else { 0 };
         let poll_interval = self.context.limits.client.disconnect_poll_interval;
         let Self { stream, buffer, mailbox, next_departure_check, .. } = self;
         let reading = async {
-            if may_read {
-                return system::read(Party::Client, stream, buffer.tail()).await.unwrap_or(0);
+            if limit > 0 {
+                return system::read_up_to(limit, Party::Client, stream, buffer.tail()).await.unwrap_or(0);
             }
             wait_for_departure(stream, next_departure_check, poll_interval).await;
             0
@@ -101,12 +102,13 @@
             IdleEvent::Disconnected => return Err(CloseReason::TooSlow),
             // A request that has arrived by now is read and answered before the connection is closed.
             IdleEvent::WaitEnded if has_unread_bytes(&self.stream) => {
-                system::read(Party::Client, &mut self.stream, self.buffer.tail()).await
+                let limit = self.input_limit();
+                system::read_up_to(limit, Party::Client, &mut self.stream, self.buffer.tail()).await
             }
             IdleEvent::WaitEnded => return Err(CloseReason::Evicted),
         };
         let count = read?;
-        self.record_read();
+        self.record_input();
         if self.receive_state.message_started_at.is_some() {
             self.connection_guard.record_progress(count);
         }
@@ -151,10 +153,11 @@
     async fn next_idle_event(&mut self, wait: &IdleWait) -> IdleEvent {
         let shutdown = wait_for_shutdown(self.context.stopping.clone(), wait.ends_at_shutdown);
         tokio::pin!(shutdown);
+        let limit = self.input_limit();
         loop {
             tokio::select! {
                 biased;
-                read = system::read(Party::Client, &mut self.stream, self.buffer.tail()) => {
+                read = system::read_up_to(limit, Party::Client, &mut self.stream, self.buffer.tail()) => {
                     return IdleEvent::Read(read);
                 }
                 message = self.mailbox.recv() => match message {
@@ -170,6 +173,24 @@
         }
     }
 
+    /// Records when the bytes of statements that were just read arrived, and whether that was late in a shutdown.
+    pub(super) fn record_input(&mut self) {
+        self.record_read();
+        let received_at = self.receipt_times.received_at(true);
+        self.is_past_arrival_window |= self.context.is_past_arrival_window(received_at);
+    }
+
+    /// Returns whether the shutdown has come so far that nothing more is read but the rest of a message that has begun.
+    /// Otherwise a connection whose client always has requests in progress would stay open until the process is killed.
+    pub(super) fn is_input_ended(&self) -> bool {
+        self.context.time_left_at_shutdown().is_some_and(|time_left| time_left.is_zero())
+    }
+
+    /// Returns how many bytes may be read, above zero while no request is pending.
+    fn input_limit(&self) -> usize {
+        if self.is_input_ended() { pg::missing_bytes(self.buffer.held()) } else { usize::MAX }
+    }
+
     /// Records when the bytes that were just read arrived.
     pub(super) fn record_read(&mut self) {
         self.receipt_times.record_read(&self.context.unstalled_clock, &self.stream);
--- a/crates/proxy/src/client/read_ahead.rs
+++ b/crates/proxy/src/client/read_ahead.rs
@@ -7,9 +7,12 @@
 
 use super::connection::ClientConnection;
 use super::events::has_unread_bytes;
+use crate::system;
 
 /// Free space beyond what is read ahead, in bytes, so that the buffer never grows.
 const SPARE_CAPACITY: usize = 4 * 1024;
+/// Unread bytes that leave room in the kernel's buffer of a client connection, whatever the messages they arrived in.
+const VISIBLE_UNREAD: usize = 8 * 1024;
 
 impl ClientConnection {
     /// Returns whether more may be read while requests are in progress: up to `limits.client.read_ahead` bytes, and up
@@ -39,7 +42,13 @@
     /// Returns whether the client may have closed its connection behind bytes that are not read. They are read before
     /// another statement is accepted. Where no more may be read, requests are attempted one at a time: the response to
     /// the first one shows whether the client is still there.
+    ///
+    /// Once the input has ended, bytes stay unread. As long as they leave room in the kernel's buffer, the end of the
+    /// stream arrives behind them and is reported, though it is not read.
     pub(super) fn departure_may_be_hidden(&self) -> bool {
+        if self.is_input_ended() {
+            return system::has_unread(&self.stream, VISIBLE_UNREAD);
+        }
         has_unread_bytes(&self.stream)
     }
 }
--- a/crates/proxy/src/client/statement.rs
+++ b/crates/proxy/src/client/statement.rs
@@ -81,7 +81,6 @@
             charge: charge.clone(),
         });
         let received_at = self.receipt_times.received_at(self.buffer.is_empty());
-        self.is_past_arrival_window = self.context.is_past_arrival_window(received_at);
         let request = ClientRequest {
             request_id,
             peer: self.connection_guard.peer,
--- a/crates/proxy/src/lifecycle/limits/connections.rs
+++ b/crates/proxy/src/lifecycle/limits/connections.rs
@@ -27,6 +27,9 @@
 const RECENTLY_ACTIVE: Duration = Duration::from_millis(250);
 /// Bounds the descriptors held by peers that never close their side. An error in transit arrives in less time.
 const LINGER: Duration = Duration::from_millis(300);
+/// Longer than a kernel waits before it sends a lost packet for the second time, and short compared with the time that a
+/// process has to end.
+const DELIVERY_STALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Detects client machines that vanished without closing their connections. Further probes follow at a third of
 /// this interval.
 const KEEPALIVE: Duration = Duration::from_secs(30);
@@ -68,6 +71,9 @@
     /// How long a connection that this side has closed waits for the other side to close it, so that the data
     /// written last is read. Constant.
     pub linger: Duration,
+    /// How long a connection that is being closed waits for the peer's system to acknowledge more of what was written.
+    /// Constant.
+    pub delivery_stall_timeout: Duration,
     /// Silence on a client connection after which the kernel probes whether the client's machine is still reachable
     /// (TCP keepalive). Constant.
     pub keepalive: Duration,
@@ -90,6 +96,7 @@
             rejecting: reserve.rejecting,
             members,
             linger: LINGER,
+            delivery_stall_timeout: DELIVERY_STALL_TIMEOUT,
             keepalive: KEEPALIVE,
         }
     }
--- a/crates/proxy/src/lifecycle/process_context.rs
+++ b/crates/proxy/src/lifecycle/process_context.rs
@@ -68,8 +68,8 @@
         Some(response_deadline.saturating_duration_since(Instant::now()))
     }
 
-    /// Returns whether shutdown began so long before `received_at` that a request received at this instant
-    /// need not be answered. Returns `false` before shutdown begins.
+    /// Returns whether shutdown began so long before `received_at` that a client which sends a request at this instant
+    /// need not find its connection open. Returns `false` before shutdown begins.
     pub fn is_past_arrival_window(&self, received_at: Instant) -> bool {
         let limits = &self.limits.shutdown;
         let arrival_deadline = (*self.stopping.borrow())
--- a/crates/proxy/src/system/mod.rs
+++ b/crates/proxy/src/system/mod.rs
@@ -6,6 +6,7 @@
 
 mod acceptor;
 mod datagrams;
+mod delivery;
 mod errors;
 #[cfg(debug_assertions)]
 mod faults;
@@ -15,7 +16,10 @@
 
 pub use acceptor::Acceptor;
 pub use datagrams::{DatagramSocket, Received};
+pub use delivery::{Delivery, delivery};
 pub use errors::{AcceptError, SocketErrorKind};
 pub use injection::Party;
 pub use sockets::{BufferSizes, bind_datagrams, connect, listen, listen_local};
-pub use streams::{Peeked, is_closed_by_peer, peek, read, try_write, write, write_all};
+pub use streams::{
+    Peeked, has_unread, is_closed_by_peer, peek, read, read_up_to, try_write, write, write_all,
+};
--- a/crates/proxy/src/system/streams.rs
+++ b/crates/proxy/src/system/streams.rs
@@ -12,6 +12,9 @@
 use super::SocketErrorKind;
 use super::injection::{Party, SystemCall, inject_fault};
 
+/// Largest number of bytes that [`has_unread`] looks for.
+pub const MAX_PEEK: usize = 8 * 1024;
+
 /// Result of a peek at a connection, which neither waits nor consumes data.
 #[derive(Debug)]
 pub enum Peeked {
@@ -41,6 +44,12 @@
     }
 }
 
+/// Returns whether at least `count` bytes have arrived that were not read yet. `count` is at most [`MAX_PEEK`].
+pub fn has_unread(stream: &TcpStream, count: usize) -> bool {
+    let mut unread = [MaybeUninit::uninit(); MAX_PEEK];
+    SockRef::from(stream).peek(&mut unread[..count]).is_ok_and(|peeked| peeked == count)
+}
+
 /// Returns whether the remote end has closed its side of the connection, or the connection has failed, even if data that
 /// arrived before is still unread. This calls the system, because the runtime may not have looked for events yet.
 pub fn is_closed_by_peer(stream: &TcpStream) -> bool {
@@ -53,9 +62,20 @@
 /// Waits for data, appends it to `buffer` and returns the number of bytes, which is 0 at the end of the
 /// stream. Cancel safe: no data is lost if the future is dropped.
 pub async fn read(party: Party, stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<usize> {
+    read_up_to(usize::MAX, party, stream, buffer).await
+}
+
+/// Does the same as [`read`], but reads at most `limit` bytes, which must be above zero, and leaves the others with the
+/// system.
+pub async fn read_up_to(
+    limit: usize,
+    party: Party,
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> io::Result<usize> {
     loop {
         let read = match inject_fault(SystemCall::Read(party)) {
-            Ok(()) => stream.read_buf(buffer).await,
+            Ok(()) => (&mut *stream).take(limit as u64).read_buf(buffer).await,
             Err(error) => Err(error),
         };
         match read {
--- a/crates/test-support/src/kernel.rs
+++ b/crates/test-support/src/kernel.rs
@@ -20,6 +20,17 @@
     })
 }
 
+/// Waits until the other side has ended its side of the connection, though what it sent may not be acknowledged yet.
+pub fn ended_by_peer(stream: &TcpStream) {
+    let (port, peer) = (stream.local_addr().unwrap().port(), stream.peer_addr().unwrap().port());
+    let is_open = || {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let connection = format!(":{peer:04X} 0100007F:{port:04X} 01 ");
+        table.contains(&connection)
+    };
+    until("the end of the other side", || !is_open());
+}
+
 /// Waits until the other side's system has all that was sent.
 pub fn delivered(stream: &TcpStream) {
     let port = stream.local_addr().unwrap().port();
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -24,7 +24,7 @@
 pub use discovery::{Discovery, list};
 pub use faults::Faults;
 pub use hold::Hold;
-pub use kernel::{closed, delivered};
+pub use kernel::{closed, delivered, ended_by_peer};
 pub use member::{Act, Member, refuse, replica_at, serve, serve_with, sound, whole};
 pub use program::{Driver, TERMS, aldermill, config, file, program};
 pub use site::{Ledger, Site, free_port};
--- a/crates/wire/src/pg/decode.rs
+++ b/crates/wire/src/pg/decode.rs
@@ -94,6 +94,24 @@
     word(bytes, 1).map_or(0, |length| length as usize)
 }
 
+/// How many bytes the last message in `bytes` still needs, or its header if that is not whole; 0 where the last message
+/// is whole, or the header of one makes no sense.
+pub fn missing_bytes(bytes: &[u8]) -> usize {
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        let Some(length) = word(rest, 1) else { return MESSAGE_HEADER_LENGTH - rest.len() };
+        let length = length as usize;
+        if length < LENGTH_WORD {
+            return 0;
+        }
+        match rest.get(length + 1..) {
+            Some(behind) => rest = behind,
+            None => return length + 1 - rest.len(),
+        }
+    }
+    0
+}
+
 /// The statement in a Query's body.
 ///
 /// # Errors
