Keep repeats of a write in the zone that drops them

Cause: the zone of the first run was known, but only reads asked for it; the choice of a write's target, the believed primary or the next member of the search, did not.

Change: routing/policy/deduplication.rs holds the rule on repeats, and all choices of a target ask it. What can't be sent again is failed at once: the primary is known and in another zone, or no member of the zone is in service. Otherwise the zone's members are asked again after each hold, so that a new primary there serves the write. Scope all: rejected after a possible run inside the window only. Between sites a request of scope zone that may have run elsewhere is failed at once, where its copies were refused one after another.

--- a/crates/routing/src/policy/admission.rs
+++ b/crates/routing/src/policy/admission.rs
@@ -3,7 +3,7 @@
 use super::TICK;
 use super::retry_detection::ClientAttempt;
 use crate::state::{PendingRequest, RequestHandle, Router};
-use crate::{Action, Actions, DeduplicationScope, Effect, Micros, Request, RequestClass};
+use crate::{Action, Actions, Micros, Request, RequestClass};
 
 /// Times that bound the handling of a request.
 pub(super) struct RequestDeadlines {
@@ -109,17 +109,13 @@
 
     /// Rejects the request if it had no effect or if a repeat has none. Fails it otherwise, and if the
     /// request itself causes the errors that answer it.
-    pub(super) fn give_up(&mut self, handle: RequestHandle) {
+    pub(super) fn give_up(&mut self, now: Micros, handle: RequestHandle) {
         let pending = &self.pending_requests[&handle];
-        let rejectable = match self.config.classes[pending.request.class].effect {
-            Effect::Idempotent | Effect::Deduplicated { scope: DeduplicationScope::All, .. } => true,
-            _ => pending.may_have_run.is_none() && pending.in_flight.is_none(),
-        };
         // A request that is rejected for lack of capacity has missed its latency objective. A client that
         // retries sooner only adds to the load.
         let retry_after =
             self.config.classes[pending.request.class].objective.min(self.config.max_retry_after);
-        let rejected = rejectable && !self.request_causes_errors(pending);
+        let rejected = self.may_be_rejected(now, pending) && !self.request_causes_errors(pending);
         let action = if rejected { Action::Reject { retry_after } } else { Action::Fail };
         self.actions.requests.push((handle, action));
         self.close(handle);
--- a/crates/routing/src/policy/availability.rs
+++ b/crates/routing/src/policy/availability.rs
@@ -14,12 +14,17 @@
 }
 
 impl Router {
-    /// Returns whether anything may be sent to the member: it is not draining, it is listed or need not be,
-    /// and it responds.
+    /// Returns whether anything may be sent to the member: it is in service, and it responds.
     pub(super) fn is_usable(&self, now: Micros, id: MemberId) -> bool {
+        self.is_in_service(id) && !self.is_unresponsive(now, id)
+    }
+
+    /// Returns whether the endpoint list allows to send anything to the member: it is not draining, and it is listed or
+    /// need not be.
+    pub(super) fn is_in_service(&self, id: MemberId) -> bool {
         let status = self.members[id].status;
         let usable_unlisted = status == MemberStatus::Unlisted && self.config.unlisted_members_usable;
-        (status == MemberStatus::Ready || usable_unlisted) && !self.is_unresponsive(now, id)
+        status == MemberStatus::Ready || usable_unlisted
     }
 
     /// Returns whether the member was unreachable a short time ago, or takes attempts and answers none. One
--- a/crates/routing/src/policy/dispatch.rs
+++ b/crates/routing/src/policy/dispatch.rs
@@ -1,39 +1,8 @@
 //! Dispatch of requests: to a member, to the queue, or to their end.
 
-use super::SEND_DELAY_MARGIN;
 use super::queue_scan::{QueuedRequest, TargetOptions, TargetlessRequests};
 use crate::state::{InFlight, PendingRequest, RequestHandle, Router};
-use crate::{Action, DeduplicationScope, Effect, MemberId, Micros, Need};
-
-impl PendingRequest {
-    /// Returns when the first attempt that may have run began, whether this router made it or another one.
-    pub(super) fn first_run_at(&self) -> Option<Micros> {
-        self.earlier_run_at().or(self.may_have_run.map(|first_run| first_run.sent_at))
-    }
-
-    /// Returns when the first attempt of another router that may have run began.
-    fn earlier_run_at(&self) -> Option<Micros> {
-        self.request.earlier_attempt_age.map(|age| self.arrived_at - age)
-    }
-}
-
-/// Returns whether the request may be attempted again. Once it may have run, a non-idempotent request never
-/// may, and a deduplicated one only within its window.
-fn may_run_again(now: Micros, effect: Effect, pending: &PendingRequest) -> bool {
-    match (effect, pending.first_run_at()) {
-        (_, None) | (Effect::Idempotent, _) => true,
-        (Effect::NonIdempotent, Some(_)) => false,
-        // The zone of another router's attempt is not known, so no member is known to remember the key.
-        (Effect::Deduplicated { scope: DeduplicationScope::Zone, .. }, Some(_))
-            if pending.earlier_run_at().is_some() =>
-        {
-            false
-        }
-        (Effect::Deduplicated { window, .. }, Some(first_run_at)) => {
-            now < first_run_at + window - SEND_DELAY_MARGIN
-        }
-    }
-}
+use crate::{Action, MemberId, Micros, Need};
 
 impl Router {
     /// Sends an attempt of the request, queues the request, or gives it up.
@@ -63,12 +32,12 @@
         let pending = &self.pending_requests[&handle];
         let class = &self.config.classes[pending.request.class];
         let deadlines = self.deadlines(now, pending);
-        if !may_run_again(now, class.effect, pending)
+        if !self.can_be_attempted(now, pending)
             || self.request_causes_errors(pending)
             || now >= deadlines.give_up_at
             || pending.attempts - pending.local_failures >= self.attempts_allowed(class)
         {
-            return self.give_up(handle);
+            return self.give_up(now, handle);
         }
         let is_write = class.need == Need::Write;
         match find_target(self) {
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -19,6 +19,7 @@
 mod availability;
 mod blacklist;
 mod concurrency_limit;
+mod deduplication;
 mod dispatch;
 mod endpoint_list;
 mod freshness;
--- a/crates/routing/src/policy/read_routing.rs
+++ b/crates/routing/src/policy/read_routing.rs
@@ -11,7 +11,7 @@
 use super::concurrency_limit::MAX_FLEET_LIMIT;
 use super::health_checks::URGENT_HEALTH_CHECK_INTERVAL;
 use crate::state::{Member, PendingRequest, RequestHandle, Router};
-use crate::{DeduplicationScope, Effect, MemberId, Micros, Need, ReadShift, RequestClass};
+use crate::{MemberId, Micros, Need, ReadShift, RequestClass};
 
 /// A member that a read may go to, and the number of attempts that it has capacity for.
 #[derive(Clone, Copy)]
@@ -267,14 +267,8 @@
         choose_by_capacity(&mut self.rng, &weighted)
     }
 
-    /// Returns whether a read may go to the member at all. A read that may have run stays in the zone of its
-    /// first run if only that zone deduplicates repeats of it.
+    /// Returns whether a read may go to the member at all.
     pub(super) fn may_read_from(&self, now: Micros, pending: &PendingRequest, id: MemberId) -> bool {
-        let effect = self.config.classes[pending.request.class].effect;
-        let is_zone_scoped = matches!(effect, Effect::Deduplicated { scope: DeduplicationScope::Zone, .. });
-        let zone_allowed = pending
-            .may_have_run
-            .is_none_or(|first_run| !is_zone_scoped || first_run.zone == self.members[id].zone);
-        zone_allowed && self.is_usable(now, id)
+        self.drops_repeats(pending, id) && self.is_usable(now, id)
     }
 }
--- a/crates/routing/src/policy/write_routing.rs
+++ b/crates/routing/src/policy/write_routing.rs
@@ -10,7 +10,9 @@
     pub(super) fn write_target(&self, now: Micros, pending: &PendingRequest) -> Option<MemberId> {
         let group = &self.groups[pending.group];
         let target = match group.primary {
-            Some(primary) => Some(primary).filter(|&id| self.is_usable(now, id)),
+            Some(primary) => {
+                Some(primary).filter(|&id| self.is_usable(now, id) && self.drops_repeats(pending, id))
+            }
             None if pending.not_primary_answers == 0 && now < group.search_after => None,
             None => self.next_candidate(now, pending),
         };
@@ -18,16 +20,34 @@
     }
 
     /// Returns the next member of the search order, after the one that the request asked last, that may be
-    /// the primary. A blacklisted member is returned only if no other is left.
+    /// the primary. A blacklisted member is returned only if no other is left. A write that only one zone may
+    /// repeat asks the members of that zone again.
     fn next_candidate(&self, now: Micros, pending: &PendingRequest) -> Option<MemberId> {
         let group = &self.groups[pending.group];
         let order = self.search_order(group);
         let asked = pending.last_member.and_then(|last| order.iter().position(|&id| id == last));
         let start = asked.map_or(0, |index| index + 1);
         let rotation = (0..order.len()).map(|step| order[(start + step) % order.len()]);
-        let mut candidates = rotation.filter(|&id| self.may_be_primary(now, group, id));
+        let mut candidates = rotation
+            .filter(|&id| self.drops_repeats(pending, id))
+            .filter(|&id| self.may_be_primary(now, group, id));
         let first = candidates.clone().next();
-        candidates.find(|&id| self.members[id].blacklist.allows(now)).or(first)
+        let candidate = candidates.find(|&id| self.members[id].blacklist.allows(now)).or(first);
+        candidate.or_else(|| self.replica_to_ask_again(now, pending))
+    }
+
+    /// Returns the member that was found to be a replica longest ago, if a write that only one zone may repeat has asked
+    /// all members of that zone; one of them may have become the primary. `None` until a round's hold is over.
+    ///
+    /// The next round would begin only once the members of the other zones were asked, too, which this write never does.
+    fn replica_to_ask_again(&self, now: Micros, pending: &PendingRequest) -> Option<MemberId> {
+        let hold = self.search_hold();
+        let group = &self.groups[pending.group];
+        let members = group.members.iter().copied().filter(|_| self.is_zone_bound(pending));
+        members
+            .filter(|&id| self.drops_repeats(pending, id) && self.is_usable(now, id))
+            .filter(|&id| self.members[id].not_primary_at <= now - hold)
+            .min_by_key(|&id| self.members[id].not_primary_at)
     }
 
     /// Returns how long writes wait between rounds of attempts that reached only replicas, in microseconds.
--- a/crates/routing/tests/router/main.rs
+++ b/crates/routing/tests/router/main.rs
@@ -2,6 +2,7 @@
 
 mod basic_routing;
 mod deadlines_and_stalls;
+mod deduplication_scope;
 mod earlier_attempts;
 mod fixtures;
 mod freshness;
--- a/crates/site-routing/src/pending_requests.rs
+++ b/crates/site-routing/src/pending_requests.rs
@@ -100,8 +100,8 @@
         let Some(first_at) = self.first_possible_execution_at() else { return false };
         match effect {
             Effect::Idempotent => false,
-            // Where an earlier gateway's attempt ran is not known, so no site is known to remember the key.
-            Effect::Deduplicated { within_site: true, .. } if self.earlier_attempt_at.is_some() => true,
+            // The gateway that gets a copy doesn't know which of its site's zones remembers the key, and would refuse it.
+            Effect::Deduplicated { within_site: true, .. } => true,
             Effect::Deduplicated { window, .. } => now >= first_at + window,
             Effect::NonIdempotent => true,
         }
--- a/crates/site-routing/tests/earlier_attempts.rs
+++ b/crates/site-routing/tests/earlier_attempts.rs
@@ -128,6 +128,17 @@
     );
 }
 
+/// Guards against copies that the receiver has to refuse, one after another, where it doesn't know which of its zones
+/// remembers the key.
+#[test]
+fn a_request_that_only_one_zone_deduplicates_is_failed_at_once_when_it_may_have_run_at_another_site() {
+    let mut router = router(true, true);
+    let (handle, actions) = router.accept(0, from_client());
+    let (number, _) = forwarded(&actions.requests);
+    let actions = router.outcome_received::<()>(300 * MS, number, &Outcome::Failed);
+    assert_eq!(actions.requests, [(handle, Action::Fail)]);
+}
+
 /// Guards a fleet of two versions: a gateway of the earlier one would take a copy for a new request.
 #[test]
 fn a_request_that_may_have_run_is_not_forwarded_to_a_gateway_that_does_not_read_its_age() {
