Read all that clients send, so that the end of one that leaves is seen

Cause: the end of a stream comes behind its bytes. While a request was in progress up to 64 KiB were read ahead, or 8 KiB without buffer space, and the rest, with the client's end behind it, stayed with the two systems; the polls for a close could not know of it.

Change: reading has no bound while a request is in progress. What arrives is held in buffer space, reserved in steps as flow control grants it; beyond that statements are dropped as they arrive and counted, and rejected (53300) in their turn, so that they take no memory. A large statement taken from what was read ahead has a reservation of its own.

--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -10,6 +10,7 @@
 use super::close::CloseReason;
 use super::events::ClientEvent;
 use super::message_handling::{NextMessage, ReceiveState, ReceivedMessage};
+use super::overflow::Overflow;
 use super::pending_responses::PendingResponses;
 use super::receipt_times::ReceiptTimes;
 use super::response::UnreadResponses;
@@ -53,8 +54,10 @@
     pub(super) unread_responses: UnreadResponses,
     /// Number of requests sent to the dispatcher so far.
     pub(super) requests_sent: u64,
-    /// Buffer space for what is read ahead beyond `limits.client.read_ahead`.
-    pub(super) read_ahead_reservation: Option<BufferReservation>,
+    /// Buffer space for what is read ahead beyond `limits.client.read_ahead`, in steps of `limits.client.read_ahead_step`.
+    pub(super) read_ahead_reservations: Vec<BufferReservation>,
+    /// Statements that are dropped as they arrive; `None` while there is space for what arrives.
+    pub(super) overflow: Option<Overflow>,
     /// Set once the client has left, so that no attempt of its requests begins any more.
     pub(super) client_gone: Cancellation,
     /// When to look whether the client has left, while nothing is read from it.
@@ -114,7 +117,8 @@
             pending_responses: PendingResponses::default(),
             unread_responses: UnreadResponses::default(),
             requests_sent: 0,
-            read_ahead_reservation: None,
+            read_ahead_reservations: Vec::new(),
+            overflow: None,
             client_gone: Cancellation::default(),
             next_departure_check: Instant::now(),
             turn: Turn::default(),
@@ -148,6 +152,7 @@
     async fn step(&mut self) -> Result<(), CloseReason> {
         self.write_ready_responses().await?;
         self.turn.yield_if_used_up().await;
+        self.settle_overflow();
         match self.next_step() {
             NextStep::Accept(message) => self.accept(message).await,
             NextStep::WaitForEvent => {
@@ -155,6 +160,7 @@
                 self.handle_event(event)
             }
             NextStep::ReadMore => {
+                self.end_read_ahead();
                 self.reserve_for_large_message().await?;
                 self.read_more().await
             }
@@ -176,7 +182,7 @@
             return NextStep::WaitForEvent;
         }
         match self.phase {
-            Phase::Accepting if self.is_past_arrival_window && self.buffer.is_empty() => {
+            Phase::Accepting if self.is_past_arrival_window && !self.has_unhandled_input() => {
                 NextStep::Close(CloseReason::Shutdown)
             }
             Phase::Accepting => NextStep::ReadMore,
@@ -193,15 +199,20 @@
     /// process has checked for the next request and closed the connection.
     pub(super) fn should_close_after_response(&self) -> bool {
         self.is_past_arrival_window
-            && matches!(self.phase, Phase::Accepting)
+            && self.is_accepting()
             && self.pending_responses.is_empty()
-            && self.buffer.is_empty()
+            && !self.has_unhandled_input()
+    }
+
+    /// Returns whether anything has been read that is not answered and is not pending: statements, or part of one.
+    pub(super) fn has_unhandled_input(&self) -> bool {
+        !self.buffer.is_empty() || self.overflow.as_ref().is_some_and(Overflow::has_unhandled_input)
     }
 
     /// Returns whether another statement may be accepted in addition to the pending ones.
     fn may_accept(&mut self) -> bool {
         let pipelined = self.context.limits.client.pipelined_statements;
-        matches!(self.phase, Phase::Accepting)
+        self.is_accepting()
             && self.pending_responses.len() < pipelined
             && (self.pending_responses.is_empty() || self.may_pipeline())
     }
@@ -217,13 +228,19 @@
     /// Stops accepting statements, and closes the connection once the responses that are owed are written.
     pub(super) fn drain(&mut self, reason: CloseReason) {
         self.phase = Phase::Draining(reason);
+        self.overflow = Some(Overflow::behind_the_last_statement());
+    }
+
+    /// Returns whether statements are accepted.
+    pub(super) fn is_accepting(&self) -> bool {
+        matches!(self.phase, Phase::Accepting)
     }
 
     /// Handles an event that occurred while requests were pending.
     fn handle_event(&mut self, event: ClientEvent) -> Result<(), CloseReason> {
         match event {
             ClientEvent::Answer(request_id, answer) => self.handle_answer(request_id, answer),
-            ClientEvent::BytesRead => self.record_input(),
+            ClientEvent::BytesRead(count) => self.record_input(count),
             // The connection is not idle: a request is pending.
             ClientEvent::CloseIfIdle => {}
             ClientEvent::Closed => return Err(CloseReason::Normal),
--- a/crates/proxy/src/client/events.rs
+++ b/crates/proxy/src/client/events.rs
@@ -5,22 +5,22 @@
 use std::time::Duration;
 
 use aldermill_flow_control::Transfer;
-use aldermill_wire::pg;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
 use super::close::CloseReason;
 use super::connection::ClientConnection;
+use super::read_ahead::Input;
 use crate::messages::{Answer, ClientMessage, ClientRequestId};
-use crate::system::{self, Party, Peeked};
+use crate::system::{self, Peeked};
 
 /// Event on a connection with pending requests.
 pub(super) enum ClientEvent {
     /// The dispatcher answered this request.
     Answer(ClientRequestId, Answer),
-    /// The client sent bytes, which are now in the read buffer.
-    BytesRead,
+    /// The client sent so many bytes, which were read.
+    BytesRead(usize),
     /// The connection is to be closed unless a request is pending.
     CloseIfIdle,
     /// The client closed its side, reading failed, or the mailbox has no sender any more.
@@ -54,12 +54,15 @@
     /// Waits for an event while requests are pending. While nothing more may be read, the connection is only polled for
     /// a close by the client.
     pub(super) async fn wait_for_event(&mut self) -> ClientEvent {
-        let limit = if self.may_read_ahead() { self.input_limit() } else { 0 };
+        self.prepare_read_ahead();
         let poll_interval = self.context.limits.client.disconnect_poll_interval;
-        let Self { stream, buffer, mailbox, next_departure_check, .. } = self;
+        let limit = self.input_limit();
+        let max_statement = self.context.limits.buffers.max_statement;
+        let Self { stream, buffer, overflow, mailbox, next_departure_check, .. } = self;
+        let mut input = Input { buffer, overflow, limit, max_statement };
         let reading = async {
             if limit > 0 {
-                return system::read_up_to(limit, Party::Client, stream, buffer.tail()).await.unwrap_or(0);
+                return input.read(stream).await.unwrap_or(0);
             }
             wait_for_departure(stream, next_departure_check, poll_interval).await;
             0
@@ -73,7 +76,7 @@
             },
             count = reading => match count {
                 0 => ClientEvent::Closed,
-                _ => ClientEvent::BytesRead,
+                _ => ClientEvent::BytesRead(count),
             },
         }
     }
@@ -101,14 +104,13 @@
             IdleEvent::Read(read) => read,
             IdleEvent::Disconnected => return Err(CloseReason::TooSlow),
             // A request that has arrived by now is read and answered before the connection is closed.
-            IdleEvent::WaitEnded if has_unread_bytes(&self.stream) => {
-                let limit = self.input_limit();
-                system::read_up_to(limit, Party::Client, &mut self.stream, self.buffer.tail()).await
+            IdleEvent::WaitEnded if self.input_limit() > 0 && has_unread_bytes(&self.stream) => {
+                self.read_now().await
             }
             IdleEvent::WaitEnded => return Err(CloseReason::Evicted),
         };
         let count = read?;
-        self.record_input();
+        self.record_input(count);
         if self.receive_state.message_started_at.is_some() {
             self.connection_guard.record_progress(count);
         }
@@ -119,7 +121,7 @@
     fn start_idle_wait(&mut self) -> IdleWait {
         let now = Instant::now();
         let served = self.shared_state.was_served.get();
-        let mid_message = !self.buffer.is_empty();
+        let mid_message = self.has_unhandled_input();
         let started_at = mid_message.then(|| *self.receive_state.message_started_at.get_or_insert(now));
         let idle_since = if served { started_at.unwrap_or(now) } else { self.connected_at };
         self.shared_state.idle_since.set(Some(idle_since));
@@ -154,17 +156,18 @@
         let shutdown = wait_for_shutdown(self.context.stopping.clone(), wait.ends_at_shutdown);
         tokio::pin!(shutdown);
         let limit = self.input_limit();
+        let max_statement = self.context.limits.buffers.max_statement;
+        let Self { stream, buffer, overflow, mailbox, connection_guard, .. } = self;
+        let mut input = Input { buffer, overflow, limit, max_statement };
         loop {
             tokio::select! {
                 biased;
-                read = system::read_up_to(limit, Party::Client, &mut self.stream, self.buffer.tail()) => {
-                    return IdleEvent::Read(read);
-                }
-                message = self.mailbox.recv() => match message {
+                read = input.read(stream), if limit > 0 => return IdleEvent::Read(read),
+                message = mailbox.recv() => match message {
                     Some(ClientMessage::CloseIfIdle) | None => return IdleEvent::WaitEnded,
                     Some(ClientMessage::Answer(..)) => {}
                 },
-                () = self.connection_guard.disconnected(), if wait.mid_message => {
+                () = connection_guard.disconnected(), if wait.mid_message => {
                     return IdleEvent::Disconnected;
                 }
                 () = &mut shutdown => return IdleEvent::WaitEnded,
@@ -173,8 +176,17 @@
         }
     }
 
+    /// Reads bytes that have arrived.
+    async fn read_now(&mut self) -> io::Result<usize> {
+        let limit = self.input_limit();
+        let max_statement = self.context.limits.buffers.max_statement;
+        let Self { stream, buffer, overflow, .. } = self;
+        Input { buffer, overflow, limit, max_statement }.read(stream).await
+    }
+
     /// Records when the bytes of statements that were just read arrived, and whether that was late in a shutdown.
-    pub(super) fn record_input(&mut self) {
+    pub(super) fn record_input(&mut self, count: usize) {
+        self.turn.record(count);
         self.record_read();
         let received_at = self.receipt_times.received_at(true);
         self.is_past_arrival_window |= self.context.is_past_arrival_window(received_at);
@@ -186,11 +198,6 @@
         self.context.time_left_at_shutdown().is_some_and(|time_left| time_left.is_zero())
     }
 
-    /// Returns how many bytes may be read, above zero while no request is pending.
-    fn input_limit(&self) -> usize {
-        if self.is_input_ended() { pg::missing_bytes(self.buffer.held()) } else { usize::MAX }
-    }
-
     /// Records when the bytes that were just read arrived.
     pub(super) fn record_read(&mut self) {
         self.receipt_times.record_read(&self.context.unstalled_clock, &self.stream);
--- a/crates/proxy/src/client/message_handling.rs
+++ b/crates/proxy/src/client/message_handling.rs
@@ -130,7 +130,8 @@
             self.buffer.consume(length);
             return Vec::new();
         }
-        if length > self.context.limits.buffers.small_message {
+        let is_large = length > self.context.limits.buffers.small_message;
+        if is_large && self.read_ahead_reservations.is_empty() {
             // The buffer's allocation becomes the statement, so that a large statement is held in memory only
             // once.
             let mut statement = self.buffer.take(length);
@@ -140,6 +141,10 @@
         }
         let statement = self.buffer.held()[pg::MESSAGE_HEADER_LENGTH..length - 1].to_vec();
         self.buffer.consume(length);
+        if is_large && self.receive_state.reservation.is_none() {
+            self.release_read_ahead();
+            self.receive_state.reservation = self.connection_guard.try_reserve(length, Priority::Normal);
+        }
         statement
     }
 
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -6,6 +6,7 @@
 mod events;
 pub mod listener;
 mod message_handling;
+mod overflow;
 mod pending_responses;
 mod pipeline_memory;
 mod read_ahead;
--- a/crates/proxy/src/client/pending_responses.rs
+++ b/crates/proxy/src/client/pending_responses.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 
+use aldermill_routing::Micros;
+
 use super::pipeline_memory::PipelineCharge;
 use super::response::EncodedResponse;
 use crate::messages::{Answer, ClientRequestId};
@@ -37,12 +39,19 @@
     },
     /// The response is written once all responses before it are.
     Ready(EncodedResponse),
+    /// The same for statements that are all rejected.
+    Rejected {
+        /// Retry-after for the client, in microseconds.
+        retry_after: Micros,
+        /// Number of statements, at least 1.
+        count: usize,
+    },
 }
 
 impl PendingResponse {
     /// Returns whether the response can be written once all responses before it are.
     fn is_ready(&self) -> bool {
-        matches!(self.state, ResponseState::Ready(_))
+        matches!(self.state, ResponseState::Ready(_) | ResponseState::Rejected { .. })
     }
 
     /// Returns whether the dispatcher has not answered this request yet.
@@ -54,7 +63,7 @@
     fn write_key(&self) -> Option<&str> {
         match &self.state {
             ResponseState::Awaited { write_key, .. } => write_key.as_deref(),
-            ResponseState::Ready(_) => None,
+            ResponseState::Ready(_) | ResponseState::Rejected { .. } => None,
         }
     }
 }
@@ -90,6 +99,18 @@
         self.queue.push_back(PendingResponse { state, _charge: None });
     }
 
+    /// Adds the responses to `count` statements, at least one, that are rejected.
+    pub(super) fn push_rejections(&mut self, retry_after: Micros, count: usize) {
+        if let Some(PendingResponse { state: ResponseState::Rejected { count: queued, .. }, .. }) =
+            self.queue.back_mut()
+        {
+            *queued += count;
+            return;
+        }
+        let state = ResponseState::Rejected { retry_after, count };
+        self.queue.push_back(PendingResponse { state, _charge: None });
+    }
+
     /// Stores the dispatcher's answer to a request. Has no effect if the request is not awaited.
     pub(super) fn complete(&mut self, request_id: ClientRequestId, answer: Answer) {
         if let Some(pending) = self.queue.iter_mut().find(|pending| pending.awaits(request_id)) {
@@ -99,8 +120,19 @@
 
     /// Removes the next response if it can be written.
     pub(super) fn pop_ready(&mut self) -> Option<EncodedResponse> {
+        if let Some(PendingResponse {
+            state: ResponseState::Rejected { retry_after, count: count @ 2.. },
+            ..
+        }) = self.queue.front_mut()
+        {
+            *count -= 1;
+            return Some(EncodedResponse::from_answer(Answer::Rejected { retry_after: *retry_after }));
+        }
         match self.queue.pop_front_if(|pending| pending.is_ready())?.state {
             ResponseState::Ready(response) => Some(response),
+            ResponseState::Rejected { retry_after, .. } => {
+                Some(EncodedResponse::from_answer(Answer::Rejected { retry_after }))
+            }
             ResponseState::Awaited { .. } => None,
         }
     }
@@ -119,7 +151,7 @@
     pub(super) fn abandon(&mut self) -> Vec<ClientRequestId> {
         let awaited = self.queue.drain(..).filter_map(|pending| match pending.state {
             ResponseState::Awaited { request_id, .. } => Some(request_id),
-            ResponseState::Ready(_) => None,
+            ResponseState::Ready(_) | ResponseState::Rejected { .. } => None,
         });
         awaited.collect()
     }
--- a/crates/proxy/src/lifecycle/limits/client.rs
+++ b/crates/proxy/src/lifecycle/limits/client.rs
@@ -5,11 +5,10 @@
 /// Bounds the requests that one connection can have in progress, and so the entries that it takes in the
 /// dispatcher's tables.
 const PIPELINED_STATEMENTS: usize = 64;
-/// One small message. Further bytes stay in the kernel's socket buffers, which applies backpressure to the client.
+/// One small message.
 const READ_AHEAD: usize = 8 * 1024;
-/// The end of a client that closes its connection arrives behind what it sent before. With so much read, the end of
-/// hundreds of pipelined statements is seen.
-const EXTENDED_READ_AHEAD: usize = 64 * 1024;
+/// Small enough that a client which pipelines a little more than one step reserves little that it does not use.
+const READ_AHEAD_STEP: usize = 64 * 1024;
 /// Longest delay before a closed connection is noticed behind unread bytes. A shorter interval costs CPU time.
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Clients send the startup message as soon as they are connected.
@@ -35,12 +34,12 @@
 pub struct ClientLimits {
     /// Maximum number of statements of one connection that are in progress at once.
     pub pipelined_statements: usize,
-    /// Bytes that are read from a client while its requests are in progress. Further bytes stay in the kernel's
-    /// socket buffers.
+    /// Bytes that are held of what a client sends while its requests are in progress, without a reservation.
     pub read_ahead: usize,
-    /// The same while buffer space can be reserved for what exceeds `read_ahead`, in bytes.
-    pub extended_read_ahead: usize,
-    /// How often a connection that has reached `read_ahead` is checked for whether the client has closed it.
+    /// Size of the reservations for what exceeds `read_ahead`, in bytes. Where none is granted, further statements are
+    /// rejected.
+    pub read_ahead_step: usize,
+    /// How often a connection from which nothing is read is checked for whether the client has closed it.
     pub disconnect_poll_interval: Duration,
     /// Time from accepting the connection to receiving the complete startup message.
     pub startup_timeout: Duration,
@@ -67,7 +66,7 @@
         ClientLimits {
             pipelined_statements: PIPELINED_STATEMENTS,
             read_ahead: READ_AHEAD,
-            extended_read_ahead: EXTENDED_READ_AHEAD,
+            read_ahead_step: READ_AHEAD_STEP,
             disconnect_poll_interval: DISCONNECT_POLL_INTERVAL,
             startup_timeout: STARTUP_TIMEOUT,
             // A client that never completes its first statement is treated like one that stalls within a message.
--- a/crates/proxy/tests/departed_clients.rs
+++ b/crates/proxy/tests/departed_clients.rs
@@ -1,10 +1,12 @@
 //! Tests, over loopback, that nothing is sent to a member for a client that has left, and that it holds nothing.
 
+use std::io::Write;
 use std::thread;
 use std::time::Duration;
 
 use aldermill_test_support::{
-    Client, Driver, Hold, Member, closed, look, named, order, serve, served, until,
+    Client, Discovery, Driver, Hold, Member, closed, config, delivered, list, look, named, order, refuse,
+    serve, serve_with, served, until,
 };
 use aldermill_wire::pg;
 
@@ -15,6 +17,10 @@
 
 /// Time that the member takes for a request.
 const SERVICE_TIME: Duration = Duration::from_millis(100);
+/// Time that writes wait between two searches for a primary.
+const SEARCH_HOLD: Duration = Duration::from_millis(500);
+/// Time that a client may take to send; what is not taken by then stays with its system.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time that clients wait for their answers, in milliseconds.
 const TIMEOUT_MS: u32 = 15_000;
 
@@ -73,6 +79,99 @@
     assert_eq!(attempted_after_departure((0..PIPELINED / 10).map(long)), 0);
 }
 
+/// Asserts that a write which waits for a primary is not attempted again once its client has left, though the client has
+/// sent these statements behind it. The process has this memory limit, in MiB.
+#[track_caller]
+fn assert_write_is_abandoned(memory_mb: u64, behind: impl IntoIterator<Item = String>) {
+    let member = Member::start(|text, stream| match text {
+        "SHOW usage" => serve(text, "reader", stream),
+        _ => refuse("25006", "reader", stream),
+    });
+    let proxy = start_with_memory(&member, memory_mb);
+    let mut client = Client::connect(proxy.address);
+    client.stream.set_write_timeout(Some(WRITE_TIMEOUT)).unwrap();
+    let first = named(&order(TIMEOUT_MS), "first");
+    // A proxy that reads only a part of this leaves the rest with the client's system.
+    let _ = client.stream.write_all(&queries([first].into_iter().chain(behind)));
+    until("the first attempt", || !member.requests().is_empty());
+    drop(client);
+    thread::sleep(GRACE);
+    let attempted = member.requests().len();
+    thread::sleep(SEARCH_HOLD * 2);
+    assert_eq!(member.requests().len(), attempted);
+}
+
+/// Starts a process with this memory limit, in MiB, in front of this member.
+fn start_with_memory(member: &Member, memory_mb: u64) -> Driver {
+    let members = [("a", member, "in_service")];
+    let discovery = Discovery::default();
+    discovery.say(list(1, true, &members));
+    let config = config(discovery.start(), 256, &list(1, true, &members));
+    Driver::of(&config.replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory_mb}")))
+}
+
+/// Returns a write with a value of this length in bytes.
+fn long_write(length: usize) -> String {
+    order(TIMEOUT_MS).replacen("\\x9f", &format!("\\x{}", "9f".repeat(length)), 1)
+}
+
+/// Guards against a bound on what is read ahead: the end of the client came behind what was left unread, and its write
+/// was attempted seconds later.
+#[test]
+fn a_write_is_abandoned_when_its_client_leaves_behind_large_statements() {
+    assert_write_is_abandoned(192, (0..8).map(|_| long_write(20_000)));
+}
+
+/// The same where the statements are small and many.
+#[test]
+fn a_write_is_abandoned_when_its_client_leaves_behind_many_statements() {
+    assert_write_is_abandoned(192, (0..5_000).map(|_| look(TIMEOUT_MS)));
+}
+
+/// The same where the client sends more than there is buffer space for.
+#[test]
+fn a_write_is_abandoned_when_its_client_leaves_behind_more_than_the_buffer_space() {
+    assert_write_is_abandoned(32, (0..200).map(|_| long_write(30_000)));
+}
+
+/// Guards against a client that gets no answer, or a wrong one, to what it sends beyond the buffer space, and against a
+/// proxy that takes memory for it.
+#[test]
+fn a_client_that_stays_gets_each_answer_in_order_though_it_sends_more_than_the_buffer_space() {
+    let hold = Hold::default();
+    let member_hold = hold.clone();
+    let member = Member::start(move |text, stream| {
+        member_hold.pass();
+        match text.split_once("id=count").and_then(|(_, rest)| rest.split_once(',')) {
+            Some((number, _)) => serve_with(number.as_bytes(), text, "writer", stream),
+            None => serve(text, "writer", stream),
+        }
+    });
+    let proxy = start_with_memory(&member, 32);
+    assert!(served(&Client::connect(proxy.address).ask(&look(TIMEOUT_MS))));
+    hold.close();
+    let mut client = Client::connect(proxy.address);
+    let statements = (0..PIPELINED).map(|number| named(&long_write(20_000), &format!("count{number}")));
+    client.raw(&queries(statements));
+    delivered(&client.stream);
+    hold.open();
+    let mut rejected = 0;
+    for number in 0..PIPELINED {
+        let answer = client.answer().unwrap_or_else(|| panic!("no answer to statement {number}"));
+        match answer.code.as_str() {
+            "" => assert_eq!(answer.value, Some(number.to_string().into_bytes())),
+            code => {
+                assert_eq!(code, "53300", "statement {number}");
+                rejected += 1;
+            }
+        }
+    }
+    assert!(0 < rejected && rejected < PIPELINED, "{rejected} rejected");
+    // The connection takes statements again.
+    assert!(served(&client.ask(&look(TIMEOUT_MS))));
+    assert!(proxy.memory("VmHWM") <= 32 * 1024, "{} KiB", proxy.memory("VmHWM"));
+}
+
 /// Guards against a second run of a write whose client left before its answer, when it comes again under the same id:
 /// while its first attempt is in progress, and after that.
 #[test]
@@ -125,5 +224,5 @@
 /// Returns a configuration without members, whose discovery does not answer.
 fn without_members() -> String {
     let known = r#"{"revision":0,"complete":false,"members":[]}"#;
-    aldermill_test_support::config("127.0.0.1:9".parse().unwrap(), 256, known)
+    config("127.0.0.1:9".parse().unwrap(), 256, known)
 }
--- a/crates/wire/src/buffer.rs
+++ b/crates/wire/src/buffer.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Removes all but the first `count` bytes that are held.
+    pub fn truncate(&mut self, count: usize) {
+        self.data.truncate(self.start + count);
+    }
+
     /// Gives back memory that what is held does not need.
     pub fn shrink(&mut self) {
         self.compact();
--- a/crates/wire/src/pg/decode.rs
+++ b/crates/wire/src/pg/decode.rs
@@ -94,22 +94,33 @@
     word(bytes, 1).map_or(0, |length| length as usize)
 }
 
-/// How many bytes the last message in `bytes` still needs, or its header if that is not whole; 0 where the last message
-/// is whole, or the header of one makes no sense.
-pub fn missing_bytes(bytes: &[u8]) -> usize {
-    let mut rest = bytes;
-    while !rest.is_empty() {
-        let Some(length) = word(rest, 1) else { return MESSAGE_HEADER_LENGTH - rest.len() };
-        let length = length as usize;
-        if length < LENGTH_WORD {
-            return 0;
-        }
-        match rest.get(length + 1..) {
-            Some(behind) => rest = behind,
-            None => return length + 1 - rest.len(),
+/// The message at the end of some bytes, if it is not whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IncompleteMessage {
+    /// Where it begins; behind the last byte if all messages are whole.
+    pub start: usize,
+    /// How many bytes it still needs, or its header if that is not whole; 0 if all messages are whole, or the header of
+    /// one makes no sense.
+    pub missing: usize,
+}
+
+/// Finds the message at the end of `bytes` that is not whole.
+pub fn incomplete_message(bytes: &[u8]) -> IncompleteMessage {
+    let mut start = 0;
+    while let Some(rest) = bytes.get(start..).filter(|rest| !rest.is_empty()) {
+        let whole = match word(rest, 1) {
+            None => MESSAGE_HEADER_LENGTH,
+            Some(length) if (length as usize) < LENGTH_WORD => {
+                return IncompleteMessage { start, missing: 0 };
+            }
+            Some(length) => length as usize + 1,
+        };
+        if whole > rest.len() {
+            return IncompleteMessage { start, missing: whole - rest.len() };
         }
+        start += whole;
     }
-    0
+    IncompleteMessage { start, missing: 0 }
 }
 
 /// The statement in a Query's body.
--- a/crates/wire/src/pg/mod.rs
+++ b/crates/wire/src/pg/mod.rs
@@ -7,8 +7,9 @@
 pub mod sql_state;
 
 pub use decode::{
-    ErrorResponse, InitialMessage, InitialMessageKind, MESSAGE_HEADER_LENGTH, Message, announced_length,
-    initial_message, message, missing_bytes, parse_data_row, parse_parameter_status, parse_query,
+    ErrorResponse, IncompleteMessage, InitialMessage, InitialMessageKind, MESSAGE_HEADER_LENGTH, Message,
+    announced_length, incomplete_message, initial_message, message, parse_data_row, parse_parameter_status,
+    parse_query,
 };
 pub use encode::{
     write_empty_query_response, write_error_response, write_parameter_status, write_query, write_query_start,
