Bound the memory of what is read ahead, and read on while a connection waits

Statements gave back what was reserved for their bytes and then waited for a reservation; each connection held 16 KiB to drop input into; and clients that send large statements without reading took all buffer space by reading ahead.

Change: what is reserved for reading ahead stays until the statement has its own reservation, and a statement that gets none is rejected. Further steps than the first are taken only while buffer space is not short. Input is dropped into memory that is not held between reads. A connection that waits for the first endpoint list or for the dispatcher reads on, as the close of its client was hidden there, too. A client is no longer metered for a message that was dropped. Tests of a process with little memory share their set-up.

--- a/crates/flow-control/src/controller.rs
+++ b/crates/flow-control/src/controller.rs
@@ -67,6 +67,12 @@
         self.limits.to_client.start_allowance
     }
 
+    /// Whether so many bytes can be reserved without making buffer space short.
+    #[must_use]
+    pub fn has_spare_space(&self, bytes: u64) -> bool {
+        self.budget.used() + bytes <= self.limits.pressure.leave
+    }
+
     /// Accepts a connection from this address.
     ///
     /// # Errors
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -160,7 +160,7 @@
                 self.handle_event(event)
             }
             NextStep::ReadMore => {
-                self.end_read_ahead();
+                self.release_read_ahead();
                 self.reserve_for_large_message().await?;
                 self.read_more().await
             }
--- a/crates/proxy/src/client/events.rs
+++ b/crates/proxy/src/client/events.rs
@@ -60,13 +60,6 @@
         let max_statement = self.context.limits.buffers.max_statement;
         let Self { stream, buffer, overflow, mailbox, next_departure_check, .. } = self;
         let mut input = Input { buffer, overflow, limit, max_statement };
-        let reading = async {
-            if limit > 0 {
-                return input.read(stream).await.unwrap_or(0);
-            }
-            wait_for_departure(stream, next_departure_check, poll_interval).await;
-            0
-        };
         tokio::select! {
             biased;
             message = mailbox.recv() => match message {
@@ -74,25 +67,35 @@
                 Some(ClientMessage::CloseIfIdle) => ClientEvent::CloseIfIdle,
                 None => ClientEvent::Closed,
             },
-            count = reading => match count {
+            count = read_unless_departed(&mut input, stream, next_departure_check, poll_interval) => match count {
                 0 => ClientEvent::Closed,
                 _ => ClientEvent::BytesRead(count),
             },
         }
     }
 
-    /// Waits for `ready` while the client is connected.
+    /// Waits for `ready` while the client is connected. What it sends meanwhile is read, so that its close is seen.
     pub(super) async fn wait_unless_client_leaves<T>(
         &mut self,
         ready: impl Future<Output = T>,
     ) -> Result<T, CloseReason> {
-        let poll_interval = self.context.limits.client.disconnect_poll_interval;
-        tokio::select! {
-            biased;
-            ready = ready => Ok(ready),
-            () = wait_for_departure(&self.stream, &mut self.next_departure_check, poll_interval) => {
-                Err(CloseReason::Normal)
+        tokio::pin!(ready);
+        loop {
+            self.prepare_read_ahead();
+            let poll_interval = self.context.limits.client.disconnect_poll_interval;
+            let limit = self.input_limit();
+            let max_statement = self.context.limits.buffers.max_statement;
+            let Self { stream, buffer, overflow, next_departure_check, .. } = self;
+            let mut input = Input { buffer, overflow, limit, max_statement };
+            let count = tokio::select! {
+                biased;
+                ready = &mut ready => return Ok(ready),
+                count = read_unless_departed(&mut input, stream, next_departure_check, poll_interval) => count,
+            };
+            if count == 0 {
+                return Err(CloseReason::Normal);
             }
+            self.record_input(count);
         }
     }
 
@@ -213,6 +216,20 @@
     }
 }
 
+/// Waits until bytes were read, and returns how many; 0 once the client has closed its side or the connection has failed.
+async fn read_unless_departed(
+    input: &mut Input<'_>,
+    stream: &mut TcpStream,
+    next_check: &mut Instant,
+    interval: Duration,
+) -> usize {
+    if input.limit > 0 {
+        return input.read(stream).await.unwrap_or(0);
+    }
+    wait_for_departure(stream, next_check, interval).await;
+    0
+}
+
 /// Returns once the client has closed its side, even if bytes that it sent before that are still unread. `next_check`
 /// is kept by the caller, so that a wait that is interrupted again and again still looks every `interval`.
 async fn wait_for_departure(stream: &TcpStream, next_check: &mut Instant, interval: Duration) {
--- a/crates/proxy/src/client/message_handling.rs
+++ b/crates/proxy/src/client/message_handling.rs
@@ -108,11 +108,10 @@
         if self.pending_responses.is_empty() {
             self.unread_responses.clear();
         }
-        if self.receive_state.message_started_at.take().is_some() {
-            self.connection_guard.stop_metering();
-        }
+        self.end_message_wait();
         self.shared_state.idle_since.set(None);
         match message.kind {
+            MessageKind::Query if !self.has_space_for(&statement) => self.reject_statement(),
             MessageKind::Query => self.accept_statement(statement).await?,
             MessageKind::Sync => self.handle_sync(),
             MessageKind::Extended => self.reject_extended_message(),
@@ -123,6 +122,13 @@
         Ok(())
     }
 
+    /// Ends the wait for the rest of a message, if there is one.
+    pub(super) fn end_message_wait(&mut self) {
+        if self.receive_state.message_started_at.take().is_some() {
+            self.connection_guard.stop_metering();
+        }
+    }
+
     /// Takes a message from the buffer. Returns the text of a query, and an empty vector for other messages.
     fn take_statement(&mut self, message: &ReceivedMessage) -> Vec<u8> {
         let length = message.length;
@@ -141,13 +147,29 @@
         }
         let statement = self.buffer.held()[pg::MESSAGE_HEADER_LENGTH..length - 1].to_vec();
         self.buffer.consume(length);
-        if is_large && self.receive_state.reservation.is_none() {
-            self.release_read_ahead();
-            self.receive_state.reservation = self.connection_guard.try_reserve(length, Priority::Normal);
-        }
         statement
     }
 
+    /// Returns whether there is buffer space for a statement that was just taken from the buffer, and reserves it for a
+    /// large one that was read ahead.
+    fn has_space_for(&mut self, statement: &[u8]) -> bool {
+        if statement.len() <= self.context.limits.buffers.small_message
+            || self.receive_state.reservation.is_some()
+        {
+            return true;
+        }
+        self.release_read_ahead();
+        let priority = self.priority_of(statement);
+        self.receive_state.reservation = self.connection_guard.try_reserve(statement.len(), priority);
+        self.receive_state.reservation.is_some()
+    }
+
+    /// Rejects a statement for which there is no buffer space.
+    fn reject_statement(&mut self) {
+        let retry_after = self.context.flow_control.retry_after();
+        self.pending_responses.push_rejections(retry_after, 1);
+    }
+
     /// Ends a series of extended messages and responds to its Sync.
     fn handle_sync(&mut self) {
         self.receive_state.skipping_until_sync = false;
@@ -179,13 +201,15 @@
     }
 
     /// Reserves buffer space for the message at the front of the buffer if it is large and has no reservation
-    /// yet.
+    /// yet. One that fits into what is reserved for reading ahead gets its own when it is complete.
     pub(super) async fn reserve_for_large_message(&mut self) -> Result<(), CloseReason> {
         let announced_length = pg::announced_length(self.buffer.held());
         if announced_length > self.context.limits.buffers.small_message
+            && announced_length >= self.read_ahead_space()
             && self.receive_state.reservation.is_none()
         {
             self.receive_state.reservation = Some(self.reserve(announced_length).await?);
+            self.read_ahead_reservations.clear();
         }
         Ok(())
     }
@@ -211,11 +235,14 @@
         Err(CloseReason::Normal)
     }
 
-    /// Returns the priority of the message at the front of the buffer: normal if its comment is not complete
-    /// yet or not valid.
+    /// Returns the priority of the message at the front of the buffer.
     fn next_message_priority(&self) -> Priority {
-        let text = self.buffer.held().get(pg::MESSAGE_HEADER_LENGTH..);
-        let comment = text.and_then(|text| Comment::parse(text).ok());
+        self.priority_of(self.buffer.held().get(pg::MESSAGE_HEADER_LENGTH..).unwrap_or_default())
+    }
+
+    /// Returns the priority of a statement: normal if its comment is not complete yet or not valid.
+    fn priority_of(&self, statement: &[u8]) -> Priority {
+        let comment = Comment::parse(statement);
         comment.map_or(Priority::Normal, |comment| self.context.priority(&comment.class))
     }
 }
--- a/crates/proxy/src/client/read_ahead.rs
+++ b/crates/proxy/src/client/read_ahead.rs
@@ -4,7 +4,7 @@
 //! a client that has closed its connection looks like one that waits. So everything is read as it arrives: into the
 //! buffer while there is space for it, and else into the [`Overflow`].
 
-use std::io;
+use std::io::{self, ErrorKind};
 
 use aldermill_flow_control::Priority;
 use aldermill_wire::{Buffer, pg};
@@ -36,10 +36,20 @@
         let Some(overflow) = self.overflow else {
             return system::read_up_to(self.limit, Party::Client, stream, self.buffer.tail()).await;
         };
-        let mut dropped = Vec::with_capacity(DROPPED_READ_SIZE);
-        let count = system::read_up_to(self.limit, Party::Client, stream, &mut dropped).await?;
-        overflow.drop_input(&dropped, self.max_statement);
-        Ok(count)
+        loop {
+            stream.readable().await?;
+            // Not held while the client sends nothing.
+            let mut dropped = [0; DROPPED_READ_SIZE];
+            let wanted = self.limit.min(DROPPED_READ_SIZE);
+            match system::try_read(Party::Client, stream, &mut dropped[..wanted]) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+                Ok(count) => {
+                    overflow.drop_input(&dropped[..count], self.max_statement);
+                    return Ok(count);
+                }
+            }
+        }
     }
 }
 
@@ -80,9 +90,13 @@
         if self.buffer.held().len() < self.read_ahead_space() {
             return true;
         }
-        let step = self.context.limits.client.read_ahead_step;
-        let Some(reservation) = self.connection_guard.try_reserve(step + SPARE_CAPACITY, Priority::Normal)
-        else {
+        let step = self.context.limits.client.read_ahead_step + SPARE_CAPACITY;
+        // What one client sends ahead must not make buffer space short for the others.
+        let is_modest = self.read_ahead_reservations.is_empty();
+        if !is_modest && !self.connection_guard.has_spare_space(step) {
+            return false;
+        }
+        let Some(reservation) = self.connection_guard.try_reserve(step, Priority::Normal) else {
             return false;
         };
         self.read_ahead_reservations.push(reservation);
@@ -91,7 +105,7 @@
     }
 
     /// Returns how many bytes may be held while requests are in progress.
-    fn read_ahead_space(&self) -> usize {
+    pub(super) fn read_ahead_space(&self) -> usize {
         let limits = &self.context.limits.client;
         limits.read_ahead + self.read_ahead_reservations.len() * limits.read_ahead_step
     }
@@ -105,11 +119,6 @@
         self.keep_read_ahead(if needed == 0 { 0 } else { needed + 1 });
     }
 
-    /// Releases all buffer space for reading ahead, as no request is in progress.
-    pub(super) fn end_read_ahead(&mut self) {
-        self.keep_read_ahead(0);
-    }
-
     /// Releases all but the first `kept` reservations for reading ahead.
     fn keep_read_ahead(&mut self, kept: usize) {
         if self.read_ahead_reservations.len() <= kept {
@@ -129,6 +138,7 @@
         let mut overflow = Overflow::default();
         overflow.drop_input(&self.buffer.held()[incomplete.start..], max_statement);
         self.buffer.truncate(incomplete.start);
+        self.buffer.shrink();
         self.overflow = Some(overflow);
     }
 
@@ -147,7 +157,10 @@
         }
         match end {
             Some(reason) => self.drain(reason),
-            None if !is_within_message => self.overflow = None,
+            None if !is_within_message => {
+                self.overflow = None;
+                self.end_message_wait();
+            }
             None => {}
         }
         self.release_read_ahead();
--- a/crates/proxy/src/flow_control/connection_guard.rs
+++ b/crates/proxy/src/flow_control/connection_guard.rs
@@ -94,6 +94,11 @@
         self.flow_control.try_reserve(owner, bytes)
     }
 
+    /// Returns whether so many bytes can be reserved without making buffer space short.
+    pub fn has_spare_space(&self, bytes: usize) -> bool {
+        self.flow_control.state.borrow().controller.has_spare_space(bytes as u64)
+    }
+
     /// Reserves buffer space for unread bytes that the kernel keeps after the connection is closed, and
     /// returns whether the space was granted. If it was, the space stays in use for
     /// [`ConnectionGuard::linger_timeout`]. If not, the caller must reset the connection, so that the kernel
--- a/crates/proxy/src/system/mod.rs
+++ b/crates/proxy/src/system/mod.rs
@@ -21,5 +21,5 @@
 pub use injection::Party;
 pub use sockets::{BufferSizes, bind_datagrams, connect, listen, listen_local};
 pub use streams::{
-    Peeked, has_unread, is_closed_by_peer, peek, read, read_up_to, try_write, write, write_all,
+    Peeked, has_unread, is_closed_by_peer, peek, read, read_up_to, try_read, try_write, write, write_all,
 };
--- a/crates/proxy/src/system/streams.rs
+++ b/crates/proxy/src/system/streams.rs
@@ -85,6 +85,20 @@
     }
 }
 
+/// Reads bytes that have arrived into `buffer`, and returns how many, which is 0 at the end of the stream.
+///
+/// # Errors
+///
+/// [`ErrorKind::WouldBlock`] if none have arrived.
+pub fn try_read(party: Party, stream: &TcpStream, buffer: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match inject_fault(SystemCall::Read(party)).and_then(|()| stream.try_read(buffer)) {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            read => return read,
+        }
+    }
+}
+
 /// Waits until the system accepts data, writes as much of `bytes` as it accepts, and returns the number of
 /// bytes written. Cancel safe: if the future is dropped before it completes, nothing has been written.
 pub async fn write(party: Party, stream: &mut TcpStream, bytes: &[u8]) -> io::Result<usize> {
--- a/crates/proxy/tests/delivery_at_close.rs
+++ b/crates/proxy/tests/delivery_at_close.rs
@@ -1,15 +1,13 @@
 //! Tests, over loopback, that every response that was written reaches its client when the proxy closes the connection,
 //! and that a request which crosses the close is never attempted.
 
-use std::collections::{HashMap, HashSet};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use aldermill_test_support::{
     Client, Driver, Member, ended_by_peer, look, named, serve, serve_with, served, until,
 };
-use aldermill_wire::pg;
 
 /// Time from SIGTERM after which the process may be killed: the longest timeout, taken as 3 s, and a margin.
 const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
@@ -22,12 +20,6 @@
 /// Number of requests that a pipelining client always has in progress.
 const PIPELINED: usize = 40;
 
-fn query(statement: &str) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    pg::write_query(&mut bytes, &[statement.as_bytes()]);
-    bytes
-}
-
 /// Starts a member whose values are [`VALUE_LENGTH`] bytes long.
 fn member_with_long_values() -> Member {
     Member::start(|text, stream| serve_with(&[b'v'; VALUE_LENGTH], text, "writer", stream))
@@ -37,8 +29,7 @@
 fn client_with_unread_responses(proxy: &Driver, member: &Member) -> Client {
     let mut client = Client::narrow(proxy.address).expect("a session");
     let before = member.requests().len();
-    let statements = (0..HELD_RESPONSES).flat_map(|_| query(&look(TIMEOUT_MS)));
-    client.raw(&statements.collect::<Vec<u8>>());
+    (0..HELD_RESPONSES).for_each(|_| client.send(&look(TIMEOUT_MS)));
     until("the attempts at the member", || member.requests().len() == before + HELD_RESPONSES);
     client
 }
@@ -91,27 +82,19 @@
     drop(client);
 }
 
-/// Ids of the requests that a pipelining client sent, in order, and how many of them were answered.
-struct Exchange {
-    sent: Vec<String>,
-    answered: usize,
-}
-
-/// Keeps [`PIPELINED`] requests in progress until the proxy ends the connection.
-fn pipeline_until_the_end(address: SocketAddr, number: usize) -> Exchange {
+/// Keeps [`PIPELINED`] requests in progress until the proxy ends the connection. Returns the ids of those that were not
+/// answered; answers come in the order of the requests.
+fn pipeline_until_the_end(address: SocketAddr, number: usize) -> Vec<String> {
     let mut client = Client::connect(address);
-    let mut exchange = Exchange { sent: Vec::new(), answered: 0 };
-    let send = |stream: &TcpStream, sent: &mut Vec<String>| {
-        let id = format!("pipelined{number}x{}", sent.len());
-        let _ = std::io::Write::write_all(&mut &*stream, &query(&named(&look(TIMEOUT_MS), &id)));
-        sent.push(id);
-    };
-    (0..PIPELINED).for_each(|_| send(&client.stream, &mut exchange.sent));
+    let (mut sent, mut answered) = (PIPELINED, 0);
+    let id = |index| format!("pipelined{number}x{index}");
+    (0..PIPELINED).for_each(|index| client.send(&named(&look(TIMEOUT_MS), &id(index))));
     while client.answer().is_some() {
-        exchange.answered += 1;
-        send(&client.stream, &mut exchange.sent);
+        answered += 1;
+        client.offer(&named(&look(TIMEOUT_MS), &id(sent)));
+        sent += 1;
     }
-    exchange
+    (answered..sent).map(id).collect()
 }
 
 /// Guards against connections that a shutdown never closes, as their clients always have requests in progress: the kill
@@ -136,24 +119,10 @@
     let has_ended = proxy.child.try_wait().unwrap().is_some();
     // Ends the clients in any case, as the supervisor of a process would.
     let _ = proxy.child.kill();
-    let exchanges: Vec<Exchange> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    let unanswered: Vec<String> = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
     assert!(has_ended, "connections are still open");
-    let ran: HashSet<String> = member.requests().iter().filter_map(|text| id_of(text)).collect();
-    let unanswered: HashMap<&str, usize> =
-        exchanges.iter().flat_map(|exchange| exchange.unanswered(&ran)).collect();
-    assert!(unanswered.is_empty(), "ran and were not answered: {unanswered:?}");
-}
-
-impl Exchange {
-    /// Returns the requests that ran and were not answered, each with its number. Answers come in the order of requests.
-    fn unanswered<'a>(&'a self, ran: &'a HashSet<String>) -> impl Iterator<Item = (&'a str, usize)> {
-        let behind = self.sent.iter().enumerate().skip(self.answered);
-        behind.filter(|(_, id)| ran.contains(*id)).map(|(number, id)| (id.as_str(), number))
-    }
-}
-
-/// Returns the id in a statement's comment.
-fn id_of(text: &str) -> Option<String> {
-    let (_, rest) = text.split_once("id=")?;
-    Some(rest.split_once(',')?.0.to_owned())
+    let ran = member.requests();
+    let has_run = |id: &&String| ran.iter().any(|text| text.contains(&format!("id={id},")));
+    let lost: Vec<&String> = unanswered.iter().filter(has_run).collect();
+    assert!(lost.is_empty(), "ran and were not answered: {lost:?}");
 }
--- a/crates/proxy/tests/departed_clients.rs
+++ b/crates/proxy/tests/departed_clients.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use aldermill_test_support::{
-    Client, Discovery, Driver, Hold, Member, closed, config, delivered, list, look, named, order, refuse,
-    serve, serve_with, served, until,
+    Client, Driver, Hold, Member, closed, delivered, look, named, order, refuse, serve, serve_with, served,
+    until,
 };
 use aldermill_wire::pg;
 
@@ -87,7 +87,7 @@
         "SHOW usage" => serve(text, "reader", stream),
         _ => refuse("25006", "reader", stream),
     });
-    let proxy = start_with_memory(&member, memory_mb);
+    let proxy = Driver::with_memory(memory_mb, 256, &member);
     let mut client = Client::connect(proxy.address);
     client.stream.set_write_timeout(Some(WRITE_TIMEOUT)).unwrap();
     let first = named(&order(TIMEOUT_MS), "first");
@@ -101,15 +101,6 @@
     assert_eq!(member.requests().len(), attempted);
 }
 
-/// Starts a process with this memory limit, in MiB, in front of this member.
-fn start_with_memory(member: &Member, memory_mb: u64) -> Driver {
-    let members = [("a", member, "in_service")];
-    let discovery = Discovery::default();
-    discovery.say(list(1, true, &members));
-    let config = config(discovery.start(), 256, &list(1, true, &members));
-    Driver::of(&config.replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory_mb}")))
-}
-
 /// Returns a write with a value of this length in bytes.
 fn long_write(length: usize) -> String {
     order(TIMEOUT_MS).replacen("\\x9f", &format!("\\x{}", "9f".repeat(length)), 1)
@@ -147,7 +138,7 @@
             None => serve(text, "writer", stream),
         }
     });
-    let proxy = start_with_memory(&member, 32);
+    let proxy = Driver::with_memory(32, 256, &member);
     assert!(served(&Client::connect(proxy.address).ask(&look(TIMEOUT_MS))));
     hold.close();
     let mut client = Client::connect(proxy.address);
@@ -210,12 +201,27 @@
 /// Guards against a connection that waits for the first endpoint list and does not notice that its client has left.
 #[test]
 fn a_client_that_leaves_before_the_first_endpoint_list_frees_its_connection() {
+    assert_connections_are_freed(&[]);
+}
+
+/// The same where the client has sent many statements meanwhile.
+#[test]
+fn a_client_that_leaves_behind_statements_before_the_first_endpoint_list_frees_its_connection() {
+    assert_connections_are_freed(&queries((0..5_000).map(|_| look(TIMEOUT_MS))));
+}
+
+/// Asserts that connections end whose clients leave before the first endpoint list, having sent an empty query and these
+/// bytes.
+#[track_caller]
+fn assert_connections_are_freed(behind: &[u8]) {
     let proxy = Driver::of(&without_members());
     let descriptors = || std::fs::read_dir(format!("/proc/{}/fd", proxy.child.id())).unwrap().count();
     let before = descriptors();
     for _ in 0..8 {
         let mut client = Client::connect(proxy.address);
+        client.stream.set_write_timeout(Some(WRITE_TIMEOUT)).unwrap();
         client.send("");
+        let _ = client.stream.write_all(behind);
         closed(client.stream);
     }
     until("the end of the connections", || descriptors() <= before);
@@ -224,5 +230,5 @@
 /// Returns a configuration without members, whose discovery does not answer.
 fn without_members() -> String {
     let known = r#"{"revision":0,"complete":false,"members":[]}"#;
-    config("127.0.0.1:9".parse().unwrap(), 256, known)
+    aldermill_test_support::config("127.0.0.1:9".parse().unwrap(), 256, known)
 }
--- a/crates/proxy/tests/memory_limits.rs
+++ b/crates/proxy/tests/memory_limits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use aldermill_test_support::{
-    Client, Discovery, Driver, Hold, Member, config, list, look, named, new_id, order, serve, served, until,
+    Client, Driver, Hold, Member, look, named, new_id, order, serve, served, until,
 };
 use aldermill_wire::pg;
 
@@ -23,11 +23,7 @@
 
 /// Starts a process with little memory in front of this member.
 fn start_proxy(member: &Member) -> Driver {
-    let members = [("a", member, "in_service")];
-    let discovery = Discovery::default();
-    discovery.say(list(1, true, &members));
-    let config = config(discovery.start(), 1024, &list(1, true, &members));
-    Driver::of(&config.replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}")))
+    Driver::with_memory(MEMORY_MB, 1024, member)
 }
 
 fn query(statement: &str) -> Vec<u8> {
--- a/crates/routing/tests/router/deduplication_scope.rs
+++ b/crates/routing/tests/router/deduplication_scope.rs
@@ -1,7 +1,7 @@
 //! Repeats of requests that may have run, by the members that drop them.
 
 use aldermill_routing::{
-    DeduplicationScope, Effect, ListedMember, MemberStatus, Micros, RequestClass, RequestHandle, Verdict,
+    DeduplicationScope, Effect, ListedMember, MemberStatus, Micros, RequestHandle, Verdict,
 };
 
 use crate::fixtures::{DEDUPLICATED_WRITE, MS, WRITE, list_entry, router_config, target};
@@ -20,9 +20,7 @@
     let mut config = router_config();
     config.zones = 2;
     config.max_attempts = MAX_ATTEMPTS;
-    let effect = Effect::Deduplicated { scope, window: WINDOW };
-    let class = config.classes[DEDUPLICATED_WRITE].clone();
-    config.classes[DEDUPLICATED_WRITE] = RequestClass { effect, ..class };
+    config.classes[DEDUPLICATED_WRITE].effect = Effect::Deduplicated { scope, window: WINDOW };
     let mut simulation = Simulation::new(config, 1);
     simulation.grow_to(4);
     for id in 1..4 {
@@ -78,12 +76,14 @@
 
 /// Guards against a repeat that is given up although the new primary drops it.
 #[test]
-fn a_write_that_one_zone_deduplicates_is_repeated_at_a_new_primary_of_that_zone() {
-    let mut simulation = simulation(DeduplicationScope::Zone);
-    let write = write_that_may_have_run(&mut simulation);
-    find_primary(&mut simulation, 2);
-    simulation.advance(40 * MS);
-    assert_eq!(target(&simulation, write), Some(2));
+fn a_write_that_may_have_run_is_repeated_at_a_new_primary_that_drops_it() {
+    for (scope, primary) in [(DeduplicationScope::Zone, 2), (DeduplicationScope::Group, 1)] {
+        let mut simulation = simulation(scope);
+        let write = write_that_may_have_run(&mut simulation);
+        find_primary(&mut simulation, primary);
+        simulation.advance(40 * MS);
+        assert_eq!(target(&simulation, write), Some(primary), "{scope:?}");
+    }
 }
 
 /// Guards against a search for the primary that asks members of other zones, or the own zone only once.
@@ -120,25 +120,12 @@
     assert_eq!(simulation.failed, [write]);
 }
 
-/// Guards against a repeat that only one group drops and that is not sent to the group's new primary.
-#[test]
-fn a_write_that_a_group_deduplicates_is_repeated_in_another_zone() {
-    let mut simulation = simulation(DeduplicationScope::Group);
-    let write = write_that_may_have_run(&mut simulation);
-    find_primary(&mut simulation, 1);
-    simulation.advance(40 * MS);
-    assert_eq!(target(&simulation, write), Some(1));
-}
-
 /// Guards against a client that is told that a retry is harmless after the members have forgotten the request.
 #[test]
 fn a_write_that_may_have_run_is_not_rejected_after_its_window() {
     let mut simulation = simulation(DeduplicationScope::All);
     let write = write_that_may_have_run(&mut simulation);
-    (0..4).for_each(|id| {
-        simulation
-            .apply_list_entry(ListedMember { zone: id % 2, ..list_entry(id, MemberStatus::Unlisted, None) });
-    });
+    (0..4).for_each(|id| simulation.update_list_entry(id, MemberStatus::Unlisted, None));
     simulation.advance(WINDOW - 200 * MS);
     assert!(simulation.failed.is_empty());
     simulation.advance(400 * MS);
--- a/crates/test-support/src/program.rs
+++ b/crates/test-support/src/program.rs
@@ -153,6 +153,15 @@
         Driver::start(&discovery, 256, &list(1, true, &members))
     }
 
+    /// With so little memory, in MiB, in front of this member.
+    pub fn with_memory(memory_mb: u64, sockets: usize, member: &Member) -> Driver {
+        let known = list(1, true, &[("a", member, "in_service")]);
+        let discovery = Discovery::default();
+        discovery.say(known.clone());
+        let config = config(discovery.start(), sockets, &known);
+        Driver::of(&config.replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory_mb}")))
+    }
+
     pub fn logged(&self, text: &str) -> bool {
         self.log.lock().unwrap().iter().any(|line| line.contains(text))
     }
