A member that drained gets nothing once it is gone, until it starts again

Cause: the router kept only the last listed status, and one that is gone is usable at such sites. The proxy's last check before a send made the same decision a second time. Evidence: the trace of one late request, r0-223: the list that says gone at 19.303 s, the last check allowing from then on, the decision at 19.320. Attempts left at most 1.4 ms after their decision and none in the 4 s in which the member was listed as draining, which rules out late sends and a list that is read late.

Change: a record of drains with each member (DrainRecord). A drain binds from the list that states it; only a later listed start ends it. The status then stays Draining, so every choice of a target, the primary search, health checks and the counts for other sites pass the member over, and the last check asks the router. The record goes with the member. A list that names such a member as in service is logged as a warning. Listed starts are compared as the list states them: the router's own time of a start also moves when a member answers after it seemed dead.

--- a/crates/bench-adapter/src/router_instance.rs
+++ b/crates/bench-adapter/src/router_instance.rs
@@ -231,6 +231,7 @@
             zone: self.settings.zone_index(&endpoint.zone),
             status: endpoint.standing,
             started_at: endpoint.started_at,
+            listed_start: endpoint.started_at.unwrap_or(0),
             size: self.settings.member_size(endpoint.weight),
             is_primary: endpoint.primary,
         };
--- a/crates/proxy/src/discovery/endpoint_list.rs
+++ b/crates/proxy/src/discovery/endpoint_list.rs
@@ -1,12 +1,15 @@
 //! Endpoint list in the JSON format of the discovery service, in which it is also saved across restarts.
 
-use aldermill_routing::MemberStatus;
+use aldermill_routing::{MemberStatus, Micros};
 use aldermill_warm_start::StateSnapshot;
 use serde::{Deserialize, Serialize};
 
 /// Value of `access` for a member that takes writes.
 const WRITER_ACCESS: &str = "writer";
 
+/// Microseconds in a millisecond.
+const MICROS_PER_MILLI: f64 = 1000.0;
+
 /// Entry of one member in the endpoint list.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Endpoint {
@@ -26,7 +29,7 @@
     pub size: f64,
     /// When the member was started, in Unix milliseconds; zero means long ago.
     #[serde(default)]
-    pub up_since_ms: f64,
+    up_since_ms: f64,
     /// Role of the member; `None` if the list does not state it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     access: Option<String>,
@@ -51,6 +54,11 @@
         self.access.as_deref() == Some(WRITER_ACCESS)
     }
 
+    /// Returns the time of the member's last start as the list states it, in Unix microseconds; zero if it was long ago.
+    pub fn listed_start(&self) -> Micros {
+        (self.up_since_ms * MICROS_PER_MILLI) as Micros
+    }
+
     /// Returns the member's status for the router: ready, draining or unlisted.
     pub fn status(&self) -> MemberStatus {
         match self.phase {
--- a/crates/proxy/src/dispatcher/endpoints.rs
+++ b/crates/proxy/src/dispatcher/endpoints.rs
@@ -2,7 +2,7 @@
 //! for each.
 
 use std::cell::Cell;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -22,20 +22,17 @@
 pub(super) struct MemberEntry {
     pub(super) group: u64,
     pub(super) zone: usize,
-    /// Whether the endpoint list says that the member is in service.
-    ready: bool,
     pub(super) commands: mpsc::Sender<MemberCommand>,
     /// The time since which the member's oldest idle connection has been idle; `None` if there is no such
     /// connection, or the actor was just told to close it.
     pub(super) oldest_idle_since: Rc<Cell<Option<Instant>>>,
-    /// Whether the member may be sent anything new, according to the endpoint list. The member's actor
-    /// watches this.
+    /// Whether the router may send the member anything new. The member's actor watches this.
     accepts_requests: watch::Sender<bool>,
     last_heard: LastHeard,
     address: SocketAddr,
-    /// The time of the member's last start according to the endpoint list, as Unix time in milliseconds; zero
-    /// if it was long ago.
-    up_since_ms: f64,
+    /// The time of the member's last start according to the endpoint list, in Unix microseconds; zero if it was
+    /// long ago.
+    listed_start: Micros,
     /// The time of the member's last start on the router's clock, clamped to `start_bounds`; `None` if it was
     /// long ago.
     pub(super) started_at: Option<Micros>,
@@ -57,15 +54,15 @@
     /// in the endpoint list is clamped to the bounds, because the wall clock may have been wrong when this
     /// process started. `offset` is how far the members' clock is ahead of the router's, in microseconds.
     pub(super) fn start_time(&self, offset: Micros) -> Option<Micros> {
-        let listed = (self.up_since_ms > 0.0).then_some((self.up_since_ms * 1000.0) as Micros)?;
+        let listed = Some(self.listed_start).filter(|&start| start > 0)?;
         let StartBounds { previous_last_heard, first_listed_at } = self.start_bounds;
         Some(listed.saturating_sub(offset).max(previous_last_heard).min(first_listed_at))
     }
 
     /// Records that the endpoint list names another start of the member, which is a new incarnation.
     /// `was_accepting` says whether the previous one could be sent requests until now.
-    fn record_restart(&mut self, up_since_ms: f64, was_accepting: bool, clock: Clock, offset: Micros) {
-        self.up_since_ms = up_since_ms;
+    fn record_restart(&mut self, listed_start: Micros, was_accepting: bool, clock: Clock, offset: Micros) {
+        self.listed_start = listed_start;
         let previous =
             self.last_heard.previous_incarnation_last_heard(was_accepting).map(|heard| clock.at(heard));
         let previous_last_heard = previous.unwrap_or(Micros::MIN);
@@ -103,21 +100,37 @@
     fn apply_endpoint_list(&mut self, now: Micros, list: &EndpointList) -> Actions {
         info!(self.context.log, "endpoint list received"; "revision" => list.revision,
             "complete" => list.complete, "endpoints" => list.endpoints.len());
-        let listed = self.register_endpoints(list);
+        let listed = list.endpoints.iter().filter_map(|endpoint| self.register_endpoint(endpoint));
+        let listed: Vec<ListedMember> = listed.collect();
         let ((), actions) =
             self.decide(|router| ((), router.update_endpoint_list(now, list.complete, listed.clone())));
+        self.publish_availability();
+        self.warn_of_binding_drains(&listed);
         self.use_restored_state(list);
         actions
     }
 
+    /// Logs which members the list names as ready although an earlier drain of them still binds.
+    fn warn_of_binding_drains(&self, listed: &[ListedMember]) {
+        let is_listed_ready = |entry: &&ListedMember| entry.status == MemberStatus::Ready;
+        for entry in listed.iter().filter(is_listed_ready) {
+            if !self.router.is_ready(entry.member) {
+                warn!(self.context.log, "member listed as in service after its drain, not used until it starts again";
+                    "member" => &entry.name);
+            }
+        }
+    }
+
     /// Reports the number of ready members of each group at this site to the gateway part.
     fn report_groups_to_sites(&mut self) {
         if self.gateway_part.is_none() {
             return;
         }
         let mut ready_members: BTreeMap<u64, usize> = BTreeMap::new();
-        for entry in self.members.iter().flatten().filter(|entry| entry.ready) {
-            *ready_members.entry(entry.group).or_default() += 1;
+        for (id, entry) in self.members.iter().enumerate() {
+            if let Some(entry) = entry.as_ref().filter(|_| self.router.is_ready(id)) {
+                *ready_members.entry(entry.group).or_default() += 1;
+            }
         }
         self.groups_listed(&ready_members.into_iter().collect::<Vec<_>>());
     }
@@ -136,33 +149,15 @@
         });
     }
 
-    /// Applies the list to the members' actors, and returns the endpoints in the router's form.
-    fn register_endpoints(&mut self, list: &EndpointList) -> Vec<ListedMember> {
-        if list.complete {
-            self.mark_unlisted_members(list);
-        }
-        list.endpoints.iter().filter_map(|endpoint| self.register_endpoint(endpoint)).collect()
-    }
-
-    /// Marks the members that a complete list does not name as unlisted.
-    fn mark_unlisted_members(&mut self, list: &EndpointList) {
-        let listed: HashSet<&str> = list.endpoints.iter().map(|endpoint| endpoint.id.as_str()).collect();
-        let accepts_requests = self.accepts_requests(MemberStatus::Unlisted);
-        for (_, &id) in self.member_ids.iter().filter(|(name, _)| !listed.contains(name.as_str())) {
-            if let Some(entry) = &mut self.members[id] {
-                entry.accepts_requests.send_replace(accepts_requests);
-                entry.ready = false;
-            }
-        }
-    }
-
-    /// Returns whether a member with this status may be sent anything new. An unlisted member may, if the
-    /// settings forbid it only for draining members.
-    fn accepts_requests(&self, status: MemberStatus) -> bool {
-        match status {
-            MemberStatus::Ready => true,
-            MemberStatus::Draining => false,
-            MemberStatus::Unlisted => self.settings.router_config.unlisted_members_usable,
+    /// Tells the members' actors which of them the router may send anything new to with the list that it now has.
+    fn publish_availability(&mut self) {
+        let Dispatcher { router, members, .. } = self;
+        for (id, entry) in members.iter_mut().enumerate() {
+            let Some(entry) = entry else { continue };
+            let accepts_requests = router.is_in_service(id);
+            entry.accepts_requests.send_if_modified(|accepted| {
+                std::mem::replace(accepted, accepts_requests) != accepts_requests
+            });
         }
     }
 
@@ -191,6 +186,7 @@
             zone: self.settings.zone_index(&endpoint.zone),
             status,
             started_at,
+            listed_start: endpoint.listed_start(),
             size: self.settings.member_size(endpoint.size),
             is_primary: endpoint.is_primary(),
         })
@@ -200,16 +196,14 @@
     fn update_member(&mut self, member: MemberId, endpoint: &Endpoint, address: SocketAddr) {
         let clock = self.context.clock;
         let offset = self.reported_offset;
-        let status = endpoint.status();
-        let accepts_requests = self.accepts_requests(status);
+        let listed_start = endpoint.listed_start();
         let Some(entry) = &mut self.members[member] else { return };
-        let was_accepting = entry.accepts_requests.send_replace(accepts_requests);
+        let was_accepting = *entry.accepts_requests.borrow();
         entry.group = endpoint.group;
         entry.zone = self.settings.zone_index(&endpoint.zone);
-        entry.ready = status == MemberStatus::Ready;
-        let restarted = entry.ready && entry.up_since_ms != endpoint.up_since_ms;
+        let restarted = endpoint.status() == MemberStatus::Ready && entry.listed_start != listed_start;
         if restarted {
-            entry.record_restart(endpoint.up_since_ms, was_accepting, clock, offset);
+            entry.record_restart(listed_start, was_accepting, clock, offset);
         }
         if restarted || entry.address != address {
             entry.reconnect(address);
@@ -227,7 +221,8 @@
     fn start_member(&mut self, endpoint: &Endpoint, address: SocketAddr) -> MemberId {
         let id = self.members.iter().position(Option::is_none).unwrap_or(self.members.len());
         let (commands, mailbox) = mpsc::channel(self.context.limits.queues.member);
-        let (accepts_requests, accepting) = watch::channel(self.accepts_requests(endpoint.status()));
+        // The router decides this once it has the list that names the member.
+        let (accepts_requests, accepting) = watch::channel(false);
         let oldest_idle_since = Rc::new(Cell::new(None));
         let last_heard = LastHeard::default();
         let links = MemberSharedState {
@@ -241,13 +236,12 @@
         let mut entry = MemberEntry {
             group: endpoint.group,
             zone: self.settings.zone_index(&endpoint.zone),
-            ready: false,
             commands,
             oldest_idle_since,
             accepts_requests,
             last_heard,
             address,
-            up_since_ms: endpoint.up_since_ms,
+            listed_start: endpoint.listed_start(),
             started_at: None,
             start_bounds: StartBounds { previous_last_heard: Micros::MIN, first_listed_at },
             replica_reports: 0,
--- a/crates/proxy/tests/shadow.rs
+++ b/crates/proxy/tests/shadow.rs
@@ -46,6 +46,7 @@
         zone: 0,
         status: MemberStatus::Ready,
         started_at: None,
+        listed_start: 0,
         size: 1.0,
         is_primary: false,
     };
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -122,8 +122,8 @@
     pub track_sessions: bool,
     /// Whether the endpoint list is sent only to subscribers.
     pub list_requires_subscription: bool,
-    /// Whether a member that has left the list may still be sent requests. One that is listed as draining
-    /// never may.
+    /// Whether a member that has left the list may still be sent requests. One that was listed as draining may not,
+    /// whatever later lists state, until it starts again.
     pub unlisted_members_usable: bool,
     /// Fraction of its capacity that a member has when it starts, from 0 to 1.
     pub slow_start_capacity: f64,
@@ -195,6 +195,9 @@
     pub status: MemberStatus,
     /// Time of the member's last start; `None` if that was long ago.
     pub started_at: Option<Micros>,
+    /// Time of the member's last start exactly as the list states it, in microseconds; zero if that was long ago. It is
+    /// compared with other starts of this member only, so its clock does not matter.
+    pub listed_start: Micros,
     /// Size of the member relative to others, as far as the list states sizes.
     pub size: f64,
     /// Whether the list names the member as its group's primary.
--- a/crates/routing/src/policy/availability.rs
+++ b/crates/routing/src/policy/availability.rs
@@ -19,14 +19,29 @@
         self.is_in_service(id) && !self.is_unresponsive(now, id)
     }
 
-    /// Returns whether the endpoint list allows to send anything to the member: it is not draining, and it is listed or
+    /// Returns whether the endpoint lists allow to send anything to the member: it is not draining, and it is listed or
     /// need not be.
-    pub(super) fn is_in_service(&self, id: MemberId) -> bool {
+    pub fn is_in_service(&self, id: MemberId) -> bool {
         let status = self.members[id].status;
         let usable_unlisted = status == MemberStatus::Unlisted && self.config.unlisted_members_usable;
         status == MemberStatus::Ready || usable_unlisted
     }
 
+    /// Returns whether the endpoint lists name the member as ready, and no earlier drain of it still binds.
+    pub fn is_ready(&self, id: MemberId) -> bool {
+        self.members[id].status == MemberStatus::Ready
+    }
+
+    /// Returns the status of the member now that the endpoint list states `listed_status`.
+    ///
+    /// Where unlisted members are usable, the list does not prove which processes run. A member that was listed as
+    /// draining therefore counts as draining until it starts again. The cost: one whose drain is called off gets
+    /// nothing until then.
+    pub(super) fn status_after_drains(&self, id: MemberId, listed_status: MemberStatus) -> MemberStatus {
+        let drain_binds = self.config.unlisted_members_usable && self.members[id].drain_record.has_drained();
+        if drain_binds { MemberStatus::Draining } else { listed_status }
+    }
+
     /// Returns whether the member was unreachable a short time ago, or takes attempts and answers none. One
     /// attempt a second tries it again.
     ///
--- a/crates/routing/src/policy/endpoint_list.rs
+++ b/crates/routing/src/policy/endpoint_list.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng;
 
+use super::DrainRecord;
 use super::MS;
 use super::blacklist::FAILURE_WINDOW;
 use super::concurrency_limit::{INITIAL_FLEET_LIMIT, MAX_FLEET_LIMIT};
@@ -57,6 +58,7 @@
             self.add_member(now, group, &entry);
         }
         let member = &mut self.members[id];
+        member.drain_record.record(entry.status, entry.listed_start);
         if !is_known || member.started_at != entry.started_at && entry.status == MemberStatus::Ready {
             member.blacklist.lift(now);
             member.confirmed_primary = false;
@@ -69,12 +71,13 @@
             self.health_check_budget.earn_for_new_member();
             self.try_health_check(now, id, URGENT_HEALTH_CHECK_INTERVAL);
         }
-        if entry.is_primary && entry.status == MemberStatus::Ready {
+        if entry.is_primary && self.is_ready(id) {
             self.learn_listed_primary(now, group, id);
         }
     }
 
-    /// Adds a member to the group, and replaces any state that was kept under the member's index.
+    /// Adds a member to the group, and replaces any state that was kept under the member's index. A member that has
+    /// moved from another group keeps the record of its drains.
     fn add_member(&mut self, now: Micros, group: usize, entry: &ListedMember) {
         let routers = self.config.routers as f64;
         let size = entry.size / self.mean_size;
@@ -83,12 +86,16 @@
         } else {
             (INITIAL_FLEET_LIMIT / routers).max(1.0)
         };
+        let replaced = &self.members[entry.member];
+        let has_moved = replaced.name == entry.name;
+        let drain_record = if has_moved { replaced.drain_record } else { DrainRecord::default() };
         self.members[entry.member] = Member {
             name: entry.name.clone(),
             group,
             zone: entry.zone,
             size,
             concurrency_limit,
+            drain_record,
             position: Micros::MIN,
             not_primary_at: Micros::MIN,
             last_heard_at: now,
@@ -116,9 +123,12 @@
         }
     }
 
-    /// Sets the status of a member. A primary that is not ready is no longer believed to be one.
-    pub(super) fn set_status(&mut self, now: Micros, id: MemberId, status: MemberStatus) {
+    /// Sets the status of a member to the listed one, unless an earlier drain still binds. A primary that is not ready
+    /// is no longer believed to be one.
+    fn set_status(&mut self, now: Micros, id: MemberId, listed_status: MemberStatus) {
+        let status = self.status_after_drains(id, listed_status);
         self.members[id].status = status;
+        self.members[id].is_listed = listed_status != MemberStatus::Unlisted;
         self.members[id].confirmed_primary &= status == MemberStatus::Ready;
         let search_hold = self.search_hold();
         let group = &mut self.groups[self.members[id].group];
@@ -139,7 +149,7 @@
         let is_idle = member.in_flight.is_empty()
             && !member.health_check_in_flight
             && now - member.last_heard_at > FAILURE_WINDOW;
-        let is_forgotten = member.status == MemberStatus::Unlisted && is_idle;
+        let is_forgotten = !member.is_listed && is_idle;
         if is_forgotten {
             let group = &mut self.groups[member.group];
             group.members.retain(|&member| member != id);
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -21,6 +21,7 @@
 mod concurrency_limit;
 mod deduplication;
 mod dispatch;
+mod drain_record;
 mod endpoint_list;
 mod freshness;
 mod health_check_budget;
@@ -45,6 +46,7 @@
 use replica_subset::scramble_seed;
 
 pub(crate) use blacklist::Blacklist;
+pub(crate) use drain_record::DrainRecord;
 pub(crate) use health_check_budget::HealthCheckBudget;
 pub(crate) use idle_drop_detection::IdleDropDetector;
 pub(crate) use list_subscription::ListSubscription;
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -7,8 +7,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::policy::{
-    Blacklist, ConnectionBackoff, HealthCheckBudget, IdleDropDetector, ListSubscription, RetryDetector,
-    Sessions, StallPacing,
+    Blacklist, ConnectionBackoff, DrainRecord, HealthCheckBudget, IdleDropDetector, ListSubscription,
+    RetryDetector, Sessions, StallPacing,
 };
 use crate::{Actions, LearnedState, MemberId, MemberStatus, Micros, ReadShift, Request, RouterConfig};
 
@@ -103,7 +103,11 @@
     pub(crate) name: String,
     pub(crate) group: usize,
     pub(crate) zone: usize,
+    /// Whether the member takes requests, according to all endpoint lists since its last start.
     pub(crate) status: MemberStatus,
+    /// Whether the newest endpoint list still names the member.
+    pub(crate) is_listed: bool,
+    pub(crate) drain_record: DrainRecord,
     /// Time at which the member started; `None` if that was long ago.
     pub(crate) started_at: Option<Micros>,
     /// Size of the member, relative to the mean size in the first endpoint list.
--- a/crates/routing/tests/router/fixtures.rs
+++ b/crates/routing/tests/router/fixtures.rs
@@ -76,6 +76,7 @@
         zone: 0,
         status: member_status,
         started_at: start_time,
+        listed_start: start_time.unwrap_or(0),
         size: 1.0,
         is_primary: false,
     }
--- a/crates/routing/tests/router/main.rs
+++ b/crates/routing/tests/router/main.rs
@@ -3,6 +3,7 @@
 mod basic_routing;
 mod deadlines_and_stalls;
 mod deduplication_scope;
+mod drains;
 mod earlier_attempts;
 mod fixtures;
 mod freshness;
--- a/crates/routing/tests/slow_start.rs
+++ b/crates/routing/tests/slow_start.rs
@@ -62,6 +62,7 @@
         zone: 0,
         status: MemberStatus::Ready,
         started_at: start_time,
+        listed_start: start_time.unwrap_or(0),
         size: 1.0,
         is_primary: false,
     }
