A drain is applied although its entry states no usable address

Found while looking for ways in which a drain is lost; nobody reported it.

Cause: an entry without a usable address was left out before its phase was looked at.

Change: a known member that drains or is gone keeps the address at which it is known, and the entry is applied. Any other entry without a usable address is still left out and logged.

Tests: a_drain_whose_entry_has_no_usable_address_is_kept failed before (40 requests instead of none). The tests of drained_members, endpoint_list and the runbook passed.

--- a/crates/proxy/src/dispatcher/endpoints.rs
+++ b/crates/proxy/src/dispatcher/endpoints.rs
@@ -165,7 +165,7 @@
     /// endpoint in the router's form. Returns `None` if the endpoint has no usable address, or if it has
     /// terminated and its member is unknown.
     fn register_endpoint(&mut self, endpoint: &Endpoint) -> Option<ListedMember> {
-        let Ok(address) = endpoint.host_port.parse::<SocketAddr>() else {
+        let Some(address) = self.usable_address(endpoint) else {
             warn!(self.context.log, "list endpoint without a usable address, left out";
                 "member" => &endpoint.id, "host_port" => &endpoint.host_port);
             return None;
@@ -192,6 +192,16 @@
         })
     }
 
+    /// Returns the address that the endpoint states. If it states none that is usable, a member that drains or is gone
+    /// keeps the address at which it is known, because the drain has to be applied all the same.
+    fn usable_address(&self, endpoint: &Endpoint) -> Option<SocketAddr> {
+        let stated = endpoint.host_port.parse().ok();
+        stated.or_else(|| {
+            let entry = self.members[*self.member_ids.get(&endpoint.id)?].as_ref()?;
+            (endpoint.status() != MemberStatus::Ready).then_some(entry.address)
+        })
+    }
+
     /// Applies an endpoint to a known member.
     fn update_member(&mut self, member: MemberId, endpoint: &Endpoint, address: SocketAddr) {
         let clock = self.context.clock;
--- a/crates/proxy/tests/drained_members.rs
+++ b/crates/proxy/tests/drained_members.rs
@@ -35,6 +35,19 @@
     assert!(requests_after_reads(&proxy, &gone) > 0);
 }
 
+/// Guards against a drain that is ignored because its entry states no usable address.
+#[test]
+fn a_drain_whose_entry_has_no_usable_address_is_kept() {
+    let (drained, other) = (sound("reader"), sound("writer"));
+    let discovery = Discovery::default();
+    let in_service = [("a", &other, "in_service"), ("b", &drained, "in_service")];
+    let proxy = Driver::start(&discovery, 256, &list(1, true, &in_service));
+    let drain = list(2, false, &[("b", &drained, "terminating")]);
+    discovery.say(drain.replace(&drained.address.to_string(), ""));
+    until("the drain", || proxy.logged("revision: 2"));
+    assert_eq!(requests_after_reads(&proxy, &drained), 0);
+}
+
 /// Guards against requests at a member whose drain a process only knows from the list that it was started with.
 #[test]
 fn a_restarted_process_sends_nothing_to_a_member_that_its_saved_list_names_as_draining() {
