Condense the tests of drains, none of their cases left out

The test of an attempt that waits for its connection repeated the one for a plain drain: both are one function now, called with the phases to list.

--- a/crates/proxy/tests/drained_members.rs
+++ b/crates/proxy/tests/drained_members.rs
@@ -1,19 +1,11 @@
 //! Drains as seen by the proxy as a child process, where only draining binds and the endpoint list does not prove which
 //! members run.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-
 use aldermill_test_support::*;
 
 /// Number of reads that find a member which may be read from.
 const READS: usize = 40;
 
-/// Returns a configuration in which only draining binds.
-fn only_draining_binds(config: String) -> String {
-    config.replace(r#""rules":{"#, r#""rules":{"onlyDrainingBinds":true,"#)
-}
-
 /// Has some reads served, and returns how many requests the member has got by then.
 fn requests_after_reads(proxy: &Driver, member: &Member) -> usize {
     let mut client = Client::connect(proxy.address);
@@ -27,7 +19,8 @@
     let (drained, gone, other) = (sound("reader"), sound("reader"), sound("writer"));
     let discovery = Discovery::default();
     let in_service = [("a", &other, "in_service"), ("b", &drained, "in_service"), ("c", &gone, "in_service")];
-    let proxy = Driver::of(&only_draining_binds(config(discovery.start(), 256, &list(1, true, &in_service))));
+    let proxy =
+        Driver::of(&config_where_only_draining_binds(discovery.start(), 256, &list(1, true, &in_service)));
     discovery.say(list(2, false, &[("b", &drained, "terminating")]));
     discovery.say(list(3, false, &[("b", &drained, "terminated"), ("c", &gone, "terminated")]));
     until("the list without the drained member", || proxy.logged("revision: 3"));
@@ -56,7 +49,7 @@
     let operator = format!(r#"{{"warm_start":{{"folder":{folder:?}}}}}"#);
     let (drained, other) = (sound("reader"), sound("writer"));
     let discovery = Discovery::default();
-    let config = only_draining_binds(config(discovery.start(), 256, "null"));
+    let config = config_where_only_draining_binds(discovery.start(), 256, "null");
     let start = || Driver::with("127.0.0.1:0".parse().unwrap(), &config, Some(&operator));
     discovery.say(list(1, true, &[("a", &other, "in_service"), ("b", &drained, "terminating")]));
     let proxy = start();
@@ -71,30 +64,3 @@
     assert_eq!(requests_after_reads(&proxy, &drained), 0);
     std::fs::remove_dir_all(folder).unwrap();
 }
-
-/// Guards against an attempt that was decided before the drain and is sent once the member is gone.
-#[test]
-fn a_member_that_drains_and_goes_while_a_connection_opens_does_not_get_the_attempt() {
-    let (connecting, startup_blocked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(true)));
-    let (member_connecting, member_startup_blocked) = (connecting.clone(), startup_blocked.clone());
-    let keeps_open = move |_: &[u8], startup_complete: bool| {
-        member_connecting.store(true, Ordering::SeqCst);
-        until("the lists", || startup_complete || !member_startup_blocked.load(Ordering::SeqCst));
-        true
-    };
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let drained = Member::at(listener, keeps_open, |text, stream| serve(text, "writer", stream));
-    let primary = sound("writer");
-    let discovery = Discovery::default();
-    let initial = list(1, true, &[("a", &drained, "in_service")]);
-    let proxy = Driver::of(&only_draining_binds(config(discovery.start(), 256, &initial)));
-    let mut client = Client::connect(proxy.address);
-    client.send(&look(15000));
-    until("a connection to the first member", || connecting.load(Ordering::SeqCst));
-    discovery.say(list(2, false, &[("a", &drained, "terminating"), ("b", &primary, "in_service")]));
-    discovery.say(list(3, false, &[("a", &drained, "terminated")]));
-    until("the log line of the last list", || proxy.logged("revision: 3"));
-    startup_blocked.store(false, Ordering::SeqCst);
-    assert!(served(&client.answer().unwrap()));
-    assert_eq!((drained.requests().len(), primary.requests().len()), (0, 1));
-}
--- a/crates/proxy/tests/request_handling.rs
+++ b/crates/proxy/tests/request_handling.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use aldermill_test_support::{
-    Act, Client, Discovery, Driver, Member, Said, config, list, look, order, refuse, serve, served, sound,
-    until,
+    Act, Client, Discovery, Driver, Member, Said, config, config_where_only_draining_binds, list, look,
+    order, refuse, serve, served, sound, until,
 };
 use aldermill_wire::pg;
 
@@ -238,26 +238,38 @@
 
 #[test]
 fn a_drain_announced_while_a_connection_opens_withdraws_the_attempt() {
+    attempt_is_withdrawn_while_connecting(config, &["terminating"]);
+}
+
+/// Guards against an attempt that was decided before the drain and is sent once the member is gone.
+#[test]
+fn a_member_that_drains_and_goes_while_a_connection_opens_does_not_get_the_attempt() {
+    attempt_is_withdrawn_while_connecting(config_where_only_draining_binds, &["terminating", "terminated"]);
+}
+
+/// Has the endpoint list state these phases of a member, one after another, while a connection to it opens.
+fn attempt_is_withdrawn_while_connecting(config: fn(SocketAddr, usize, &str) -> String, phases: &[&str]) {
     let (connecting, startup_blocked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(true)));
     let (member_connecting, member_startup_blocked) = (connecting.clone(), startup_blocked.clone());
-    // The first member answers no startup message until the endpoint list has announced its drain.
+    // The first member answers no startup message until the endpoint list has stated all phases.
     let keeps_open = move |_: &[u8], startup_complete: bool| {
         member_connecting.store(true, Ordering::SeqCst);
-        until("the drain announcement", || {
-            startup_complete || !member_startup_blocked.load(Ordering::SeqCst)
-        });
+        until("the last phase", || startup_complete || !member_startup_blocked.load(Ordering::SeqCst));
         true
     };
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let drained = Member::at(listener, keeps_open, |text, stream| serve(text, "writer", stream));
     let primary = sound("writer");
     let discovery = Discovery::default();
-    let proxy = Driver::start(&discovery, 256, &list(1, true, &[("a", &drained, "in_service")]));
+    let initial_list = list(1, true, &[("a", &drained, "in_service")]);
+    let proxy = Driver::of(&config(discovery.start(), 256, &initial_list));
     let mut client = Client::connect(proxy.address);
     client.send(&look(15000));
     until("a connection to the first member", || connecting.load(Ordering::SeqCst));
-    discovery.say(list(2, false, &[("a", &drained, "terminating"), ("b", &primary, "in_service")]));
-    until("the log line of the second endpoint list", || proxy.logged("revision: 2"));
+    for (revision, phase) in (2..).zip(phases) {
+        discovery.say(list(revision, false, &[("a", &drained, phase), ("b", &primary, "in_service")]));
+        until("the log line of the list", || proxy.logged(&format!("revision: {revision}")));
+    }
     startup_blocked.store(false, Ordering::SeqCst);
     assert!(served(&client.answer().unwrap()));
     assert_eq!((drained.requests().len(), primary.requests().len()), (0, 1));
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -26,7 +26,7 @@
 pub use hold::Hold;
 pub use kernel::{closed, delivered, ended_by_peer};
 pub use member::{Act, Member, refuse, replica_at, serve, serve_with, sound, whole};
-pub use program::{Driver, TERMS, aldermill, config, file, program};
+pub use program::{Driver, TERMS, aldermill, config, config_where_only_draining_binds, file, program};
 pub use site::{Ledger, Site, free_port};
 pub use slow::drip;
 pub use statement::{look, named, new_id, order};
--- a/crates/test-support/src/program.rs
+++ b/crates/test-support/src/program.rs
@@ -63,6 +63,11 @@
     )
 }
 
+/// The configuration of a site at which only draining binds: a member that is gone may still be sent requests.
+pub fn config_where_only_draining_binds(discovery: SocketAddr, sockets: usize, known: &str) -> String {
+    config(discovery, sockets, known).replace(r#""rules":{"#, r#""rules":{"onlyDrainingBinds":true,"#)
+}
+
 impl Driver {
     pub fn start(discovery: &Discovery, sockets: usize, known: &str) -> Driver {
         Driver::of(&config(discovery.start(), sockets, known))
