--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -21,7 +21,9 @@
 
 #![warn(missing_docs)]
 
+mod actions;
 mod candidate;
+mod config;
 mod fence;
 pub mod frame;
 mod held_lease;
@@ -29,11 +31,13 @@
 mod participant;
 mod voter;
 
+pub use actions::{Actions, LeaseChange, Outgoing};
 pub use candidate::{Candidate, CandidateAction};
+pub use config::{ConfigError, LeaseConfig};
 pub use fence::{Fence, FenceDecision};
 pub use held_lease::HeldLease;
 pub use message::{Ballot, Incarnation, Message, OutstandingLease, Payload};
-pub use participant::{Actions, ConfigError, LeaseChange, LeaseConfig, Outgoing, Participant};
+pub use participant::Participant;
 pub use voter::{GrantedLease, Reply, Voter};
 
 /// An instant on the caller's clock or a time span, in whole microseconds.
--- a/crates/leases/src/participant.rs
+++ b/crates/leases/src/participant.rs
@@ -6,12 +6,12 @@
 use fnv::FnvHasher;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use thiserror::Error;
 
-use crate::{Candidate, CandidateAction, Incarnation, Message, Micros, Payload, Term, Voter};
+use crate::{
+    Actions, Candidate, CandidateAction, ConfigError, Incarnation, LeaseChange, LeaseConfig, Message, Micros,
+    Outgoing, Payload, Term, Voter,
+};
 
-/// The shortest lease that may be configured, in microseconds.
-const MIN_LEASE_DURATION: Micros = 500_000;
 /// Candidates of adjacent ranks seek a free lease this fraction of its duration (one part in this many)
 /// apart.
 const RANK_DELAY_DIVISOR: Micros = 60;
@@ -19,79 +19,6 @@
 /// this many).
 const RANK_JITTER_DIVISOR: Micros = 200;
 
-/// The operator's configuration, which is the same at all voters.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LeaseConfig {
-    /// The names of the processes that grant leases and can hold them: 3, 5 or 7.
-    pub voters: Vec<String>,
-    /// The names of the leases.
-    pub leases: Vec<String>,
-    /// The duration for which a lease is granted, in microseconds.
-    pub duration: Micros,
-    /// The lowest term that may be granted, 0 for no bound. An operator raises it after terms were lost and
-    /// the clocks were set back.
-    pub least_term: Term,
-}
-
-/// The reason why a configuration cannot work.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
-pub enum ConfigError {
-    /// The number of voters allows ties or is out of bounds.
-    #[error("voters: {0} proxies are named; name 3, 5 or 7, so that votes cannot tie")]
-    VoterCount(usize),
-    /// A voter is named twice and would have two votes.
-    #[error("voters: {0:?} is named twice; name each voter once")]
-    DuplicateVoter(String),
-    /// The lease would expire before slow voters have replied; the value is its duration in microseconds.
-    #[error(
-        "lease_ms: a lease of {0} us is too short; set at least 500 ms, or it expires before slow voters reply"
-    )]
-    TooShort(Micros),
-}
-
-/// A lease that this process has acquired or lost.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LeaseChange {
-    /// This process holds the lease from now on.
-    Acquired {
-        /// The name of the lease.
-        lease: String,
-        /// The term under which this process holds the lease.
-        term: Term,
-    },
-    /// This process no longer holds the lease.
-    Lost {
-        /// The name of the lease.
-        lease: String,
-        /// The term under which this process held the lease.
-        term: Term,
-    },
-}
-
-/// A message and its addressee.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Outgoing {
-    /// The name of the addressee, which is another voter.
-    pub to: String,
-    /// The message to send.
-    pub message: Message,
-}
-
-/// What the caller has to do now.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[must_use]
-pub struct Actions {
-    /// Messages to send.
-    pub send: Vec<Outgoing>,
-    /// Terms to write to disk, with the names of their leases. Once they are on disk, the caller calls
-    /// [`Participant::persisted`].
-    pub persist: Vec<(String, Term)>,
-    /// Leases that this process has acquired or lost.
-    pub changes: Vec<LeaseChange>,
-    /// When to call [`Participant::wake`]; `None` if this process is no candidate for any lease.
-    pub wake_at: Option<Micros>,
-}
-
 /// A vote that is sent once its term is on disk.
 struct PendingVote {
     term: Term,
@@ -112,22 +39,6 @@
     actions: Actions,
 }
 
-impl LeaseConfig {
-    fn validate(&self) -> Result<(), ConfigError> {
-        if !matches!(self.voters.len(), 3 | 5 | 7) {
-            return Err(ConfigError::VoterCount(self.voters.len()));
-        }
-        let is_duplicate = |(index, name): &(usize, &String)| self.voters[..*index].contains(name);
-        if let Some((_, name)) = self.voters.iter().enumerate().find(is_duplicate) {
-            return Err(ConfigError::DuplicateVoter(name.clone()));
-        }
-        if self.duration < MIN_LEASE_DURATION {
-            return Err(ConfigError::TooShort(self.duration));
-        }
-        Ok(())
-    }
-}
-
 impl Participant {
     /// Starts a process's part in the leases. `stored_terms` are the terms that the voter's store contained,
     /// by lease; `None` stands for a voter without a store.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -53,6 +53,7 @@
 mod seeds;
 mod snapshot;
 mod start_number;
+mod swim_config;
 mod timer_queue;
 
 pub use actions::{Actions, Change, DroppedDatagrams, OutgoingDatagram, ReceivedPayload};
--- a/crates/proxy/src/dispatcher/actions.rs
+++ b/crates/proxy/src/dispatcher/actions.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::Dispatcher;
-use super::endpoints::MemberEntry;
+use super::member_entry::MemberEntry;
 use super::open_request::OpenRequest;
 use crate::lifecycle::clock::duration;
 use crate::messages::{
--- a/crates/proxy/src/dispatcher/mod.rs
+++ b/crates/proxy/src/dispatcher/mod.rs
@@ -8,6 +8,7 @@
 mod ended_ids;
 mod endpoints;
 mod gateway;
+mod member_entry;
 mod members_clock;
 mod observations;
 mod open_request;
@@ -31,7 +32,7 @@
 use tokio::time::sleep_until;
 
 use crate::dispatcher::ended_ids::EndedIds;
-use crate::dispatcher::endpoints::MemberEntry;
+use crate::dispatcher::member_entry::MemberEntry;
 use crate::dispatcher::open_request::{OpenRequest, RequestOwner};
 use crate::dispatcher::warm_state::LastEndpointList;
 use crate::lifecycle::process_context::ProcessContext;
--- a/crates/proxy/src/dispatcher/observations.rs
+++ b/crates/proxy/src/dispatcher/observations.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 
 use super::Dispatcher;
-use super::endpoints::MemberEntry;
+use super::member_entry::MemberEntry;
 use crate::messages::{ClientRequest, ObservationSummary, SiteObservations};
 
 /// Maximum number of groups for which a key sketch is kept.
