Test on sockets that a drain ends with a later listed start alone

The test of a drained member goes on: a list that names it as in service with the same start is logged and changes nothing, and one with a later start has it served again.

--- a/crates/proxy/tests/drained_members.rs
+++ b/crates/proxy/tests/drained_members.rs
@@ -13,7 +13,7 @@
     member.requests().len()
 }
 
-/// Guards against requests at a member that drained and is gone.
+/// Guards against requests at a member that drained and is gone, until it starts again.
 #[test]
 fn a_drained_member_that_is_gone_gets_nothing_and_one_that_never_drained_does() {
     let (drained, gone, other) = (sound("reader"), sound("reader"), sound("writer"));
@@ -26,6 +26,14 @@
     until("the list without the drained member", || proxy.logged("revision: 3"));
     assert_eq!(requests_after_reads(&proxy, &drained), 0);
     assert!(requests_after_reads(&proxy, &gone) > 0);
+    // The drain is not called off by a list that names the same start, but ends with a later one.
+    let listed_again = list(4, false, &[("b", &drained, "in_service")]);
+    discovery.say(listed_again.clone());
+    until("the warning", || proxy.logged("member listed as in service after its drain"));
+    assert_eq!(requests_after_reads(&proxy, &drained), 0);
+    let up_since = format!("\"up_since_ms\":{}", unix_millis());
+    discovery.say(listed_again.replace("\"up_since_ms\":0", &up_since));
+    until("a request at the member that started again", || requests_after_reads(&proxy, &drained) > 0);
 }
 
 /// Guards against a drain that is ignored because its entry states no usable address.
