--- a/crates/test-support/src/program.rs
+++ b/crates/test-support/src/program.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
 use crate::{Discovery, Faults, Member, SteppedClock, WALL_CLOCK_STEP, list, until};
@@ -167,6 +167,13 @@
         Driver::of(&config.replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory_mb}")))
     }
 
+    /// Prints what the program has logged, as evidence beside a test that fails.
+    fn print_log(&self) {
+        for line in self.log.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            eprintln!("log of process {}: {line}", self.child.id());
+        }
+    }
+
     pub fn logged(&self, text: &str) -> bool {
         self.log.lock().unwrap().iter().any(|line| line.contains(text))
     }
@@ -194,6 +201,9 @@
 
 impl Drop for Driver {
     fn drop(&mut self) {
+        if thread::panicking() {
+            self.print_log();
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
